--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with real processes and stand-ins."""
--- /dev/null
+++ b/lagoonflow/__init__.py
@@ -0,0 +1,1 @@
+"""Serves rarely used language models from a small fleet."""
--- /dev/null
+++ b/lagoonflow/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP front for callers."""
--- /dev/null
+++ b/lagoonflow/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts, streams, resumption and at-most-once claims."""
--- /dev/null
+++ b/lagoonflow/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs: declarations, settings and entry points."""
--- /dev/null
+++ b/lagoonflow/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Key digests, authentication and withdrawal."""
--- /dev/null
+++ b/lagoonflow/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Homes of models: bids, decisions and replica counts."""
--- /dev/null
+++ b/lagoonflow/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: log, host list, weight store, engine."""
--- /dev/null
+++ b/lagoonflow/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Token shares per organisation, borrowing and refunds."""
--- /dev/null
+++ b/lagoonflow/releases/__init__.py
@@ -0,0 +1,1 @@
+"""Release notes: model, fold, publishing and checkpoints."""
--- /dev/null
+++ b/lagoonflow/results.py
@@ -0,0 +1,77 @@
+"""Numbered result codes and refusals as values with a reason."""
+
+import dataclasses
+import enum
+
+
+class Result(enum.IntEnum):
+    """Result codes; docs/RESULTS.md explains each of them."""
+
+    OK = 0
+    # 1xx: the request itself.
+    MALFORMED_BODY = 101
+    BODY_TOO_LARGE = 102
+    HEADERS_TOO_LARGE = 103
+    UNKNOWN_ROUTE = 104
+    UNKNOWN_MODEL = 105
+    PROMPT_TOO_LONG = 106
+    MALFORMED_HEADER = 107
+    METHOD_NOT_ALLOWED = 108
+    KEY_REUSED_WITH_OTHER_BODY = 109
+    # 2xx: who asks.
+    KEY_MISSING = 201
+    KEY_UNKNOWN = 202
+    KEY_WITHDRAWN = 203
+    NOT_ALLOWED = 204
+    # 3xx: limits.
+    RATE_EXCEEDED = 301
+    LARGER_THAN_BURST = 302
+    TOO_MANY_WAITING = 303
+    TOO_MANY_CONNECTIONS = 304
+    # 4xx: no place in time.
+    DEADLINE_UNREACHABLE = 401
+    NO_RUNNER = 402
+    MODEL_DOES_NOT_FIT = 403
+    LOAD_FAILED = 404
+    SHUTTING_DOWN = 405
+    CLAIM_LOG_UNAVAILABLE = 406
+    CLAIM_PENDING = 407
+    # 5xx: something failed on the way.
+    BACKEND_UNREACHABLE = 501
+    BACKEND_FAILED = 502
+    OUTCOME_UNKNOWN = 503
+    STREAM_BROKEN = 504
+    CALLER_GONE = 505
+    INTERNAL = 506
+    # 6xx: between the programs.
+    STALE_VIEW = 601
+    NOT_HOME = 602
+    STALE_LOCATION = 603
+    NOT_A_MEMBER = 604
+    DECISION_REPEATED = 605
+    RESERVATION_LOST = 606
+    MALFORMED_MESSAGE = 607
+    VERSION_GAP = 608
+    REVOKED = 609
+    # 7xx: release notes and settings.
+    NOTE_MALFORMED = 701
+    NOTE_REJECTED = 702
+    SETTING_INVALID = 703
+    LOG_UNAVAILABLE = 704
+    RECORD_REJECTED = 705
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A value which says that something was not done, and why.
+
+    :param code: numbered result code.
+    :param reason: one sentence for a person.
+    :param not_run: true only when it is certain that nothing ran.
+    :param retry_after_ms: when to come back, in ms; 0 when it does not help.
+    """
+
+    code: Result
+    reason: str
+    not_run: bool = True
+    retry_after_ms: int = 0
--- /dev/null
+++ b/lagoonflow/roster/__init__.py
@@ -0,0 +1,1 @@
+"""Membership, share denominators and rendezvous homes."""
--- /dev/null
+++ b/lagoonflow/runners/__init__.py
@@ -0,0 +1,1 @@
+"""Agent side of a runner: memory, replicas, loads and run queue."""
--- /dev/null
+++ b/lagoonflow/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs, metrics and the time line of events."""
--- /dev/null
+++ b/lagoonflow/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The codec and service names between the programs."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the engines."""
