--- /dev/null
+++ b/lagoonflow/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Agreed streams of the log service: following, appending, checkpoints."""
