Serve callers over HTTP: OpenAI-style routes and plain services

Cause: the thin path needs a front. Plain services' answers are collected before they are sent on, so that a broken answer becomes a refusal with a code and not a cut body. Ruled out: passing their bodies through, which cannot report an unknown outcome once the head is sent.

--- /dev/null
+++ b/lagoonflow/callers/answers.py
@@ -0,0 +1,111 @@
+"""Encodes generated answers in the OpenAI style, whole or as SSE."""
+
+import dataclasses
+import time
+
+import msgspec
+
+from lagoonflow.calls.messages import Finish
+
+SSE_DONE = b'data: [DONE]\n\n'
+
+
+class UsageBody(msgspec.Struct, frozen=True):
+    """Tokens that an answer took."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
+class Message(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Text of a chat answer, whole or a part."""
+
+    content: str = ''
+    role: str = ''
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """The one choice of an answer."""
+
+    index: int = 0
+    finish_reason: str | None = None
+    text: str | msgspec.UnsetType = msgspec.UNSET
+    message: Message | msgspec.UnsetType = msgspec.UNSET
+    delta: Message | msgspec.UnsetType = msgspec.UNSET
+
+
+class AnswerBody(msgspec.Struct, frozen=True):
+    """An answer, whole or a part."""
+
+    id: str
+    object: str
+    created: int
+    model: str
+    choices: list[Choice]
+    usage: UsageBody | msgspec.UnsetType = msgspec.UNSET
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerEncoder:
+    """Encodes the parts of one answer."""
+
+    request_id: str
+    model: str
+    is_chat: bool
+
+    def part(self, text: str) -> bytes:
+        """Encode generated text as one SSE event."""
+        choice = Choice(text=text)
+        if self.is_chat:
+            choice = Choice(delta=Message(content=text))
+        return _as_event(self._body(choice, is_part=True))
+
+    def last_part(self, finish: Finish) -> bytes:
+        """Encode the end of the answer as SSE events."""
+        choice = Choice(text='', finish_reason=finish.reason)
+        if self.is_chat:
+            choice = Choice(delta=Message(), finish_reason=finish.reason)
+        body = self._body(choice, is_part=True, usage=_usage(finish))
+        return b''.join((_as_event(body), SSE_DONE))
+
+    def whole(self, text: str, finish: Finish) -> bytes:
+        """Encode a whole answer as JSON."""
+        choice = Choice(text=text, finish_reason=finish.reason)
+        if self.is_chat:
+            message = Message(role='assistant', content=text)
+            choice = Choice(message=message, finish_reason=finish.reason)
+        body = self._body(choice, is_part=False, usage=_usage(finish))
+        return msgspec.json.encode(body)
+
+    def _body(
+        self,
+        choice: Choice,
+        *,
+        is_part: bool,
+        usage: UsageBody | msgspec.UnsetType = msgspec.UNSET,
+    ) -> AnswerBody:
+        kind = 'text_completion'
+        if self.is_chat:
+            kind = 'chat.completion.chunk' if is_part else 'chat.completion'
+        return AnswerBody(
+            id=self.request_id,
+            object=kind,
+            created=int(time.time()),
+            model=self.model,
+            choices=[choice],
+            usage=usage,
+        )
+
+
+def _usage(finish: Finish) -> UsageBody:
+    usage = finish.usage
+    return UsageBody(
+        prompt_tokens=usage.prompt_tokens,
+        completion_tokens=usage.completion_tokens,
+        total_tokens=usage.prompt_tokens + usage.completion_tokens,
+    )
+
+
+def _as_event(body: AnswerBody) -> bytes:
+    return b''.join((b'data: ', msgspec.json.encode(body), b'\n\n'))
--- /dev/null
+++ b/lagoonflow/callers/context.py
@@ -0,0 +1,200 @@
+"""What the endpoints share, and what they measure of each call."""
+
+import contextlib
+import dataclasses
+import time
+import uuid
+from collections.abc import AsyncIterator, Callable
+
+from lagoonflow.callers.messages import (
+    Admission,
+    Call,
+    CallRunner,
+    Charge,
+    Delivery,
+    Finished,
+    Refused,
+    TextPart,
+)
+from lagoonflow.callers.requests import CallerLimits
+from lagoonflow.keys.messages import Identity
+from lagoonflow.releases.state import ReleaseFold
+from lagoonflow.results import Refusal, Result
+from lagoonflow.telemetry.metrics import RouterMetrics
+from lagoonflow.telemetry.timeline import TimeLine
+
+MS_PER_S = 1000
+PART = 'callers'
+STOPPING = Refusal(
+    Result.SHUTTING_DOWN,
+    'This router is shutting down.',
+    retry_after_ms=1000,
+)
+RETRY_WHEN_BUSY_MS = 1000
+
+
+def monotonic_ms() -> float:
+    """Return monotonic time in ms."""
+    return time.monotonic() * MS_PER_S
+
+
+def new_request_id() -> str:
+    """Return a unique request id."""
+    return uuid.uuid4().hex
+
+
+@dataclasses.dataclass(slots=True)
+class FrontContext:
+    """The parts that the endpoints work with.
+
+    :param releases: the release notes in force.
+    :param is_stopping: new requests are refused when set.
+    :param waiting: requests in work at this moment.
+    """
+
+    releases: ReleaseFold
+    admission: Admission
+    calls: CallRunner
+    limits: CallerLimits
+    metrics: RouterMetrics
+    timeline: TimeLine
+    clock_ms: Callable[[], float] = monotonic_ms
+    is_stopping: bool = False
+    waiting: int = 0
+
+    def begin(self) -> Refusal | None:
+        """Count one request in, or refuse it."""
+        if self.is_stopping:
+            return STOPPING
+        if self.waiting >= self.limits.max_waiting:
+            return Refusal(
+                Result.TOO_MANY_WAITING,
+                'Too many requests are waiting at this router.',
+                retry_after_ms=RETRY_WHEN_BUSY_MS,
+            )
+        self.waiting += 1
+        self.metrics.waiting.set(self.waiting)
+        return None
+
+    def end(self) -> None:
+        """Count one request out."""
+        self.waiting -= 1
+        self.metrics.waiting.set(self.waiting)
+
+    def note_refusal(
+        self,
+        refusal: Refusal,
+        request_id: str,
+        identity: Identity,
+    ) -> None:
+        """Record a refusal in the metrics and the time line."""
+        self.metrics.requests.labels(
+            identity.organisation,
+            refusal.code.name,
+        ).inc()
+        self.timeline.record(
+            PART,
+            'refused',
+            request_id=request_id,
+            cause=refusal.code.name,
+            detail=refusal.reason,
+        )
+
+    async def run(self, call: Call, charge: Charge) -> AsyncIterator[Delivery]:
+        """Run a call, measure it, and refund what it has not used."""
+        meter = _CallMeter(self, call, charge)
+        try:
+            async with contextlib.aclosing(self.calls.run(call)) as parts:
+                async for delivery in parts:
+                    meter.count(delivery)
+                    yield delivery
+        finally:
+            meter.close()
+
+
+class _CallMeter:
+    """Counts what one call uses."""
+
+    def __init__(
+        self,
+        context: FrontContext,
+        call: Call,
+        charge: Charge,
+    ) -> None:
+        self._context = context
+        self._call = call
+        self._charge = charge
+        self._begun_ms = context.clock_ms()
+        self._last_ms: float = 0
+        self._tokens = 0
+        self._has_answer = False
+        self._used_tokens: float | None = None
+
+    def count(self, delivery: Delivery) -> None:
+        match delivery:
+            case Finished():
+                self._finish(delivery)
+            case Refused():
+                self._refuse(delivery.refusal)
+            case TextPart():
+                self._tokens += delivery.tokens
+                self._note_part()
+            case _:
+                self._note_part()
+
+    def close(self) -> None:
+        """Settle the charge; a caller who left pays for what began."""
+        used_tokens = self._used_tokens
+        if used_tokens is None:
+            used_tokens = self._begun_cost()
+            self._context.timeline.record(
+                PART,
+                'caller_gone',
+                request_id=self._call.request_id,
+            )
+        self._context.admission.settle(self._charge, used_tokens)
+
+    def _begun_cost(self) -> float:
+        generation = self._call.generation
+        if generation is None or not self._has_answer:
+            return self._charge.amount_tokens
+        unused_tokens = max(0, generation.max_tokens - self._tokens)
+        return self._charge.amount_tokens - unused_tokens
+
+    def _note_part(self) -> None:
+        now_ms = self._context.clock_ms()
+        metrics = self._context.metrics
+        if self._has_answer:
+            metrics.token_gap.observe((now_ms - self._last_ms) / MS_PER_S)
+        else:
+            metrics.first_token.observe((now_ms - self._begun_ms) / MS_PER_S)
+            self._context.timeline.record(
+                PART,
+                'first_part',
+                request_id=self._call.request_id,
+            )
+        self._has_answer = True
+        self._last_ms = now_ms
+
+    def _finish(self, delivery: Finished) -> None:
+        usage = delivery.finish.usage
+        self._used_tokens = self._charge.amount_tokens
+        if self._call.generation is not None:
+            self._used_tokens = usage.prompt_tokens + usage.completion_tokens
+        organisation = self._call.identity.organisation
+        self._context.metrics.tokens.labels(organisation).inc(self._tokens)
+        self._context.metrics.requests.labels(organisation, 'OK').inc()
+        self._context.timeline.record(
+            PART,
+            'answered',
+            request_id=self._call.request_id,
+            detail=f'{self._tokens} tokens',
+        )
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._used_tokens = 0 if refusal.not_run else self._begun_cost()
+        self._context.note_refusal(
+            refusal,
+            self._call.request_id,
+            self._call.identity,
+        )
--- /dev/null
+++ b/lagoonflow/callers/endpoint.py
@@ -0,0 +1,122 @@
+"""The steps that every endpoint takes before its call runs."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+from starlette.requests import Request
+from starlette.responses import Response
+
+from lagoonflow.callers.context import FrontContext, new_request_id
+from lagoonflow.callers.disconnect import CallerGone
+from lagoonflow.callers.errors import error_response
+from lagoonflow.callers.messages import Call, Charge
+from lagoonflow.callers.requests import check_headers, deadline_in_ms
+from lagoonflow.keys.messages import Identity
+from lagoonflow.results import Refusal, Result
+
+CALLER_GONE = Refusal(
+    Result.CALLER_GONE,
+    'The caller closed its connection.',
+    not_run=False,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """One HTTP request on its way through an endpoint."""
+
+    request: Request
+    request_id: str
+    arrived_ms: float
+    identity: Identity = Identity()
+    deadline_ms: float = 0
+    is_streaming: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmittedCall:
+    """A call with what it was charged."""
+
+    call: Call
+    charge: Charge
+
+
+Answerer = Callable[[Exchange], Awaitable[Response | Refusal]]
+
+
+class Endpoint:
+    """Counts requests and turns refusals into HTTP answers."""
+
+    def __init__(self, context: FrontContext) -> None:
+        """Take what the endpoints share."""
+        self.context = context
+
+    async def serve(self, request: Request, answer: Answerer) -> Response:
+        """Answer one request."""
+        exchange = Exchange(
+            request,
+            new_request_id(),
+            self.context.clock_ms(),
+        )
+        refusal = self.context.begin()
+        if refusal is not None:
+            return self._refuse(exchange, refusal)
+        try:
+            return await self._answer(exchange, answer)
+        finally:
+            if not exchange.is_streaming:
+                self.context.end()
+
+    async def admit(
+        self,
+        exchange: Exchange,
+        call: Call,
+    ) -> AdmittedCall | Refusal:
+        """Charge the organisation; open routes cost nothing."""
+        organisation = exchange.identity.organisation
+        if not organisation:
+            return AdmittedCall(call, Charge('', 0))
+        begun_ms = self.context.clock_ms()
+        charge = await self.context.admission.take(
+            exchange.request_id,
+            organisation,
+            call.cost_tokens,
+            exchange.deadline_ms,
+        )
+        if isinstance(charge, Refusal):
+            return charge
+        waited_ms = self.context.clock_ms() - begun_ms
+        self.context.metrics.quota_wait.observe(waited_ms / 1000)
+        return AdmittedCall(call, charge)
+
+    async def _answer(self, exchange: Exchange, answer: Answerer) -> Response:
+        refusal = self._check(exchange)
+        if refusal is not None:
+            return self._refuse(exchange, refusal)
+        try:
+            response = await answer(exchange)
+        except CallerGone:
+            return self._refuse(exchange, CALLER_GONE)
+        if isinstance(response, Refusal):
+            return self._refuse(exchange, response)
+        response.headers['x-request-id'] = exchange.request_id
+        return response
+
+    def _check(self, exchange: Exchange) -> Refusal | None:
+        limits = self.context.limits
+        refusal = check_headers(exchange.request, limits)
+        if refusal is not None:
+            return refusal
+        deadline = deadline_in_ms(exchange.request, limits)
+        if isinstance(deadline, Refusal):
+            return deadline
+        exchange.deadline_ms = exchange.arrived_ms + deadline
+        return None
+
+    def _refuse(self, exchange: Exchange, refusal: Refusal) -> Response:
+        self.context.note_refusal(
+            refusal,
+            exchange.request_id,
+            exchange.identity,
+        )
+        return error_response(refusal, exchange.request_id)
--- /dev/null
+++ b/lagoonflow/callers/generations.py
@@ -0,0 +1,250 @@
+"""The OpenAI-style endpoints in front of the model engines."""
+
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+
+from lagoonflow.callers.answers import AnswerEncoder
+from lagoonflow.callers.bodies import (
+    ChatBody,
+    CompletionBody,
+    GenerationBody,
+    max_tokens_of,
+    parse_body,
+    prompt_tokens_bound,
+)
+from lagoonflow.callers.disconnect import unless_gone
+from lagoonflow.callers.endpoint import AdmittedCall, Endpoint, Exchange
+from lagoonflow.callers.errors import error_body
+from lagoonflow.callers.messages import (
+    Call,
+    Delivery,
+    Finished,
+    Refused,
+    TextPart,
+)
+from lagoonflow.callers.requests import bearer_token, read_body
+from lagoonflow.calls.messages import Generation
+from lagoonflow.keys.state import authenticate
+from lagoonflow.releases.state import ReleaseFold
+from lagoonflow.results import Refusal, Result
+
+JSON_TYPE = 'application/json'
+SSE_TYPE = 'text/event-stream'
+Parts = AsyncIterator[Delivery]
+BROKEN = Refusal(
+    Result.STREAM_BROKEN,
+    'The answer ended without its last part.',
+    not_run=False,
+)
+
+
+class ModelEntry(msgspec.Struct, frozen=True):
+    """One entry of ``/v1/models``."""
+
+    id: str
+    object: str = 'model'
+    owned_by: str = 'lagoonflow'
+
+
+class ModelList(msgspec.Struct, frozen=True):
+    """Body of ``/v1/models``."""
+
+    data: list[ModelEntry]
+    object: str = 'list'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Running:
+    """A call whose first part has arrived."""
+
+    exchange: Exchange
+    encoder: AnswerEncoder
+    first: Delivery
+    parts: Parts
+
+
+class GenerationsEndpoint(Endpoint):
+    """Serves chat completions, completions and the list of models."""
+
+    async def chat(self, request: Request) -> Response:
+        """Answer ``/v1/chat/completions``."""
+        return await self.serve(request, self._chat)
+
+    async def complete(self, request: Request) -> Response:
+        """Answer ``/v1/completions``."""
+        return await self.serve(request, self._complete)
+
+    async def list_models(self, request: Request) -> Response:
+        """Answer ``/v1/models``."""
+        return await self.serve(request, self._list_models)
+
+    async def _chat(self, exchange: Exchange) -> Response | Refusal:
+        return await self._generate(exchange, ChatBody)
+
+    async def _complete(self, exchange: Exchange) -> Response | Refusal:
+        return await self._generate(exchange, CompletionBody)
+
+    async def _list_models(self, exchange: Exchange) -> Response | Refusal:
+        refusal = self._authenticate(exchange)
+        if refusal is not None:
+            return refusal
+        releases = self.context.releases
+        names = sorted((*releases.models(), *releases.adapters()))
+        body = msgspec.json.encode(
+            ModelList([ModelEntry(name) for name in names]),
+        )
+        return Response(body, media_type=JSON_TYPE)
+
+    def _authenticate(self, exchange: Exchange) -> Refusal | None:
+        identity = authenticate(
+            self.context.releases,
+            bearer_token(exchange.request),
+        )
+        if isinstance(identity, Refusal):
+            return identity
+        exchange.identity = identity
+        return None
+
+    async def _generate(
+        self,
+        exchange: Exchange,
+        body_type: type[ChatBody] | type[CompletionBody],
+    ) -> Response | Refusal:
+        refusal = self._authenticate(exchange)
+        if refusal is not None:
+            return refusal
+        content = await read_body(exchange.request, self.context.limits)
+        if isinstance(content, Refusal):
+            return content
+        body = parse_body(content, body_type)
+        if isinstance(body, Refusal):
+            return body
+        call = self._plan(exchange, body)
+        if isinstance(call, Refusal):
+            return call
+        admitted = await unless_gone(
+            exchange.request,
+            self.admit(exchange, call),
+        )
+        if isinstance(admitted, Refusal):
+            return admitted
+        return await self._run(exchange, body, admitted)
+
+    def _plan(
+        self,
+        exchange: Exchange,
+        body: GenerationBody,
+    ) -> Call | Refusal:
+        generation = plan_generation(self.context.releases, body)
+        if isinstance(generation, Refusal):
+            return generation
+        self.context.timeline.record(
+            'callers',
+            'arrived',
+            request_id=exchange.request_id,
+            model=body.model,
+            cause=f'organisation {exchange.identity.organisation}',
+        )
+        prompt_tokens = prompt_tokens_bound(generation.prompt)
+        return Call(
+            request_id=exchange.request_id,
+            identity=exchange.identity,
+            deadline_ms=exchange.deadline_ms,
+            cost_tokens=prompt_tokens + generation.max_tokens,
+            generation=generation,
+        )
+
+    async def _run(
+        self,
+        exchange: Exchange,
+        body: GenerationBody,
+        admitted: AdmittedCall,
+    ) -> Response | Refusal:
+        parts = self.context.run(admitted.call, admitted.charge)
+        encoder = AnswerEncoder(
+            exchange.request_id,
+            body.model,
+            isinstance(body, ChatBody),
+        )
+        if not body.stream:
+            return await unless_gone(
+                exchange.request,
+                _collect(encoder, parts),
+            )
+        first = await unless_gone(exchange.request, anext(parts))
+        if isinstance(first, Refused):
+            await parts.aclose()
+            return first.refusal
+        exchange.is_streaming = True
+        running = _Running(exchange, encoder, first, parts)
+        return StreamingResponse(self._events(running), media_type=SSE_TYPE)
+
+    async def _events(self, running: _Running) -> AsyncIterator[bytes]:
+        try:
+            async with contextlib.aclosing(running.parts) as parts:
+                yield _encode_event(running, running.first)
+                async for delivery in parts:
+                    yield _encode_event(running, delivery)
+        finally:
+            self.context.end()
+
+
+def plan_generation(
+    releases: ReleaseFold,
+    body: GenerationBody,
+) -> Generation | Refusal:
+    """Find the model or the adapter that the caller names."""
+    model = body.model
+    adapter = ''
+    adapter_spec = releases.adapter(body.model)
+    if adapter_spec is not None:
+        model = adapter_spec.model
+        adapter = body.model
+    if releases.model(model) is None:
+        return Refusal(
+            Result.UNKNOWN_MODEL,
+            f'No model or adapter is named {body.model!r}.',
+        )
+    return Generation(
+        model=model,
+        adapter=adapter,
+        prompt=body.prompt,
+        max_tokens=max_tokens_of(body),
+        seed=body.seed,
+    )
+
+
+def _encode_event(running: _Running, delivery: Delivery) -> bytes:
+    match delivery:
+        case TextPart():
+            return running.encoder.part(delivery.text)
+        case Finished():
+            return running.encoder.last_part(delivery.finish)
+        case Refused():
+            body = error_body(
+                delivery.refusal,
+                running.exchange.request_id,
+            )
+            return b''.join((b'data: ', body, b'\n\n'))
+        case _:
+            return b''
+
+
+async def _collect(encoder: AnswerEncoder, parts: Parts) -> Response | Refusal:
+    texts: list[str] = []
+    async with contextlib.aclosing(parts) as deliveries:
+        async for delivery in deliveries:
+            match delivery:
+                case TextPart():
+                    texts.append(delivery.text)
+                case Finished():
+                    body = encoder.whole(''.join(texts), delivery.finish)
+                    return Response(body, media_type=JSON_TYPE)
+                case Refused():
+                    return delivery.refusal
+    return BROKEN
--- /dev/null
+++ b/lagoonflow/callers/messages.py
@@ -0,0 +1,101 @@
+"""Values that the front passes to the calls slice and gets back."""
+
+import dataclasses
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+from lagoonflow.calls.messages import (
+    Finish,
+    Generation,
+    ServiceAnswer,
+    ServiceCall,
+)
+from lagoonflow.keys.messages import Identity
+from lagoonflow.results import Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One admitted request of a caller.
+
+    :param deadline_ms: monotonic time by which the answer has to begin.
+    :param cost_tokens: what the organisation was charged.
+    """
+
+    request_id: str
+    identity: Identity
+    deadline_ms: float
+    cost_tokens: float
+    generation: Generation | None = None
+    service_call: ServiceCall | None = None
+    idempotency_key: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TextPart:
+    """Generated text, in order."""
+
+    text: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The head of a plain service's answer."""
+
+    answer: ServiceAnswer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyPart:
+    """Body bytes of a plain service's answer, in order."""
+
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """The answer is whole."""
+
+    finish: Finish
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The call ends without a whole answer."""
+
+    refusal: Refusal
+
+
+Delivery = TextPart | AnswerHead | BodyPart | Finished | Refused
+
+
+class CallRunner(Protocol):
+    """Runs calls; closing the iterator cancels the call."""
+
+    def run(self, call: Call) -> AsyncIterator[Delivery]:
+        """Yield the parts of the answer; the last is an end."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Charge:
+    """Tokens that an organisation was charged for one request."""
+
+    charge_id: str
+    amount_tokens: float
+
+
+class Admission(Protocol):
+    """Charges organisations for requests."""
+
+    async def take(
+        self,
+        request_id: str,
+        organisation: str,
+        cost_tokens: float,
+        deadline_ms: float,
+    ) -> Charge | Refusal:
+        """Wait for the tokens while the deadline allows it."""
+
+    def settle(self, charge: Charge, used_tokens: float) -> None:
+        """Refund what a finished request has not used."""
--- /dev/null
+++ b/lagoonflow/callers/plain.py
@@ -0,0 +1,187 @@
+"""The endpoint in front of the plain services."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+from starlette.requests import Request
+from starlette.responses import Response
+
+from lagoonflow.callers.disconnect import unless_gone
+from lagoonflow.callers.endpoint import AdmittedCall, Endpoint, Exchange
+from lagoonflow.callers.messages import (
+    AnswerHead,
+    BodyPart,
+    Call,
+    Delivery,
+    Finished,
+    Refused,
+)
+from lagoonflow.callers.requests import (
+    bearer_token,
+    idempotency_key,
+    read_body,
+)
+from lagoonflow.calls.messages import Header, ServiceAnswer, ServiceCall
+from lagoonflow.keys.state import authenticate, without_key
+from lagoonflow.releases.messages import RouteSpec
+from lagoonflow.results import Refusal, Result
+
+HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+OWN_HEADERS = frozenset(('x-request-id', 'lagoonflow-deadline-ms'))
+BROKEN = Refusal(
+    Result.OUTCOME_UNKNOWN,
+    'The answer of the service is not whole.',
+    not_run=False,
+)
+
+
+class PlainEndpoint(Endpoint):
+    """Routes calls to plain services by path prefix."""
+
+    async def forward(self, request: Request) -> Response:
+        """Answer any request below the prefix of a route."""
+        return await self.serve(request, self._forward)
+
+    async def _forward(self, exchange: Exchange) -> Response | Refusal:
+        route = self.context.releases.route_for(exchange.request.url.path)
+        if route is None:
+            return Refusal(
+                Result.UNKNOWN_ROUTE,
+                'No route leads to this path.',
+            )
+        refusal = self._authenticate(exchange, route)
+        if refusal is not None:
+            return refusal
+        call = await self._plan(exchange, route)
+        if isinstance(call, Refusal):
+            return call
+        admitted = await unless_gone(
+            exchange.request,
+            self.admit(exchange, call),
+        )
+        if isinstance(admitted, Refusal):
+            return admitted
+        return await self._run(exchange, admitted)
+
+    def _authenticate(
+        self,
+        exchange: Exchange,
+        route: RouteSpec,
+    ) -> Refusal | None:
+        if route.is_open:
+            return None
+        identity = authenticate(
+            self.context.releases,
+            bearer_token(exchange.request),
+        )
+        if isinstance(identity, Refusal):
+            return identity
+        exchange.identity = identity
+        return None
+
+    async def _plan(
+        self,
+        exchange: Exchange,
+        route: RouteSpec,
+    ) -> Call | Refusal:
+        repeat_key = idempotency_key(exchange.request)
+        if isinstance(repeat_key, Refusal):
+            return repeat_key
+        body = await read_body(exchange.request, self.context.limits)
+        if isinstance(body, Refusal):
+            return body
+        self.context.timeline.record(
+            'callers',
+            'arrived',
+            request_id=exchange.request_id,
+            model=route.service,
+            cause=f'organisation {exchange.identity.organisation}',
+        )
+        return Call(
+            request_id=exchange.request_id,
+            identity=exchange.identity,
+            deadline_ms=exchange.deadline_ms,
+            cost_tokens=route.cost_tokens,
+            service_call=_service_call(exchange, route, body),
+            idempotency_key=repeat_key,
+        )
+
+    async def _run(
+        self,
+        exchange: Exchange,
+        admitted: AdmittedCall,
+    ) -> Response | Refusal:
+        parts = self.context.run(admitted.call, admitted.charge)
+        if admitted.call.service_call.is_idempotent:
+            return await unless_gone(exchange.request, _collect(parts))
+        # A call that must not be repeated goes on when its caller leaves:
+        # stopping it half-way would leave its outcome unknown.
+        return await _collect(parts)
+
+
+def _service_call(
+    exchange: Exchange,
+    route: RouteSpec,
+    body: bytes,
+) -> ServiceCall:
+    request = exchange.request
+    forwarded = without_key(
+        tuple(
+            Header(name.lower(), value)
+            for name, value in request.headers.items()
+            if _is_forwarded(name.lower())
+        ),
+        request.url.query,
+        bearer_token(request),
+    )
+    request_id = Header('x-request-id', exchange.request_id)
+    return ServiceCall(
+        service=route.service,
+        method=request.method,
+        path=request.url.path,
+        query=forwarded.query,
+        headers=(*forwarded.headers, request_id),
+        body=body,
+        is_idempotent=route.is_idempotent,
+    )
+
+
+def _is_forwarded(name: str) -> bool:
+    return name not in HOP_BY_HOP and name not in OWN_HEADERS
+
+
+async def _collect(parts: AsyncIterator[Delivery]) -> Response | Refusal:
+    head: ServiceAnswer | None = None
+    bodies: list[bytes] = []
+    async with contextlib.aclosing(parts) as deliveries:
+        async for delivery in deliveries:
+            match delivery:
+                case AnswerHead():
+                    head = delivery.answer
+                case BodyPart():
+                    bodies.append(delivery.body)
+                case Refused():
+                    return delivery.refusal
+                case Finished() if head is not None:
+                    return _response(head, b''.join(bodies))
+    return BROKEN
+
+
+def _response(head: ServiceAnswer, body: bytes) -> Response:
+    response = Response(body, head.status)
+    for header in head.headers:
+        if header.name.lower() not in HOP_BY_HOP:
+            response.headers[header.name] = header.value
+    return response
--- /dev/null
+++ b/lagoonflow/callers/requests.py
@@ -0,0 +1,92 @@
+"""Reads the parts of a caller's HTTP request within their limits."""
+
+import dataclasses
+
+from starlette.requests import Request
+
+from lagoonflow.results import Refusal, Result
+
+BEARER = 'bearer '
+DEADLINE_HEADER = 'lagoonflow-deadline-ms'
+IDEMPOTENCY_HEADER = 'idempotency-key'
+MAX_DEADLINE_MS = 600_000
+MAX_IDEMPOTENCY_KEY_CHARS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Limits of a router towards its callers.
+
+    :param max_body_bytes: largest request body.
+    :param max_header_bytes: largest request head.
+    :param max_waiting: most requests in work at once.
+    :param default_deadline_ms: time until the answer has to begin.
+    """
+
+    max_body_bytes: int = 1_048_576
+    max_header_bytes: int = 16384
+    max_waiting: int = 4096
+    default_deadline_ms: int = 30_000
+
+
+def bearer_token(request: Request) -> str:
+    """Return the caller's key, or nothing."""
+    header = request.headers.get('authorization', '')
+    if header.lower().startswith(BEARER):
+        return header[len(BEARER) :].strip()
+    return ''
+
+
+def deadline_in_ms(request: Request, limits: CallerLimits) -> int | Refusal:
+    """Return how long the caller waits for the answer to begin, in ms."""
+    header = request.headers.get(DEADLINE_HEADER)
+    if header is None:
+        return limits.default_deadline_ms
+    if header.isascii() and header.isdigit():
+        deadline = int(header[:10])
+        if 0 < deadline <= MAX_DEADLINE_MS:
+            return deadline
+    return Refusal(
+        Result.MALFORMED_HEADER,
+        f'{DEADLINE_HEADER} has to be 1 to {MAX_DEADLINE_MS} ms.',
+    )
+
+
+def idempotency_key(request: Request) -> str | Refusal:
+    """Return the Idempotency-Key, or nothing."""
+    header = request.headers.get(IDEMPOTENCY_HEADER, '')
+    if len(header) > MAX_IDEMPOTENCY_KEY_CHARS:
+        return Refusal(
+            Result.MALFORMED_HEADER,
+            f'{IDEMPOTENCY_HEADER} is longer than '
+            f'{MAX_IDEMPOTENCY_KEY_CHARS} characters.',
+        )
+    return header
+
+
+def check_headers(request: Request, limits: CallerLimits) -> Refusal | None:
+    """Refuse a request whose headers are too large."""
+    size_bytes = sum(
+        len(name) + len(value) for name, value in request.headers.raw
+    )
+    if size_bytes <= limits.max_header_bytes:
+        return None
+    return Refusal(
+        Result.HEADERS_TOO_LARGE,
+        f'The headers are larger than {limits.max_header_bytes} bytes.',
+    )
+
+
+async def read_body(request: Request, limits: CallerLimits) -> bytes | Refusal:
+    """Read the body; stop as soon as it is too large."""
+    parts: list[bytes] = []
+    size_bytes = 0
+    async for part in request.stream():
+        size_bytes += len(part)
+        if size_bytes > limits.max_body_bytes:
+            return Refusal(
+                Result.BODY_TOO_LARGE,
+                f'The body is larger than {limits.max_body_bytes} bytes.',
+            )
+        parts.append(part)
+    return b''.join(parts)
--- /dev/null
+++ b/lagoonflow/telemetry/admin.py
@@ -0,0 +1,110 @@
+"""The administrative HTTP endpoints that every program serves."""
+
+import dataclasses
+from collections.abc import Callable
+
+import msgspec
+import prometheus_client as prometheus
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from lagoonflow.telemetry.timeline import EventFilter, TimeLine
+
+JSON_TYPE = 'application/json'
+OK = 200
+BAD_REQUEST = 400
+NOT_READY = 503
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamStatus:
+    """How far one stream is folded, and what it rejected."""
+
+    next_offset: int
+    rejected: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProcessStatus:
+    """What ``lagoonflowctl status`` shows of one process."""
+
+    process: str
+    role: str
+    zone: str
+    is_ready: bool
+    reason: str
+    version: str
+    streams: dict[str, StreamStatus] = dataclasses.field(default_factory=dict)
+    details: dict[str, object] = dataclasses.field(default_factory=dict)
+
+
+StatusSource = Callable[[], ProcessStatus]
+
+
+class AdminApp:
+    """Serves liveness, readiness, metrics, status and the time line."""
+
+    def __init__(
+        self,
+        registry: prometheus.CollectorRegistry,
+        timeline: TimeLine,
+        status: StatusSource,
+    ) -> None:
+        """Take the sources of what is served."""
+        self._registry = registry
+        self._timeline = timeline
+        self._status = status
+
+    def build(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route('/live', self._live),
+                Route('/ready', self._ready),
+                Route('/metrics', self._metrics),
+                Route('/status', self._show_status),
+                Route('/timeline', self._show_timeline),
+            ],
+        )
+
+    async def _live(self, _request: Request) -> Response:
+        return Response('live\n')
+
+    async def _ready(self, _request: Request) -> Response:
+        status = self._status()
+        if status.is_ready:
+            return Response('ready\n')
+        return Response(f'not ready: {status.reason}\n', NOT_READY)
+
+    async def _metrics(self, _request: Request) -> Response:
+        return Response(
+            prometheus.generate_latest(self._registry),
+            media_type=prometheus.CONTENT_TYPE_LATEST,
+        )
+
+    async def _show_status(self, _request: Request) -> Response:
+        return _as_json(self._status())
+
+    async def _show_timeline(self, request: Request) -> Response:
+        query = request.query_params
+        try:
+            since_ms = float(query.get('since_ms', '0'))
+        except ValueError:
+            return Response('since_ms is not a number\n', BAD_REQUEST)
+        wanted = EventFilter(
+            request_id=query.get('request', ''),
+            model=query.get('model', ''),
+            host=query.get('host', ''),
+            since_ms=since_ms,
+        )
+        return _as_json(tuple(self._timeline.select(wanted)))
+
+
+def _as_json(content: object) -> Response:
+    return Response(
+        msgspec.json.encode(content),
+        OK,
+        media_type=JSON_TYPE,
+    )
--- /dev/null
+++ b/lagoonflow/telemetry/logs.py
@@ -0,0 +1,69 @@
+"""Structured logs: short sentences with a fixed prefix for each part."""
+
+import enum
+import logging
+from typing import TextIO
+
+import structlog
+
+
+class LogFormat(enum.StrEnum):
+    """How log lines are written."""
+
+    CONSOLE = 'console'
+    JSON = 'json'
+
+
+class LogLevel(enum.StrEnum):
+    """Least severe level that is written."""
+
+    DEBUG = 'debug'
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
+
+
+_LEVELS = {
+    LogLevel.DEBUG: logging.DEBUG,
+    LogLevel.INFO: logging.INFO,
+    LogLevel.WARNING: logging.WARNING,
+    LogLevel.ERROR: logging.ERROR,
+}
+
+
+def configure_logs(
+    stream: TextIO,
+    log_format: LogFormat,
+    level: LogLevel,
+) -> None:
+    """Send all logs of this process to one stream."""
+    renderer: structlog.typing.Processor = structlog.processors.JSONRenderer()
+    if log_format is LogFormat.CONSOLE:
+        renderer = structlog.dev.ConsoleRenderer(colors=stream.isatty())
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            _add_prefix,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
+        logger_factory=structlog.PrintLoggerFactory(stream),
+        cache_logger_on_first_use=True,
+    )
+    logging.basicConfig(stream=stream, level=logging.WARNING, force=True)
+
+
+def get_logger(part: str) -> structlog.typing.FilteringBoundLogger:
+    """Return the logger of one part; its lines begin with ``part:``."""
+    return structlog.get_logger(part=part)
+
+
+def _add_prefix(
+    _logger: object,
+    _method: str,
+    event: structlog.typing.EventDict,
+) -> structlog.typing.EventDict:
+    part = event.pop('part', 'lagoonflow')
+    event['event'] = f'{part}: {event["event"]}'
+    return event
