Add stand-ins for the platform, the engines and a plain service

Cause: scenarios need a log service, host list, weight store, model engine and plain service as separate processes with faults switched by HTTP.

--- /dev/null
+++ b/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a model engine with simple continuous batching."""
--- /dev/null
+++ b/standins/log/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the append-only log service."""
