--- /dev/null
+++ b/lagoonflow/wire/links.py
@@ -0,0 +1,114 @@
+"""Pooled gRPC channels to one member."""
+
+import dataclasses
+import ssl
+
+from grpclib.client import Channel
+
+from lagoonflow.wire.codec import MessagePackCodec
+from lagoonflow.wire.connections import ConnectionSettings
+
+# HTTP/2 servers allow 100 streams on a connection by default.
+MAX_CALLS_PER_LINK = 90
+MAX_LINKS_PER_MEMBER = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """Address of a program's gRPC port."""
+
+    host: str
+    port: int
+
+
+class Link:
+    """One channel with the number of calls that are open on it."""
+
+    def __init__(self, channel: Channel) -> None:
+        """Start with no open call."""
+        self.channel = channel
+        self.open_calls = 0
+        self.last_used_ms = 0
+        self.is_retired = False
+
+    def release(self, now_ms: int) -> None:
+        """Count a call as ended; a retired link closes with its last."""
+        self.open_calls -= 1
+        self.last_used_ms = now_ms
+        self._close_unused()
+
+    def retire(self) -> None:
+        """Take no new calls, and close once the open ones have ended."""
+        self.is_retired = True
+        self._close_unused()
+
+    def close(self) -> None:
+        """Close at once; open calls are broken."""
+        self.is_retired = True
+        self.channel.close()
+
+    def _close_unused(self) -> None:
+        if self.is_retired and not self.open_calls:
+            self.channel.close()
+
+
+class LinkPool:
+    """Links to one endpoint of a member, a bounded number of them."""
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        settings: ConnectionSettings,
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        """Start without links; they are opened on demand."""
+        self.endpoint = endpoint
+        self._settings = settings
+        self._ssl_context = ssl_context
+        self._links: list[Link] = []
+
+    def acquire(self) -> Link | None:
+        """Return a link with room for a call, or None when all are full."""
+        self._drop_retired()
+        for link in self._links:
+            if link.open_calls < MAX_CALLS_PER_LINK:
+                link.open_calls += 1
+                return link
+        if len(self._links) >= MAX_LINKS_PER_MEMBER:
+            return None
+        return self._open()
+
+    def close_idle(self, now_ms: int) -> bool:
+        """Close unused links; return whether none is left."""
+        oldest_ms = now_ms - self._settings.idle_timeout_ms
+        for link in self._links:
+            if not link.open_calls and link.last_used_ms < oldest_ms:
+                link.retire()
+        self._drop_retired()
+        return not self._links
+
+    def retire(self) -> None:
+        """Retire all links."""
+        for link in self._links:
+            link.retire()
+
+    def close(self) -> None:
+        """Close all links at once."""
+        for link in self._links:
+            link.close()
+
+    def _drop_retired(self) -> None:
+        self._links = [kept for kept in self._links if not kept.is_retired]
+
+    def _open(self) -> Link:
+        channel = Channel(
+            self.endpoint.host,
+            self.endpoint.port,
+            codec=MessagePackCodec(),
+            ssl=self._ssl_context,
+            config=self._settings.configuration(),
+        )
+        link = Link(channel)
+        link.open_calls = 1
+        self._links.append(link)
+        return link
--- /dev/null
+++ b/lagoonflow/wire/peers.py
@@ -0,0 +1,211 @@
+"""Calls to other members over pooled connections."""
+
+import asyncio
+import contextlib
+import ssl
+import time
+from collections.abc import AsyncIterator, Callable, Iterator
+from typing import Any
+
+from grpclib.client import Stream
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from lagoonflow.results import Refusal, Result
+from lagoonflow.wire.connections import MS_PER_S, ConnectionSettings
+from lagoonflow.wire.links import Endpoint, Link, LinkPool
+from lagoonflow.wire.services import Method
+
+Resolve = Callable[[str], Endpoint | None]
+
+_RESULTS = {
+    Status.INVALID_ARGUMENT: Result.MALFORMED_MESSAGE,
+    Status.UNIMPLEMENTED: Result.MALFORMED_MESSAGE,
+    Status.PERMISSION_DENIED: Result.NOT_ALLOWED,
+    Status.UNKNOWN: Result.BACKEND_FAILED,
+    Status.INTERNAL: Result.BACKEND_FAILED,
+}
+# grpclib raises AttributeError when it reads from a closed connection.
+_BROKEN = (OSError, ProtocolError, StreamTerminatedError, AttributeError)
+
+
+class NotSentError(Exception):
+    """The connection could not be opened, so that nothing was sent."""
+
+
+# TimeoutError is an OSError.
+_SILENT = (NotSentError, *_BROKEN)
+_FAILURES = (GRPCError, *_SILENT)
+
+
+def _monotonic_ms() -> int:
+    return time.monotonic_ns() // (MS_PER_S * MS_PER_S)
+
+
+class Peers:
+    """Sends messages to members by name.
+
+    Failures come back as refusals. ``not_run`` is true only when the
+    message was never sent.
+    """
+
+    def __init__(
+        self,
+        resolve: Resolve,
+        settings: ConnectionSettings | None = None,
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        """Start without connections.
+
+        :param resolve: returns the present address of a member's gRPC port.
+        :param ssl_context: connects with TLS when given.
+        """
+        self._resolve = resolve
+        self._settings = settings or ConnectionSettings()
+        self._ssl_context = ssl_context
+        self._pools: dict[tuple[str, str], LinkPool] = {}
+
+    async def send(
+        self,
+        member_name: str,
+        method: Method,
+        message: Any,
+        timeout_ms: int = 0,
+    ) -> Any:
+        """Call a unary method, and return its reply or a refusal.
+
+        :param timeout_ms: longest time of the call, in ms.
+        """
+        timeout_ms = timeout_ms or self._settings.call_timeout_ms
+        replies = self._call(member_name, method, message, timeout_ms, 'unary')
+        async with contextlib.aclosing(replies) as received:
+            reply = await anext(received, None)
+        return reply or _lost('the call ended without a reply')
+
+    async def stream(
+        self,
+        member_name: str,
+        method: Method,
+        message: Any,
+        progress_timeout_ms: int,
+    ) -> AsyncIterator[Any]:
+        """Call a streaming method, and yield its replies.
+
+        The last item is a refusal when the stream broke or made no progress.
+
+        :param progress_timeout_ms: longest time between replies, in ms.
+        """
+        replies = self._call(
+            member_name, method, message, progress_timeout_ms, 'stream'
+        )
+        async with contextlib.aclosing(replies) as received:
+            async for reply in received:
+                yield reply
+
+    def close_idle(self) -> None:
+        """Close connections that have been unused for the idle timeout."""
+        now_ms = _monotonic_ms()
+        for name in list(self._pools):
+            if self._pools[name].close_idle(now_ms):
+                self._pools.pop(name)
+
+    def close(self) -> None:
+        """Close all connections; open calls are broken."""
+        for pool in self._pools.values():
+            pool.close()
+        self._pools.clear()
+
+    async def _call(
+        self,
+        member_name: str,
+        method: Method,
+        message: Any,
+        timeout_ms: int,
+        purpose: str,
+    ) -> AsyncIterator[Any]:
+        link = self._acquire(member_name, purpose)
+        if isinstance(link, Refusal):
+            yield link
+            return
+        try:
+            replies = self._replies(link, method, message, timeout_ms)
+            with _retiring(link):
+                async with contextlib.aclosing(replies) as received:
+                    async for reply in received:
+                        yield reply
+        except _FAILURES as failure:
+            yield _refusal_of(failure)
+        finally:
+            link.release(_monotonic_ms())
+
+    async def _replies(
+        self, link: Link, method: Method, message: Any, timeout_ms: int
+    ) -> AsyncIterator[Any]:
+        request = link.channel.request(
+            method.path,
+            method.cardinality,
+            method.request_type,
+            method.reply_type,
+        )
+        async with request as stream:
+            await self._open(stream)
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                await stream.send_message(message, end=True)
+            while True:
+                async with asyncio.timeout(timeout_ms / MS_PER_S):
+                    reply = await stream.recv_message()
+                if reply is None:
+                    break
+                yield reply
+
+    async def _open(self, stream: Stream[Any, Any]) -> None:
+        timeout_s = self._settings.connect_timeout_ms / MS_PER_S
+        try:
+            async with asyncio.timeout(timeout_s):
+                await stream.send_request()
+        except _BROKEN as broken:
+            raise NotSentError(str(broken) or 'no connection') from broken
+
+    def _acquire(self, member_name: str, purpose: str) -> Link | Refusal:
+        endpoint = self._resolve(member_name)
+        if endpoint is None:
+            return Refusal(Result.NOT_A_MEMBER, f'{member_name} is unknown')
+        name = (member_name, purpose)
+        pool = self._pools.get(name)
+        if pool is None or pool.endpoint != endpoint:
+            if pool is not None:
+                pool.retire()
+            pool = LinkPool(endpoint, self._settings, self._ssl_context)
+            self._pools[name] = pool
+        link = pool.acquire()
+        if link is None:
+            return Refusal(
+                Result.TOO_MANY_CONNECTIONS,
+                f'all connections to {member_name} are full',
+            )
+        return link
+
+
+@contextlib.contextmanager
+def _retiring(link: Link) -> Iterator[None]:
+    try:
+        yield
+    except _SILENT:
+        link.retire()
+        raise
+
+
+def _lost(reason: str) -> Refusal:
+    return Refusal(Result.BACKEND_UNREACHABLE, reason, not_run=False)
+
+
+def _refusal_of(failure: Exception) -> Refusal:
+    match failure:
+        case NotSentError():
+            return Refusal(Result.BACKEND_UNREACHABLE, str(failure))
+        case GRPCError(status=status, message=message):
+            code = _RESULTS.get(status, Result.BACKEND_UNREACHABLE)
+            return Refusal(code, message or status.name, not_run=False)
+        case TimeoutError():
+            return _lost('no reply in time')
+    return _lost(str(failure) or 'the connection broke')
