--- /dev/null
+++ b/lagoonflow/wiring/__init__.py
@@ -0,0 +1,1 @@
+"""The composition root: wires the parts of each program."""
--- /dev/null
+++ b/lagoonflow/wiring/background.py
@@ -0,0 +1,37 @@
+"""Background tasks of a program, which end together."""
+
+import asyncio
+from collections.abc import Coroutine
+
+from lagoonflow.telemetry.logs import get_logger
+
+
+class Background:
+    """Runs long-lived tasks."""
+
+    def __init__(self) -> None:
+        """Start without tasks."""
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self, name: str, work: Coroutine[None, None, None]) -> None:
+        """Run one task; its failure is logged."""
+        self._tasks.append(asyncio.create_task(_watched(name, work)))
+
+    async def stop(self) -> None:
+        """Cancel all tasks and wait until they have ended."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+
+
+async def _watched(name: str, work: Coroutine[None, None, None]) -> None:
+    try:
+        await work
+    except Exception as error:
+        get_logger('program').error(
+            'Background task failed.',
+            task=name,
+            error=repr(error),
+            exc_info=True,
+        )
--- /dev/null
+++ b/lagoonflow/wiring/stopping.py
@@ -0,0 +1,39 @@
+"""Turns signals into a graceful stop; a second signal ends at once."""
+
+import asyncio
+import signal
+
+from lagoonflow.telemetry.logs import get_logger
+
+SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class StopSignal:
+    """Set by the first signal; the second one cancels the program."""
+
+    def __init__(self) -> None:
+        """Start unset."""
+        self._event = asyncio.Event()
+        self._program: asyncio.Task | None = None
+
+    def install(self) -> None:
+        """Handle signals in the running event loop."""
+        self._program = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in SIGNALS:
+            loop.add_signal_handler(number, self.set)
+
+    def set(self) -> None:
+        """Ask for a stop."""
+        log = get_logger('program')
+        if not self._event.is_set():
+            log.info('Stopping gracefully.')
+            self._event.set()
+            return
+        log.warning('Stopping at once.')
+        if self._program is not None:
+            self._program.cancel()
+
+    async def wait(self) -> None:
+        """Wait for the first signal."""
+        await self._event.wait()
