--- a/lagoonflow/cli/arguments.py
+++ b/lagoonflow/cli/arguments.py
@@ -1,5 +1,6 @@
 """Argument types of the programs' settings, with their checks."""
 
+import ipaddress
 import re
 from typing import Annotated
 from urllib.parse import urlsplit
@@ -19,12 +20,13 @@
 def parse_address(text: str) -> Address:
     """Parse HOST:PORT.
 
-    :raises ValueError: when the text has another form.
+    :raises ValueError: when the text has another form, or no IP address.
     """
     host, _, port = text.rpartition(':')
     host = host.removeprefix('[').removesuffix(']')
     if not host or not port.isdigit() or int(port) > MAX_PORT:
         raise ValueError(f'{text!r} {ADDRESS_HINT}')
+    ipaddress.ip_address(host)
     return Address(host, int(port))
 
 
--- a/lagoonflow/cli/settings.py
+++ b/lagoonflow/cli/settings.py
@@ -1,6 +1,7 @@
 """Settings of the programs: flags and environment variables."""
 
 import dataclasses
+import ipaddress
 import pathlib
 from typing import Annotated
 
@@ -17,7 +18,6 @@
 from lagoonflow.wire.http import Address
 
 LOOPBACK = Address('127.0.0.1', 0)
-LOOPBACK_HOSTS = frozenset(('127.0.0.1', '::1', 'localhost'))
 
 
 class SettingError(Exception):
@@ -128,7 +128,7 @@
     def _check_plaintext(self, flag: str, address: Address) -> None:
         if self.has_tls() or self.allow_plaintext:
             return
-        if address.host not in LOOPBACK_HOSTS:
+        if not ipaddress.ip_address(address.host).is_loopback:
             raise SettingError(
                 f'{flag}: {address.host} is not loopback. Set the TLS files, '
                 'or --allow-plaintext if the network is trusted.',
