--- /dev/null
+++ b/benchmarks/storm/deployments.py
@@ -0,0 +1,65 @@
+"""Sizes of the two deployments that the brief describes."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Sizes of one deployment.
+
+    :param routers: entry hosts.
+    :param engines: runners with a model engine.
+    :param plain_services: runners with a plain service.
+    :param store_loads_per_s: loads a second that the store allows.
+    :param engine_memory_mb: memory of one accelerator.
+    :param model_memory_mb: memory of one replica.
+    :param zone_delay_ms: delay between availability zones.
+    """
+
+    name: str
+    routers: int
+    engines: int
+    plain_services: int
+    models: int
+    adapters: int
+    organisations: int
+    store_loads_per_s: float
+    zone_delay_ms: float
+    store_parallel: int = 4
+    engine_memory_mb: int = 14_000
+    model_memory_mb: int = 4_000
+    adapter_memory_mb: int = 32
+    disk_load_ms: int = 1_200
+    memory_load_ms: int = 250
+    tokens_per_s: int = 60
+    batch_size: int = 16
+
+    @property
+    def fetch_ms(self) -> float:
+        """Time of one fetch at full speed, in ms."""
+        return self.store_parallel / self.store_loads_per_s * 1000
+
+
+TAQUARI = Deployment(
+    name='taquari',
+    routers=3,
+    engines=5,
+    plain_services=3,
+    models=30,
+    adapters=40,
+    organisations=5,
+    store_loads_per_s=1.5,
+    zone_delay_ms=1,
+)
+HUNGARY = Deployment(
+    name='hungary',
+    routers=3,
+    engines=9,
+    plain_services=3,
+    models=30,
+    adapters=110,
+    organisations=5,
+    store_loads_per_s=4,
+    zone_delay_ms=1.5,
+)
+DEPLOYMENTS = {one.name: one for one in (TAQUARI, HUNGARY)}
--- a/lagoonflow/callers/context.py
+++ b/lagoonflow/callers/context.py
@@ -6,17 +6,9 @@
 import uuid
 from collections.abc import AsyncIterator, Callable
 
-from lagoonflow.callers.messages import (
-    Admission,
-    Call,
-    CallRunner,
-    Charge,
-    Delivery,
-    Finished,
-    Refused,
-    TextPart,
-)
+from lagoonflow.callers.messages import Admission, Call, CallRunner, Charge
 from lagoonflow.callers.requests import CallerLimits
+from lagoonflow.calls.events import DeliverFinish, DeliverText, Delivery, Refuse
 from lagoonflow.keys.messages import Identity
 from lagoonflow.releases.state import ReleaseFold
 from lagoonflow.results import Refusal, Result
@@ -132,11 +124,11 @@
 
     def count(self, delivery: Delivery) -> None:
         match delivery:
-            case Finished():
+            case DeliverFinish():
                 self._finish(delivery)
-            case Refused():
+            case Refuse():
                 self._refuse(delivery.refusal)
-            case TextPart():
+            case DeliverText():
                 self._tokens += delivery.tokens
                 self._note_part()
             case _:
@@ -176,7 +168,7 @@
         self._has_answer = True
         self._last_ms = now_ms
 
-    def _finish(self, delivery: Finished) -> None:
+    def _finish(self, delivery: DeliverFinish) -> None:
         usage = delivery.finish.usage
         self._used_tokens = self._charge.amount_tokens
         if self._call.generation is not None:
--- a/lagoonflow/callers/generations.py
+++ b/lagoonflow/callers/generations.py
@@ -20,14 +20,9 @@
 from lagoonflow.callers.disconnect import unless_gone
 from lagoonflow.callers.endpoint import AdmittedCall, Endpoint, Exchange
 from lagoonflow.callers.errors import error_body
-from lagoonflow.callers.messages import (
-    Call,
-    Delivery,
-    Finished,
-    Refused,
-    TextPart,
-)
+from lagoonflow.callers.messages import Call
 from lagoonflow.callers.requests import bearer_token, read_body
+from lagoonflow.calls.events import DeliverFinish, DeliverText, Delivery, Refuse
 from lagoonflow.calls.messages import Generation
 from lagoonflow.keys.state import authenticate
 from lagoonflow.releases.state import ReleaseFold
@@ -177,7 +172,7 @@
                 _collect(encoder, parts),
             )
         first = await unless_gone(exchange.request, anext(parts))
-        if isinstance(first, Refused):
+        if isinstance(first, Refuse):
             await parts.aclose()
             return first.refusal
         exchange.is_streaming = True
@@ -221,11 +216,11 @@
 
 def _encode_event(running: _Running, delivery: Delivery) -> bytes:
     match delivery:
-        case TextPart():
+        case DeliverText():
             return running.encoder.part(delivery.text)
-        case Finished():
+        case DeliverFinish():
             return running.encoder.last_part(delivery.finish)
-        case Refused():
+        case Refuse():
             body = error_body(
                 delivery.refusal,
                 running.exchange.request_id,
@@ -240,11 +235,11 @@
     async with contextlib.aclosing(parts) as deliveries:
         async for delivery in deliveries:
             match delivery:
-                case TextPart():
+                case DeliverText():
                     texts.append(delivery.text)
-                case Finished():
+                case DeliverFinish():
                     body = encoder.whole(''.join(texts), delivery.finish)
                     return Response(body, media_type=JSON_TYPE)
-                case Refused():
+                case Refuse():
                     return delivery.refusal
     return BROKEN
--- a/lagoonflow/callers/messages.py
+++ b/lagoonflow/callers/messages.py
@@ -4,12 +4,8 @@
 from collections.abc import AsyncIterator
 from typing import Protocol
 
-from lagoonflow.calls.messages import (
-    Finish,
-    Generation,
-    ServiceAnswer,
-    ServiceCall,
-)
+from lagoonflow.calls.events import Delivery
+from lagoonflow.calls.messages import Generation, ServiceCall
 from lagoonflow.keys.messages import Identity
 from lagoonflow.results import Refusal
 
@@ -31,45 +27,6 @@
     idempotency_key: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TextPart:
-    """Generated text, in order."""
-
-    text: str
-    tokens: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerHead:
-    """The head of a plain service's answer."""
-
-    answer: ServiceAnswer
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BodyPart:
-    """Body bytes of a plain service's answer, in order."""
-
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finished:
-    """The answer is whole."""
-
-    finish: Finish
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
-    """The call ends without a whole answer."""
-
-    refusal: Refusal
-
-
-Delivery = TextPart | AnswerHead | BodyPart | Finished | Refused
-
-
 class CallRunner(Protocol):
     """Runs calls; closing the iterator cancels the call."""
 
--- a/lagoonflow/callers/plain.py
+++ b/lagoonflow/callers/plain.py
@@ -8,19 +8,19 @@
 
 from lagoonflow.callers.disconnect import unless_gone
 from lagoonflow.callers.endpoint import AdmittedCall, Endpoint, Exchange
-from lagoonflow.callers.messages import (
-    AnswerHead,
-    BodyPart,
-    Call,
-    Delivery,
-    Finished,
-    Refused,
-)
+from lagoonflow.callers.messages import Call
 from lagoonflow.callers.requests import (
     bearer_token,
     idempotency_key,
     read_body,
 )
+from lagoonflow.calls.events import (
+    DeliverAnswer,
+    DeliverBody,
+    DeliverFinish,
+    Delivery,
+    Refuse,
+)
 from lagoonflow.calls.messages import Header, ServiceAnswer, ServiceCall
 from lagoonflow.keys.state import authenticate, without_key
 from lagoonflow.releases.messages import RouteSpec
@@ -168,13 +168,13 @@
     async with contextlib.aclosing(parts) as deliveries:
         async for delivery in deliveries:
             match delivery:
-                case AnswerHead():
+                case DeliverAnswer():
                     head = delivery.answer
-                case BodyPart():
+                case DeliverBody():
                     bodies.append(delivery.body)
-                case Refused():
+                case Refuse():
                     return delivery.refusal
-                case Finished() if head is not None:
+                case DeliverFinish() if head is not None:
                     return _response(head, b''.join(bodies))
     return BROKEN
 
