--- /dev/null
+++ b/tests/roster/test_state.py
@@ -0,0 +1,131 @@
+"""Tests of the roster fold, homes, pauses and departures."""
+
+import dataclasses
+import time
+
+from lagoonflow.roster.departures import (
+    Departures,
+    DepartureSettings,
+    HostState,
+)
+from lagoonflow.roster.homes import Homes, home_of, rank
+from lagoonflow.roster.messages import Gone, Joined, Left, Member, Role
+from lagoonflow.roster.pause import PauseDetector
+from lagoonflow.roster.state import RosterFold
+
+
+def member(number: int, role: Role = Role.AGENT, nonce: str = 'a') -> Member:
+    return Member(
+        f'{role}-{number}',
+        role,
+        f'127.0.1.{number}',
+        7000,
+        'zone-1',
+        nonce,
+        has_engine=role is Role.AGENT,
+    )
+
+
+def fold_of(*members: Member) -> RosterFold:
+    fold = RosterFold()
+    for entry in members:
+        fold.change(Joined(entry))
+    return fold
+
+
+def test_successor_replaces_predecessor_and_joins_last() -> None:
+    fold = fold_of(member(1), member(2), member(1, nonce='b'))
+    assert [entry.nonce for entry in fold.members] == ['a', 'b']
+    assert [entry.joined_version for entry in fold.memberships] == [2, 3]
+
+
+def test_departures_match_the_nonce_only() -> None:
+    fold = fold_of(member(1), member(1, nonce='b'))
+    fold.change(Gone('agent-1', 'a'))
+    fold.change(Left('agent-1', 'a'))
+    assert fold.is_member('agent-1', 'b')
+    fold.change(Left('agent-1', 'b'))
+    assert fold.members == ()
+
+
+def test_lookups_by_role_and_service() -> None:
+    booking = dataclasses.replace(
+        member(2), services=('booking',), has_engine=False
+    )
+    fold = fold_of(member(1), booking, member(3, Role.ROUTER))
+    assert [entry.name for entry in fold.routers()] == ['router-3']
+    assert fold.engine_agents() == (member(1),)
+    assert fold.agents_of('booking') == (booking,)
+
+
+def test_home_moves_only_when_the_home_departs() -> None:
+    agents = [member(number) for number in range(9)]
+    before = {f'm{n}': rank(f'm{n}', agents)[0] for n in range(300)}
+    after = {f'm{n}': rank(f'm{n}', agents[1:])[0] for n in range(300)}
+    moved = {model for model in before if before[model] != after[model]}
+    assert moved == {m for m in before if before[m] == agents[0]}
+    assert 15 < len(moved) < 60
+
+
+def test_cached_homes_follow_the_fold() -> None:
+    fold = fold_of(*map(member, range(5)))
+    homes = Homes(fold)
+    home = homes.home_of('m')
+    assert home == home_of('m', fold)
+    fold.change(Left(home.name, home.nonce))
+    assert homes.home_of('m') == home_of('m', fold) != home
+
+
+def test_ranking_at_target_size_is_fast() -> None:
+    homes = Homes(fold_of(*map(member, range(340))))
+    started_s = time.perf_counter()
+    for number in range(300):
+        homes.home_of(f'm{number}')
+    assert time.perf_counter() - started_s < 1
+
+
+def test_pause_detector_reports_gaps_once() -> None:
+    detector = PauseDetector(0, threshold_ms=1000)
+    assert [detector.tick(t) for t in (500, 1400, 2500, 3000)] == [
+        False,
+        False,
+        True,
+        False,
+    ]
+
+
+def test_departure_is_reported_after_lag_and_jitter() -> None:
+    fold = fold_of(member(1), member(2), member(3))
+    settings = DepartureSettings(list_lag_ms=5000, jitter_ms=2000)
+    reports = []
+    for number in (1, 3):
+        watch = Departures(f'agent-{number}', f'127.0.1.{number}', settings)
+        hosts = {f'127.0.1.{n}': HostState.LIVE for n in (1, 3)}
+        times = [
+            now
+            for now in range(0, 9000, 10)
+            if watch.on_hosts(now, hosts, fold)
+        ]
+        reports.append(times[0])
+        assert not watch.is_fit(member(2))
+    assert all(5000 < report <= 7010 for report in reports)
+    assert reports[0] != reports[1]
+
+
+def test_host_that_comes_back_or_leaves_is_not_gone() -> None:
+    fold = fold_of(member(1), member(2))
+    watch = Departures('agent-1', '127.0.1.1')
+    live = {'127.0.1.1': HostState.LIVE}
+    assert watch.on_hosts(0, live, fold) == []
+    leaving = live | {'127.0.1.2': HostState.LEAVING}
+    assert watch.on_hosts(6000, leaving, fold) == []
+    assert watch.is_leaving(member(2)) and not watch.is_fit(member(2))
+    assert watch.on_hosts(60000, live, fold) == []
+
+
+def test_listing_without_own_host_is_not_trusted() -> None:
+    fold = fold_of(member(1), member(2))
+    watch = Departures('agent-1', '127.0.1.1')
+    for now_ms in (0, 60000):
+        assert watch.on_hosts(now_ms, {}, fold) == []
+    assert watch.is_fit(member(2))
