Add token shares with borrowing, refunds and hand-over

Cause: no organisation may exceed its rate and burst over all hosts, without an owner of its bucket. Ruled out: adding pushed hand-overs clipped at the cap (a late one can come after other routers have filled up to their larger caps).

--- /dev/null
+++ b/lagoonflow/quotas/account.py
@@ -0,0 +1,229 @@
+"""Tokens and waiting requests of one organisation at one router."""
+
+import dataclasses
+
+from lagoonflow.quotas.actions import Action, Admitted, AskPeer, Refused
+from lagoonflow.quotas.borrowing import Borrower, Borrowing
+from lagoonflow.quotas.bucket import Bucket
+from lagoonflow.quotas.charges import Charges
+from lagoonflow.quotas.forecast import Forecast
+from lagoonflow.quotas.lenders import Ask
+from lagoonflow.quotas.messages import BorrowReply, BorrowRequest, HandOver
+from lagoonflow.quotas.settings import QuotaSettings
+from lagoonflow.quotas.waiting import WaitingQueue
+from lagoonflow.releases.messages import OrganisationSpec
+
+_MIN_WAKE_MS = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shares:
+    """Parts of the limits, from 0 to 1.
+
+    :param rate: own part of the rate.
+    :param burst: own part of the burst.
+    :param of_peer: part that each peer has of both.
+    :param peers: names of the other routers.
+    """
+
+    rate: float
+    burst: float
+    of_peer: float
+    peers: tuple[str, ...]
+
+
+class Account:
+    """Serves the requests of one organisation in order of deadline.
+
+    :ivar spec: limits of the organisation over all routers.
+    :ivar wake_ms: when ``serve`` is due next, if it is.
+    """
+
+    def __init__(
+        self,
+        now_ms: float,
+        borrower: Borrower,
+        settings: QuotaSettings,
+        charges: Charges,
+    ) -> None:
+        """Start with an empty bucket and no share."""
+        self.spec = OrganisationSpec(0, 0)
+        self.wake_ms: float | None = None
+        self.bucket = Bucket(now_ms)
+        self.queue = WaitingQueue()
+        self.borrowing = Borrowing(borrower, settings.borrow_timeout_ms)
+        self._borrower = borrower
+        self._settings = settings
+        self._charges = charges
+
+    @property
+    def available_tokens(self) -> float:
+        """Tokens that can be spent now."""
+        return self.bucket.balance_tokens + self.borrowing.pot.tokens
+
+    def set_share(self, now_ms: float, shares: Shares) -> None:
+        """Adopt shares of the limits and the peers to borrow from."""
+        self.advance(now_ms)
+        rate_tokens_per_s = self.spec.rate_tokens_per_s
+        burst_tokens = self.spec.burst_tokens
+        self.bucket.set_share(
+            rate_tokens_per_s * shares.rate, burst_tokens * shares.burst
+        )
+        self.borrowing.lenders.set_peers(
+            now_ms,
+            shares.peers,
+            rate_tokens_per_s * shares.of_peer,
+            burst_tokens * shares.of_peer,
+        )
+
+    def advance(self, now_ms: float) -> None:
+        """Accrue, and drop what was borrowed or asked for too long ago.
+
+        Tokens whose lender frees their place now may stay as far as they
+        fit below the own cap.
+        """
+        self.bucket.advance(now_ms)
+        self.bucket.absorb(self.borrowing.drop_overdue(now_ms))
+
+    def try_charge(self, request_id: str, cost_tokens: float) -> list[Action]:
+        """Charge a request at once if there are tokens for it."""
+        if cost_tokens > self.available_tokens:
+            return []
+        charge_id = self._charges.open(self._borrower.organisation, cost_tokens)
+        rest_tokens = self.borrowing.pot.spend(cost_tokens)
+        self.bucket.charge(charge_id, rest_tokens)
+        return [Admitted(request_id, charge_id)]
+
+    def serve(self, now_ms: float) -> list[Action]:
+        """Admit, refuse or borrow for the waiting requests."""
+        self.advance(now_ms)
+        actions = self._admit()
+        actions.extend(self._refuse_hopeless(now_ms))
+        if self.queue:
+            actions.extend(self._borrow(now_ms))
+        else:
+            self.bucket.absorb(self.borrowing.pot.take_all())
+        self.wake_ms = self._find_wake_ms(now_ms)
+        return actions
+
+    def hold(self, now_ms: float) -> list[Action]:
+        """Refuse what can't wait any longer, but admit nothing."""
+        self.advance(now_ms)
+        actions = self._refuse_hopeless(now_ms)
+        head = self.queue.head
+        self.wake_ms = head and head.deadline_ms
+        return actions
+
+    def lend(self, now_ms: float, request: BorrowRequest) -> BorrowReply:
+        """Lend what the own waiting requests do not need."""
+        self.advance(now_ms)
+        spare_tokens = self.bucket.balance_tokens - self.queue.cost_tokens
+        lent_tokens = max(min(spare_tokens, request.amount_tokens), 0)
+        if lent_tokens:
+            until_ms = now_ms + self._settings.borrow_timeout_ms
+            self.bucket.lend(lent_tokens, until_ms)
+        return BorrowReply(
+            request.borrow_id,
+            lent_tokens,
+            self.borrowing.versions,
+            left_tokens=self.bucket.balance_tokens,
+            is_short=bool(self.queue),
+        )
+
+    def on_reply(self, now_ms: float, reply: BorrowReply) -> None:
+        """Take borrowed tokens; late and repeated replies are dropped."""
+        self.advance(now_ms)
+        self.borrowing.on_reply(now_ms, reply)
+
+    def on_hand_over(self, now_ms: float, offer: HandOver) -> list[Action]:
+        """Fetch the offered tokens as far as they fit."""
+        self.advance(now_ms)
+        amount_tokens = min(offer.amount_tokens, self.bucket.headroom_tokens)
+        if amount_tokens <= 0:
+            return []
+        ask = self.borrowing.ask(now_ms, Ask(offer.giver, amount_tokens))
+        self.wake_ms = self._find_wake_ms(now_ms)
+        return [ask]
+
+    def offer(self, now_ms: float) -> tuple[str, HandOver] | None:
+        """Offer the balance to the peer that is expected to hold least."""
+        self.advance(now_ms)
+        self.bucket.absorb(self.borrowing.pot.take_all())
+        peer = self.borrowing.lenders.shortest(now_ms)
+        spare_tokens = self.bucket.balance_tokens - self.queue.cost_tokens
+        if peer is None or spare_tokens <= 0:
+            return None
+        return peer, HandOver(
+            self._borrower.router,
+            self._borrower.organisation,
+            spare_tokens,
+            self.borrowing.versions,
+        )
+
+    def _admit(self) -> list[Action]:
+        actions: list[Action] = []
+        while self.queue.head:
+            head = self.queue.head
+            admitted = self.try_charge(head.request_id, head.cost_tokens)
+            if not admitted:
+                break
+            self.queue.remove(head)
+            actions.extend(admitted)
+        return actions
+
+    def _refuse_hopeless(self, now_ms: float) -> list[Action]:
+        if not self.queue:
+            return []
+        actions: list[Action] = []
+        forecast = self._forecast(now_ms)
+        ahead_tokens: float = 0
+        for request in self.queue:
+            refusal = forecast.judge(request, ahead_tokens)
+            if refusal is None:
+                ahead_tokens += request.cost_tokens
+                continue
+            self.queue.remove(request)
+            actions.append(Refused(request.request_id, refusal))
+        return actions
+
+    def _borrow(self, now_ms: float) -> list[AskPeer]:
+        lenders = self.borrowing.lenders
+        held_tokens = self.available_tokens + self.borrowing.asked_tokens
+        reach_tokens = held_tokens + lenders.expected_tokens(now_ms)
+        needed_tokens: float = 0
+        for request in self.queue:
+            if needed_tokens + request.cost_tokens > reach_tokens:
+                break
+            needed_tokens += request.cost_tokens
+        asks = lenders.choose(now_ms, needed_tokens - held_tokens)
+        return [self.borrowing.ask(now_ms, ask) for ask in asks]
+
+    def _forecast(self, now_ms: float) -> Forecast:
+        lenders = self.borrowing.lenders
+        return Forecast(
+            now_ms=now_ms,
+            held_tokens=self.available_tokens,
+            reach_tokens=self.borrowing.asked_tokens
+            + lenders.expected_tokens(now_ms),
+            own_tokens_per_s=self.bucket.rate_tokens_per_s,
+            peer_tokens_per_s=lenders.growth_tokens_per_s(now_ms),
+            fleet_tokens_per_s=self.spec.rate_tokens_per_s,
+            burst_tokens=self.spec.burst_tokens,
+            round_trip_ms=self._settings.round_trip_ms,
+        )
+
+    def _find_wake_ms(self, now_ms: float) -> float | None:
+        times_ms: list[float | None] = list(self.borrowing.due_ms)
+        head = self.queue.head
+        if head is not None:
+            times_ms += [
+                head.deadline_ms,
+                self.borrowing.lenders.next_growth_ms(now_ms),
+                self.borrowing.pot.first_until_ms,
+                self._forecast(now_ms).covered_ms(head.cost_tokens),
+            ]
+        due_ms = min(
+            (time_ms for time_ms in times_ms if time_ms is not None),
+            default=None,
+        )
+        return due_ms and max(due_ms, now_ms + _MIN_WAKE_MS)
--- /dev/null
+++ b/lagoonflow/quotas/borrowing.py
@@ -0,0 +1,100 @@
+"""Borrows tokens of one organisation from peer routers."""
+
+import dataclasses
+import random
+
+from lagoonflow.quotas.actions import AskPeer
+from lagoonflow.quotas.lenders import Ask, Lenders
+from lagoonflow.quotas.messages import BorrowReply, BorrowRequest
+from lagoonflow.quotas.pot import Pot
+from lagoonflow.streams.messages import Versions
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Borrower:
+    """Who borrows.
+
+    :param nonce: nonce of the router process.
+    """
+
+    router: str
+    nonce: str
+    organisation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _OpenAsk:
+    peer: str
+    amount_tokens: float
+    until_ms: float
+
+
+class Borrowing:
+    """Open asks at peers and the tokens that they brought.
+
+    :param timeout_ms: tokens not spent this long after they were asked
+        for have to be dropped.
+    :ivar lenders: what is known of the peers.
+    :ivar pot: borrowed tokens that are not spent yet.
+    :ivar versions: versions that go along with borrow requests.
+    """
+
+    def __init__(self, borrower: Borrower, timeout_ms: float) -> None:
+        """Start without peers."""
+        prefix = f'{borrower.router}/{borrower.nonce}/{borrower.organisation}'
+        self.pot = Pot()
+        self.lenders = Lenders(random.Random(prefix))
+        self.versions = Versions()
+        self._borrower = borrower
+        self._prefix = prefix
+        self._timeout_ms = timeout_ms
+        self._asks: dict[str, _OpenAsk] = {}
+        self._last_ask = 0
+
+    @property
+    def asked_tokens(self) -> float:
+        """Tokens asked for and neither received nor overdue."""
+        return sum(ask.amount_tokens for ask in self._asks.values())
+
+    @property
+    def due_ms(self) -> list[float]:
+        """Times at which open asks become overdue."""
+        return [ask.until_ms for ask in self._asks.values()]
+
+    def drop_overdue(self, now_ms: float) -> float:
+        """Close overdue asks and return tokens that were not spent."""
+        overdue = [
+            borrow_id
+            for borrow_id, ask in self._asks.items()
+            if ask.until_ms <= now_ms
+        ]
+        for borrow_id in overdue:
+            peer = self._asks.pop(borrow_id).peer
+            self.lenders.on_silence(now_ms, peer)
+        return self.pot.take_due(now_ms)
+
+    def ask(self, now_ms: float, ask: Ask) -> AskPeer:
+        """Open an ask."""
+        self._last_ask += 1
+        borrow_id = f'{self._prefix}/{self._last_ask}'
+        self._asks[borrow_id] = _OpenAsk(
+            ask.peer, ask.amount_tokens, now_ms + self._timeout_ms
+        )
+        request = BorrowRequest(
+            borrow_id,
+            self._borrower.router,
+            self._borrower.organisation,
+            ask.amount_tokens,
+            self.versions,
+        )
+        return AskPeer(ask.peer, request)
+
+    def on_reply(self, now_ms: float, reply: BorrowReply) -> None:
+        """Take borrowed tokens; late and repeated replies are dropped."""
+        ask = self._asks.pop(reply.borrow_id, None)
+        if ask is None:
+            return
+        self.pot.add(reply.amount_tokens, ask.until_ms)
+        self.lenders.on_reply(
+            now_ms, ask.peer, reply.left_tokens, reply.is_short
+        )
--- /dev/null
+++ b/lagoonflow/quotas/lenders.py
@@ -0,0 +1,132 @@
+"""Estimates what peers could lend and chooses whom to ask."""
+
+import dataclasses
+import random
+from collections.abc import Iterable
+
+# How long a peer's word that it is short itself counts.
+SHORT_MS = 1000
+# How long a peer that did not answer is not asked again.
+SILENCE_MS = 2000
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class _Lender:
+    """What is known of one peer.
+
+    :ivar left_tokens: its balance after its last reply.
+    :ivar grows_from_ms: time from which its balance is taken to grow.
+    """
+
+    left_tokens: float
+    grows_from_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """How much to ask of which peer."""
+
+    peer: str
+    amount_tokens: float
+
+
+class Lenders:
+    """The peers of one router, as far as one organisation is concerned.
+
+    :param generator: seeded source that breaks ties between peers.
+    """
+
+    def __init__(self, generator: random.Random) -> None:
+        """Start without peers."""
+        self._random = generator
+        self._lenders: dict[str, _Lender] = {}
+        self._rate_tokens_per_s: float = 0
+        self._cap_tokens: float = 0
+
+    def set_peers(
+        self,
+        now_ms: float,
+        peers: Iterable[str],
+        rate_tokens_per_s: float,
+        cap_tokens: float,
+    ) -> None:
+        """Set the peers and the share that each of them has.
+
+        A peer not asked so far is taken to have a full bucket.
+        """
+        self._rate_tokens_per_s = rate_tokens_per_s
+        self._cap_tokens = cap_tokens
+        self._lenders = {
+            peer: self._lenders.get(peer) or _Lender(cap_tokens, now_ms)
+            for peer in peers
+        }
+
+    def on_reply(
+        self, now_ms: float, peer: str, left_tokens: float, is_short: bool
+    ) -> None:
+        """Note what a peer has left after lending."""
+        self._set(peer, left_tokens, now_ms + SHORT_MS * is_short)
+
+    def on_silence(self, now_ms: float, peer: str) -> None:
+        """Note that a peer has not answered in time."""
+        self._set(peer, 0, now_ms + SILENCE_MS)
+
+    def expected_tokens(self, now_ms: float) -> float:
+        """What all peers together are expected to hold."""
+        return sum(
+            self._expected(now_ms, lender) for lender in self._lenders.values()
+        )
+
+    def growth_tokens_per_s(self, now_ms: float) -> float:
+        """Rate at which peers that are not short accrue together."""
+        growing = sum(
+            lender.grows_from_ms <= now_ms for lender in self._lenders.values()
+        )
+        return growing * self._rate_tokens_per_s
+
+    def choose(self, now_ms: float, missing_tokens: float) -> list[Ask]:
+        """Fewest peers that are expected to cover the missing tokens."""
+        expected = [
+            (self._expected(now_ms, lender), self._random.random(), peer)
+            for peer, lender in self._lenders.items()
+        ]
+        asks = []
+        for amount_tokens, _, peer in sorted(expected, reverse=True):
+            if missing_tokens <= 0 or amount_tokens <= 0:
+                break
+            ask = Ask(peer, min(amount_tokens, missing_tokens))
+            self._set(peer, amount_tokens - ask.amount_tokens, now_ms)
+            missing_tokens -= ask.amount_tokens
+            asks.append(ask)
+        return asks
+
+    def next_growth_ms(self, now_ms: float) -> float | None:
+        """When the next short or silent peer is taken to grow again."""
+        return min(
+            (
+                lender.grows_from_ms
+                for lender in self._lenders.values()
+                if lender.grows_from_ms > now_ms
+            ),
+            default=None,
+        )
+
+    def shortest(self, now_ms: float) -> str | None:
+        """Peer that is expected to hold least, if there is any."""
+        return min(
+            self._lenders,
+            key=lambda peer: self._expected(now_ms, self._lenders[peer]),
+            default=None,
+        )
+
+    def _set(self, peer: str, left_tokens: float, grows_from_ms: float) -> None:
+        lender = self._lenders.get(peer)
+        if lender:
+            lender.left_tokens = left_tokens
+            lender.grows_from_ms = grows_from_ms
+
+    def _expected(self, now_ms: float, lender: _Lender) -> float:
+        grown_ms = max(now_ms - lender.grows_from_ms, 0)
+        grown_tokens = self._rate_tokens_per_s * grown_ms / _MS_PER_S
+        return min(lender.left_tokens + grown_tokens, self._cap_tokens)
--- a/lagoonflow/quotas/messages.py
+++ b/lagoonflow/quotas/messages.py
@@ -18,16 +18,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BorrowReply:
-    """What the peer has deducted from its own share; may be 0."""
+    """What the peer has deducted from its own share; may be 0.
+
+    :param left_tokens: balance of the peer after lending.
+    :param is_short: whether requests wait for tokens at the peer itself.
+    """
 
     borrow_id: str
     amount_tokens: float
     versions: Versions
+    left_tokens: float = 0
+    is_short: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HandOver:
-    """Gives the tokens of a router that shuts down to a peer."""
+    """Offers the tokens of a router that shuts down to a peer.
+
+    The peer fetches them with a borrow request, so that tokens which come
+    late are dropped like any others that were borrowed.
+    """
 
     giver: str
     organisation: str
--- /dev/null
+++ b/lagoonflow/quotas/pot.py
@@ -0,0 +1,58 @@
+"""Borrowed tokens that have not been spent yet."""
+
+import collections
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class _Part:
+    amount_tokens: float
+    until_ms: float
+
+
+class Pot:
+    """Borrowed tokens, each good until its lender's place is freed."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._parts: collections.deque[_Part] = collections.deque()
+
+    @property
+    def tokens(self) -> float:
+        """Tokens that can still be spent."""
+        return sum(part.amount_tokens for part in self._parts)
+
+    @property
+    def first_until_ms(self) -> float | None:
+        """When the first tokens run out, if there are any."""
+        return min((part.until_ms for part in self._parts), default=None)
+
+    def add(self, amount_tokens: float, until_ms: float) -> None:
+        """Add tokens that run out at a time."""
+        if amount_tokens > 0:
+            self._parts.append(_Part(amount_tokens, until_ms))
+
+    def spend(self, amount_tokens: float) -> float:
+        """Spend tokens, oldest first, and return what is still missing."""
+        while self._parts and amount_tokens > 0:
+            part = self._parts[0]
+            spent_tokens = min(part.amount_tokens, amount_tokens)
+            part.amount_tokens -= spent_tokens
+            amount_tokens -= spent_tokens
+            if part.amount_tokens <= 0:
+                self._parts.popleft()
+        return amount_tokens
+
+    def take_due(self, now_ms: float) -> float:
+        """Take out the tokens that run out now."""
+        due = [part for part in self._parts if part.until_ms <= now_ms]
+        self._parts = collections.deque(
+            part for part in self._parts if part.until_ms > now_ms
+        )
+        return sum(part.amount_tokens for part in due)
+
+    def take_all(self) -> float:
+        """Take out all tokens."""
+        tokens = self.tokens
+        self._parts.clear()
+        return tokens
--- /dev/null
+++ b/lagoonflow/quotas/shares.py
@@ -0,0 +1,171 @@
+"""Which share of which limits one router may use."""
+
+from collections.abc import Iterable, Mapping
+
+from lagoonflow.quotas.account import Account, Shares
+from lagoonflow.quotas.actions import Action, OfferPeer, Refused
+from lagoonflow.quotas.borrowing import Borrower
+from lagoonflow.quotas.charges import Charges
+from lagoonflow.quotas.gate import ShareGate
+from lagoonflow.quotas.messages import RosterAck
+from lagoonflow.quotas.settings import QuotaSettings
+from lagoonflow.releases.messages import OrganisationSpec
+from lagoonflow.results import Refusal, Result
+from lagoonflow.roster.state import Membership
+from lagoonflow.streams.messages import Versions
+
+
+class ShareKeeper:
+    """Follows the roster and the limits, and keeps the accounts.
+
+    :param name: name of this router in the roster.
+    :param nonce: nonce of this process in the roster.
+    """
+
+    def __init__(
+        self, name: str, nonce: str, settings: QuotaSettings | None = None
+    ) -> None:
+        """Start without organisations, outside the roster."""
+        self._name = name
+        self._nonce = nonce
+        self._settings = settings or QuotaSettings()
+        self._gate = ShareGate(name, nonce, self._settings.borrow_timeout_ms)
+        self._charges = Charges()
+        self._accounts: dict[str, Account] = {}
+        self._versions = Versions()
+        self._share: float = 0
+        self._arrivals = 0
+        self._is_held = False
+        self._is_leaving = False
+
+    @property
+    def versions(self) -> Versions:
+        """Versions that the shares are computed from."""
+        return self._versions
+
+    def on_roster(
+        self, now_ms: float, memberships: Iterable[Membership], version: int
+    ) -> list[Action]:
+        """Adopt a version of the roster."""
+        self._versions = Versions(
+            self._versions.releases, max(version, self._versions.roster)
+        )
+        self._gate.on_roster(now_ms, memberships, version)
+        return self._refresh_share(now_ms, is_forced=True)
+
+    def on_ack(self, now_ms: float, ack: RosterAck) -> list[Action]:
+        """Note the roster version that a peer has adopted."""
+        self._gate.on_ack(now_ms, ack)
+        return self._refresh_share(now_ms)
+
+    def on_ack_delivered(self, peer: str, ack: RosterAck) -> None:
+        """Note that a peer has answered an acknowledgement."""
+        self._gate.on_ack_delivered(peer, ack.versions.roster)
+
+    def on_limits(
+        self,
+        now_ms: float,
+        organisations: Mapping[str, OrganisationSpec],
+        version: int,
+    ) -> list[Action]:
+        """Adopt the limits of a version of the release notes."""
+        self._versions = Versions(version, self._versions.roster)
+        actions: list[Action] = []
+        for organisation in self._accounts.keys() - organisations.keys():
+            actions.extend(self._drop(organisation))
+        for organisation, spec in organisations.items():
+            account = self._accounts.get(organisation)
+            if account is None:
+                account = self._new_account(now_ms, organisation)
+            account.spec = spec
+        return actions + self._refresh_share(now_ms, is_forced=True)
+
+    def on_pause(self) -> None:
+        """Admit and lend nothing until the roster has been caught up."""
+        self._is_held = True
+
+    def on_caught_up(self, now_ms: float) -> list[Action]:
+        """Go on after a pause; ``on_roster`` has to come first."""
+        self._is_held = False
+        return self._serve(now_ms, self._accounts.values())
+
+    def shut_down(self, now_ms: float) -> list[Action]:
+        """Stop accruing and offer the tokens to peers.
+
+        Borrow requests still have to be answered until ``leave_ms``.
+        """
+        self._is_leaving = True
+        self._refresh_share(now_ms, is_forced=True)
+        offers = [account.offer(now_ms) for account in self._accounts.values()]
+        return [OfferPeer(*offer) for offer in offers if offer]
+
+    def leave_ms(self, now_ms: float) -> float:
+        """Earliest time to append the own departure to the roster.
+
+        Until then lent tokens need the place that this router's share has
+        for them.
+        """
+        times_ms = [
+            account.bucket.lent_until_ms for account in self._accounts.values()
+        ]
+        return max(now_ms, *times_ms)
+
+    def _serve(
+        self, now_ms: float, accounts: Iterable[Account]
+    ) -> list[Action]:
+        actions: list[Action] = []
+        for account in accounts:
+            if self._is_held:
+                actions.extend(account.hold(now_ms))
+            else:
+                actions.extend(account.serve(now_ms))
+        return actions
+
+    def _refresh_share(
+        self, now_ms: float, *, is_forced: bool = False
+    ) -> list[Action]:
+        share = self._gate.share(now_ms)
+        if is_forced or share != self._share:
+            self._share = share
+            shares = self._find_shares(share)
+            for account in self._accounts.values():
+                account.borrowing.versions = self._versions
+                account.set_share(now_ms, shares)
+        actions: list[Action] = []
+        actions.extend(self._gate.pending_acks(now_ms, self._versions))
+        return actions + self._serve(now_ms, self._waiting_accounts())
+
+    def _find_shares(self, share: float) -> Shares:
+        return Shares(
+            rate=0 if self._is_leaving else share,
+            burst=share,
+            of_peer=self._gate.share_of_peer,
+            peers=self._gate.peers,
+        )
+
+    def _waiting_accounts(self) -> list[Account]:
+        return [account for account in self._accounts.values() if account.queue]
+
+    def _new_account(self, now_ms: float, organisation: str) -> Account:
+        account = Account(
+            now_ms,
+            Borrower(self._name, self._nonce, organisation),
+            self._settings,
+            self._charges,
+        )
+        self._accounts[organisation] = account
+        return account
+
+    def _drop(self, organisation: str) -> list[Action]:
+        account = self._accounts.pop(organisation)
+        return [
+            Refused(request.request_id, no_such_organisation())
+            for request in account.queue
+        ]
+
+
+def no_such_organisation() -> Refusal:
+    """Refusal of a request whose organisation is not in force."""
+    return Refusal(
+        Result.NOT_ALLOWED, 'The organisation is not in the release notes.'
+    )
--- /dev/null
+++ b/lagoonflow/quotas/state.py
@@ -0,0 +1,119 @@
+"""Token shares of one router, over all organisations."""
+
+from lagoonflow.quotas.actions import Action, Refused
+from lagoonflow.quotas.forecast import larger_than_burst
+from lagoonflow.quotas.messages import BorrowReply, BorrowRequest, HandOver
+from lagoonflow.quotas.shares import ShareKeeper, no_such_organisation
+from lagoonflow.quotas.waiting import WaitingRequest
+
+
+class QuotaShares(ShareKeeper):
+    """Admits requests within this router's shares and what it borrows.
+
+    All times are in ms of one clock that counts suspended time. The
+    actions that a method returns have to be carried out.
+    """
+
+    def balance_tokens(self, organisation: str) -> float:
+        """Balance as of the last event; 0 for unknown organisations."""
+        account = self._accounts.get(organisation)
+        return account.bucket.balance_tokens if account else 0
+
+    def take(
+        self,
+        now_ms: float,
+        request_id: str,
+        organisation: str,
+        cost_tokens: float,
+        deadline_ms: float,
+    ) -> list[Action]:
+        """Charge a request, refuse it, or let it wait.
+
+        The request waits when the actions neither admit nor refuse it.
+
+        :param cost_tokens: the most that it can use; see ``settle``.
+        """
+        account = self._accounts.get(organisation)
+        if account is None:
+            return [Refused(request_id, no_such_organisation())]
+        if cost_tokens > account.spec.burst_tokens:
+            return [Refused(request_id, larger_than_burst())]
+        account.advance(now_ms)
+        if not (account.queue or self._is_held):
+            admitted = account.try_charge(request_id, cost_tokens)
+            if admitted:
+                return admitted
+        self._arrivals += 1
+        account.queue.add(
+            WaitingRequest(deadline_ms, self._arrivals, request_id, cost_tokens)
+        )
+        return self._serve(now_ms, [account])
+
+    def settle(
+        self, now_ms: float, charge_id: int, used_tokens: float
+    ) -> list[Action]:
+        """Refund what an admitted request has not used; repeatable."""
+        charge = self._charges.close(charge_id)
+        if charge is None:
+            return []
+        account = self._accounts.get(charge.organisation)
+        if account is None:
+            return []
+        account.advance(now_ms)
+        unused_tokens = max(charge.amount_tokens - used_tokens, 0)
+        account.bucket.refund(charge_id, unused_tokens)
+        return self._serve(now_ms, [account]) if account.queue else []
+
+    def cancel(self, now_ms: float, request_id: str) -> list[Action]:
+        """Forget a waiting request whose caller is gone."""
+        for account in self._accounts.values():
+            for request in account.queue:
+                if request.request_id == request_id:
+                    account.queue.remove(request)
+                    return self._serve(now_ms, [account])
+        return []
+
+    def poll(self, now_ms: float) -> list[Action]:
+        """Do what has become due; see ``next_wake_ms``."""
+        actions = self._refresh_share(now_ms)
+        due = [
+            account
+            for account in self._accounts.values()
+            if account.wake_ms is not None and account.wake_ms <= now_ms
+        ]
+        return actions + self._serve(now_ms, due)
+
+    def next_wake_ms(self, now_ms: float) -> float | None:
+        """When ``poll`` is due next, if nothing else happens before."""
+        times_ms = [account.wake_ms for account in self._accounts.values()]
+        times_ms.append(self._gate.next_wake_ms(now_ms))
+        return min(
+            (time_ms for time_ms in times_ms if time_ms is not None),
+            default=None,
+        )
+
+    def on_borrow_request(
+        self, now_ms: float, request: BorrowRequest
+    ) -> BorrowReply:
+        """Lend a peer what is not needed here."""
+        account = self._accounts.get(request.organisation)
+        if account is None or self._is_held:
+            return BorrowReply(request.borrow_id, 0, self._versions)
+        return account.lend(now_ms, request)
+
+    def on_borrow_reply(
+        self, now_ms: float, organisation: str, reply: BorrowReply
+    ) -> list[Action]:
+        """Take what a peer has lent."""
+        account = self._accounts.get(organisation)
+        if account is None:
+            return []
+        account.on_reply(now_ms, reply)
+        return self._serve(now_ms, [account])
+
+    def on_hand_over(self, now_ms: float, offer: HandOver) -> list[Action]:
+        """Fetch the tokens of a router that shuts down."""
+        account = self._accounts.get(offer.organisation)
+        if account is None or self._is_held or self._is_leaving:
+            return []
+        return account.on_hand_over(now_ms, offer)
--- /dev/null
+++ b/lagoonflow/quotas/task.py
@@ -0,0 +1,187 @@
+"""The task that carries out what the quota logic decides."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from typing import Any
+
+from lagoonflow.quotas.actions import (
+    AckPeer,
+    Action,
+    Admitted,
+    AskPeer,
+    OfferPeer,
+    Refused,
+)
+from lagoonflow.quotas.messages import (
+    BorrowReply,
+    BorrowRequest,
+    HandOver,
+    RosterAck,
+)
+from lagoonflow.quotas.state import QuotaShares
+from lagoonflow.results import Refusal
+from lagoonflow.roster.task import boot_time_ms
+from lagoonflow.wire.services import ACK_ROSTER, BORROW, HAND_OVER, Method
+
+Send = Callable[[str, Method, Any], Awaitable[Any]]
+
+_IDLE_INTERVAL_MS = 1000
+_MS_PER_S = 1000
+
+
+class QuotaTask:
+    """Owns the shares of one router.
+
+    :param shares: the decision logic; nobody else may change it.
+    :param send: sends a message to a member and returns its reply, or a
+        refusal when it can't be reached.
+    :param clock_ms: clock in ms that counts suspended time.
+    """
+
+    def __init__(
+        self,
+        shares: QuotaShares,
+        send: Send,
+        clock_ms: Callable[[], float] = boot_time_ms,
+    ) -> None:
+        """Prepare; ``run`` has to be started too."""
+        self.shares = shares
+        self.clock_ms = clock_ms
+        self._send = send
+        self._waiting: dict[str, asyncio.Future[Admitted | Refusal]] = {}
+        self._sending: set[asyncio.Task[None]] = set()
+        self._changed = asyncio.Event()
+
+    async def take(
+        self,
+        request_id: str,
+        organisation: str,
+        cost_tokens: float,
+        deadline_in_ms: float,
+    ) -> Admitted | Refusal:
+        """Charge a request, waiting while its deadline allows.
+
+        :param request_id: unique among the waiting requests.
+        :param deadline_in_ms: time left until it has to be admitted.
+        """
+        now_ms = self.clock_ms()
+        decided: asyncio.Future[Admitted | Refusal] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting[request_id] = decided
+        self.perform(
+            self.shares.take(
+                now_ms,
+                request_id,
+                organisation,
+                cost_tokens,
+                now_ms + deadline_in_ms,
+            )
+        )
+        try:
+            return await decided
+        except asyncio.CancelledError:
+            self._abandon(request_id, decided)
+            raise
+        finally:
+            self._waiting.pop(request_id, None)
+
+    def settle(self, charge_id: int, used_tokens: float) -> None:
+        """Refund what an admitted request has not used."""
+        now_ms = self.clock_ms()
+        self.perform(self.shares.settle(now_ms, charge_id, used_tokens))
+
+    def on_borrow_request(self, request: BorrowRequest) -> BorrowReply:
+        """Answer a peer that borrows."""
+        return self.shares.on_borrow_request(self.clock_ms(), request)
+
+    def on_hand_over(self, offer: HandOver) -> None:
+        """Fetch the tokens of a peer that shuts down."""
+        self.perform(self.shares.on_hand_over(self.clock_ms(), offer))
+
+    def on_ack(self, ack: RosterAck) -> None:
+        """Note the roster version of a peer."""
+        self.perform(self.shares.on_ack(self.clock_ms(), ack))
+
+    async def shut_down(self) -> None:
+        """Hand the tokens over; returns when the router may leave."""
+        self.perform(self.shares.shut_down(self.clock_ms()))
+        await asyncio.gather(*self._sending, return_exceptions=True)
+        while self.shares.leave_ms(self.clock_ms()) > self.clock_ms():
+            left_ms = self.shares.leave_ms(self.clock_ms()) - self.clock_ms()
+            await asyncio.sleep(left_ms / _MS_PER_S)
+
+    async def run(self) -> None:
+        """Do what becomes due, until cancelled."""
+        while True:
+            self._changed.clear()
+            self.perform(self.shares.poll(self.clock_ms()))
+            await self._sleep()
+
+    def perform(self, actions: Iterable[Action]) -> None:
+        """Carry out the actions of a decision."""
+        for action in actions:
+            match action:
+                case Admitted(request_id=request_id):
+                    self._decide(request_id, action)
+                case Refused(request_id=request_id, refusal=refusal):
+                    self._decide(request_id, refusal)
+                case AskPeer():
+                    self._start(self._borrow(action))
+                case AckPeer():
+                    self._start(self._acknowledge(action))
+                case OfferPeer(peer=peer, hand_over=hand_over):
+                    self._start(self._offer(peer, hand_over))
+        self._changed.set()
+
+    def _decide(self, request_id: str, decision: Admitted | Refusal) -> None:
+        decided = self._waiting.get(request_id)
+        if decided is not None and not decided.done():
+            decided.set_result(decision)
+        elif isinstance(decision, Admitted):
+            self.settle(decision.charge_id, 0)
+
+    def _abandon(
+        self, request_id: str, decided: asyncio.Future[Admitted | Refusal]
+    ) -> None:
+        if not decided.done() or decided.cancelled():
+            self.perform(self.shares.cancel(self.clock_ms(), request_id))
+            return
+        decision = decided.result()
+        if isinstance(decision, Admitted):
+            self.settle(decision.charge_id, 0)
+
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        sending = asyncio.create_task(coroutine)
+        self._sending.add(sending)
+        sending.add_done_callback(self._sending.discard)
+
+    async def _borrow(self, action: AskPeer) -> None:
+        reply = await self._send(action.peer, BORROW, action.request)
+        if isinstance(reply, Refusal):
+            reply = BorrowReply(
+                action.request.borrow_id, 0, action.request.versions
+            )
+        self.perform(
+            self.shares.on_borrow_reply(
+                self.clock_ms(), action.request.organisation, reply
+            )
+        )
+
+    async def _acknowledge(self, action: AckPeer) -> None:
+        reply = await self._send(action.peer, ACK_ROSTER, action.ack)
+        if not isinstance(reply, Refusal):
+            self.shares.on_ack_delivered(action.peer, action.ack)
+
+    async def _offer(self, peer: str, hand_over: HandOver) -> None:
+        await self._send(peer, HAND_OVER, hand_over)
+
+    async def _sleep(self) -> None:
+        now_ms = self.clock_ms()
+        wake_ms = self.shares.next_wake_ms(now_ms)
+        left_ms = _IDLE_INTERVAL_MS if wake_ms is None else wake_ms - now_ms
+        timeout_s = min(max(left_ms, 0), _IDLE_INTERVAL_MS) / _MS_PER_S
+        try:
+            await asyncio.wait_for(self._changed.wait(), timeout_s)
+        except TimeoutError:
+            return
