Add folds, followers and appenders of the agreed streams

Cause: releases, roster and claims need the same handling of repeated ids, poison records, checkpoints, expired records and lost append answers. A state's extent names the offsets that it has folded and the gaps left by an outage longer than retention; the order of extents is total, so all processes settle on one state. A starter takes the first usable checkpoint and verifies later ones; taking the newest was ruled out, since a wrong one could then not be noticed.

--- /dev/null
+++ b/lagoonflow/streams/appending.py
@@ -0,0 +1,194 @@
+"""Decides what is appended when, so that each record is kept once."""
+
+import dataclasses
+import random
+from collections.abc import Iterable
+
+from lagoonflow.platform.messages import (
+    Appended,
+    AppendRefused,
+    AppendResult,
+    AppendUnknown,
+    Batch,
+    Expired,
+    ReadResult,
+    Unavailable,
+)
+from lagoonflow.streams.backoff import Backoff
+from lagoonflow.streams.envelope import decode_envelope
+from lagoonflow.streams.messages import LogRecord
+
+MAX_BATCH_RECORDS = 64
+MAX_BATCH_CHARS = 262_144
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendAppend:
+    """Append these texts in one request."""
+
+    texts: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadTail:
+    """Read from this offset, to find out what was appended."""
+
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitUntil:
+    """Do nothing before this time."""
+
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Idle:
+    """Nothing waits."""
+
+
+AppendAction = SendAppend | ReadTail | WaitUntil | Idle
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """A record has been found or stored at this offset."""
+
+    record_id: str
+    offset: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    text: str
+    uncertain_sends: int = 0
+
+
+class AppendQueue:
+    """Groups waiting records, and looks for them after a lost answer.
+
+    :param rng: source of the jitter between attempts.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.attempt_count = 0
+        self._backoff = Backoff(rng)
+        self._waiting: dict[str, _Waiting] = {}
+        self._in_flight: tuple[str, ...] = ()
+        self._tail_offset: int | None = None
+        self._not_before_ms = 0
+
+    def submit(self, record_id: str, text: str) -> None:
+        """Add a record; one that waits already is not added again."""
+        self._waiting.setdefault(record_id, _Waiting(text))
+
+    def withdraw(self, record_id: str) -> bool:
+        """Stop trying to append a record.
+
+        :returns: whether it is certain that it was not appended.
+        """
+        waiting = self._waiting.pop(record_id, None)
+        return waiting is not None and not waiting.uncertain_sends
+
+    def next_action(self, now_ms: int, next_offset: int) -> AppendAction:
+        """Return what to do now; its result has to be passed back.
+
+        :param next_offset: lower bound for where an append may land.
+        """
+        if not self._waiting:
+            self._tail_offset = None
+            return Idle()
+        if now_ms < self._not_before_ms:
+            return WaitUntil(self._not_before_ms)
+        if self._tail_offset is not None:
+            return ReadTail(self._tail_offset)
+        return self._send(next_offset)
+
+    def on_append(
+        self, now_ms: int, result: AppendResult
+    ) -> tuple[Stored, ...]:
+        """Take the answer to an append."""
+        match result:
+            case Appended(first_offset):
+                return self._on_appended(first_offset)
+            case AppendRefused(retry_after_ms=retry_after_ms):
+                self._tail_offset = None
+                self._count_sends(-1)
+                self._wait(now_ms, retry_after_ms)
+            case AppendUnknown():
+                self._wait(now_ms)
+        return ()
+
+    def on_tail(self, now_ms: int, result: ReadResult) -> tuple[Stored, ...]:
+        """Take the answer to a read of the tail."""
+        match result:
+            case Batch(records, _, head):
+                return self._on_records(records, head)
+            case Expired(earliest):
+                self._tail_offset = earliest
+            case Unavailable():
+                self._wait(now_ms)
+        return ()
+
+    def _send(self, next_offset: int) -> SendAppend:
+        self._in_flight = tuple(self._fitting())
+        self._tail_offset = next_offset
+        self.attempt_count += 1
+        self._count_sends(1)
+        texts = [self._waiting[sent_id].text for sent_id in self._in_flight]
+        return SendAppend(tuple(texts))
+
+    def _count_sends(self, change: int) -> None:
+        for record_id in self._in_flight:
+            waiting = self._waiting.get(record_id)
+            if waiting is not None:
+                waiting.uncertain_sends += change
+
+    def _fitting(self) -> Iterable[str]:
+        chars = 0
+        for place, (record_id, waiting) in enumerate(self._waiting.items()):
+            chars += len(waiting.text)
+            is_full = place >= MAX_BATCH_RECORDS or chars > MAX_BATCH_CHARS
+            if place and is_full:
+                return
+            yield record_id
+
+    def _on_appended(self, first_offset: int) -> tuple[Stored, ...]:
+        self._tail_offset = None
+        self._backoff.succeed()
+        stored = [
+            Stored(record_id, first_offset + place)
+            for place, record_id in enumerate(self._in_flight)
+        ]
+        return self._finish(stored)
+
+    def _on_records(
+        self, records: tuple[LogRecord, ...], head: int
+    ) -> tuple[Stored, ...]:
+        stored = [
+            Stored(record_id, record.offset)
+            for record in records
+            if (record_id := _record_id(record)) in self._waiting
+        ]
+        if records:
+            self._tail_offset = records[-1].offset + 1
+        if not records or records[-1].offset + 1 >= head:
+            self._tail_offset = None
+        self._backoff.succeed()
+        return self._finish(stored)
+
+    def _finish(self, stored: list[Stored]) -> tuple[Stored, ...]:
+        finished = []
+        for found in stored:
+            if self._waiting.pop(found.record_id, None) is not None:
+                finished.append(found)
+        return tuple(finished)
+
+    def _wait(self, now_ms: int, least_ms: int = 0) -> None:
+        self._not_before_ms = now_ms + max(least_ms, self._backoff.fail())
+
+
+def _record_id(record: LogRecord) -> str:
+    envelope = decode_envelope(record.text)
+    return envelope.record_id if envelope else ''
--- /dev/null
+++ b/lagoonflow/streams/following.py
@@ -0,0 +1,156 @@
+"""Decides how a process follows a stream through outages and gaps."""
+
+import dataclasses
+import random
+
+from lagoonflow.platform.messages import (
+    Batch,
+    Expired,
+    ReadResult,
+    Unavailable,
+)
+from lagoonflow.streams.backoff import Backoff
+from lagoonflow.streams.reading import StreamReader
+from lagoonflow.streams.schedule import CheckpointSchedule
+from lagoonflow.streams.state import FoldBase
+
+BRIDGING_READS = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowerSettings:
+    """Times of a follower.
+
+    :param wait_ms: how long a read waits for records, in ms.
+    :param answer_margin_ms: how much longer than that it may take, in ms.
+    :param bridge_after_ms: how long to look for a checkpoint before going
+        on with the own state, in ms.
+    :param checkpoint_interval_ms: at most a quarter of the retention, in ms.
+    :param republish_within_ms: time in which the first process appends a
+        checkpoint when the log holds none, in ms.
+    """
+
+    wait_ms: int = 10_000
+    answer_margin_ms: int = 3_000
+    bridge_after_ms: int = 2_000
+    checkpoint_interval_ms: int = 120_000
+    republish_within_ms: int = 2_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Read:
+    """The next read of the log."""
+
+    offset: int
+    wait_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pause:
+    """Do not read before this time has passed."""
+
+    duration_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskPeer:
+    """Ask a peer for the missing records."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendCheckpoint:
+    """Append a checkpoint of the state."""
+
+
+FollowAction = Pause | AskPeer | AppendCheckpoint
+
+
+class Following:
+    """Follows a stream and keeps a checkpoint of it in the log.
+
+    :param fold: the state of the stream.
+    :param rng: source of all jitter.
+    """
+
+    def __init__(
+        self,
+        fold: FoldBase,
+        rng: random.Random,
+        settings: FollowerSettings,
+        now_ms: int,
+    ) -> None:
+        self.is_log_up = False
+        self.reader = StreamReader(fold)
+        self._fold = fold
+        self._rng = rng
+        self._settings = settings
+        self._backoff = Backoff(rng)
+        self._schedule = CheckpointSchedule(
+            rng, settings.checkpoint_interval_ms, now_ms
+        )
+        self._checkpoint_offset = -1
+        self._bridge_at_ms: int | None = None
+
+    def next_read(self, now_ms: int) -> Read:
+        """Return the next read of the log."""
+        wait_ms = min(self._settings.wait_ms, self._schedule.left_ms(now_ms))
+        if self._bridge_at_ms is not None:
+            left_ms = max(0, self._bridge_at_ms - now_ms)
+            wait_ms = min(wait_ms, left_ms)
+        if not self.is_log_up:
+            wait_ms = 0
+        return Read(self.reader.next_read(), wait_ms)
+
+    def on_read(
+        self, now_ms: int, result: ReadResult
+    ) -> tuple[FollowAction, ...]:
+        """Take the answer to a read."""
+        self.is_log_up = not isinstance(result, Unavailable)
+        match result:
+            case Unavailable():
+                return (Pause(self._backoff.fail()),)
+            case Expired():
+                self.reader.on_expired(result)
+            case Batch():
+                self.reader.on_batch(result)
+                self._check_newest(now_ms, result.earliest)
+        self._backoff.succeed()
+        return (*self._bridge(now_ms), *self._publish(now_ms))
+
+    def _check_newest(self, now_ms: int, earliest: int) -> None:
+        newest = self._fold.last_checkpoint_offset
+        if newest != self._checkpoint_offset:
+            self._checkpoint_offset = newest
+            self._schedule.restart(now_ms)
+        if newest < earliest:
+            self._schedule.hasten(now_ms, self._settings.republish_within_ms)
+
+    def _bridge(self, now_ms: int) -> tuple[FollowAction, ...]:
+        if not self.reader.is_bridging:
+            self._bridge_at_ms = None
+            return ()
+        if not self.reader.is_at_head:
+            return ()
+        if self._bridge_at_ms is None:
+            factor = 1 + self._rng.random()
+            wait_ms = round(self._settings.bridge_after_ms * factor)
+            self._bridge_at_ms = now_ms + wait_ms
+            return (AskPeer(),)
+        if now_ms >= self._bridge_at_ms:
+            self._bridge_at_ms = None
+            return self._go_on(now_ms)
+        return ()
+
+    def _go_on(self, now_ms: int) -> tuple[FollowAction, ...]:
+        if not self.reader.bridge():
+            return (Pause(self._backoff.fail()),)
+        self._schedule.hasten(now_ms, self._settings.republish_within_ms)
+        return ()
+
+    def _publish(self, now_ms: int) -> tuple[FollowAction, ...]:
+        if self.reader.is_bridging or not self.reader.is_at_head:
+            return ()
+        if not self._fold.next_offset or not self._schedule.is_due(now_ms):
+            return ()
+        self._schedule.restart(now_ms)
+        return (AppendCheckpoint(),)
--- /dev/null
+++ b/lagoonflow/streams/reading.py
@@ -0,0 +1,137 @@
+"""Decides where a process reads its stream next, across gaps."""
+
+from lagoonflow.platform.messages import Batch, Expired
+from lagoonflow.streams.checkpoints import decode_checkpoint
+from lagoonflow.streams.messages import (
+    LogRecord,
+    PullReply,
+    PullRequest,
+    Versions,
+)
+from lagoonflow.streams.state import FoldBase
+
+MAX_PULL_RECORDS = 500
+
+
+class StreamReader:
+    """Feeds a fold from the log and from peers.
+
+    When records that it needs have expired it looks for a checkpoint from
+    the earliest record on. A process that holds a state and finds none
+    goes on with its own state when `bridge` is called.
+
+    :param fold: the state of the stream.
+    """
+
+    def __init__(self, fold: FoldBase) -> None:
+        self.fold = fold
+        self.is_at_head = False
+        self._earliest = 0
+        self._scan_offset: int | None = None
+        self._stale_checkpoint = ''
+
+    @property
+    def is_bridging(self) -> bool:
+        """Tell whether records are missing and no checkpoint was found."""
+        return self._scan_offset is not None
+
+    def next_read(self) -> int:
+        """Return the offset to read from."""
+        if self._scan_offset is None:
+            return self.fold.next_offset
+        return self._scan_offset
+
+    def on_expired(self, expired: Expired) -> None:
+        """Look for a checkpoint from the earliest record on."""
+        self._earliest = expired.earliest
+        self._scan_offset = expired.earliest
+        self.is_at_head = expired.earliest >= expired.head
+
+    def on_batch(self, batch: Batch) -> None:
+        """Fold the records, or look for a checkpoint in them."""
+        self._leave_bridging()
+        if self._scan_offset is None:
+            self._fold_all(batch.records)
+        else:
+            self._scan(batch.records)
+        self.is_at_head = self.next_read() >= batch.head
+
+    def bridge(self) -> bool:
+        """Go on with the best state known, and leave a gap in it.
+
+        :returns: false when there is no state to go on with.
+        """
+        self._leave_bridging()
+        if self._scan_offset is None:
+            return False
+        self.fold.restore(self._stale_checkpoint)
+        if self.fold.next_offset == 0:
+            return False
+        self.fold.skip_to(self._earliest)
+        self._scan_offset = None
+        return True
+
+    def absorb(self, reply: PullReply) -> bool:
+        """Fold what a peer sent.
+
+        :returns: whether the state has moved.
+        """
+        before = self.fold.extent
+        if reply.checkpoint:
+            self.fold.restore(reply.checkpoint)
+        self._fold_contiguous(reply.records)
+        self._leave_bridging()
+        return self.fold.extent != before
+
+    def serve_pull(self, request: PullRequest, versions: Versions) -> PullReply:
+        """Return the records that a peer misses, or a checkpoint."""
+        first = request.next_offset
+        end = self.fold.next_offset
+        if first >= end:
+            return PullReply(versions)
+        last = min(end, first + MAX_PULL_RECORDS)
+        records = self.fold.history.between(first, last)
+        if records is None:
+            return PullReply(versions, checkpoint=self.fold.checkpoint())
+        return PullReply(versions, records)
+
+    def _fold_all(self, records: tuple[LogRecord, ...]) -> None:
+        left = self._fold_contiguous(records)
+        if left:
+            self._earliest = left[0].offset
+            self._scan_offset = self._earliest
+            self._scan(left)
+
+    def _fold_contiguous(
+        self, records: tuple[LogRecord, ...]
+    ) -> tuple[LogRecord, ...]:
+        for place, record in enumerate(records):
+            if record.offset > self.fold.next_offset:
+                return records[place:]
+            self.fold.apply(record)
+        return ()
+
+    def _scan(self, records: tuple[LogRecord, ...]) -> None:
+        for record in records:
+            self._scan_offset = record.offset + 1
+            if self._try_checkpoint(record):
+                self._scan_offset = None
+                return
+
+    def _try_checkpoint(self, record: LogRecord) -> bool:
+        body = decode_checkpoint(record.text)
+        if body is None or body.as_of > record.offset:
+            return False
+        if body.as_of >= self._earliest and self.fold.restore(record.text):
+            self.fold.last_checkpoint_offset = record.offset
+            return True
+        if body.extent.covers_more_than(self.fold.extent):
+            self._stale_checkpoint = record.text
+        return False
+
+    def _leave_bridging(self) -> None:
+        # A peer may have closed the gap since.
+        if self._scan_offset is None:
+            return
+        if self.fold.next_offset >= self._earliest:
+            self._scan_offset = None
--- /dev/null
+++ b/lagoonflow/streams/schedule.py
@@ -0,0 +1,39 @@
+"""Decides when a process appends a checkpoint."""
+
+import random
+
+
+class CheckpointSchedule:
+    """Draws the time of the next checkpoint anew after each one seen.
+
+    All processes draw between one and two intervals after the newest
+    checkpoint, so that the first one that is due spares the others theirs.
+
+    :param interval_ms: at most a quarter of the log's retention, in ms.
+    """
+
+    def __init__(
+        self, rng: random.Random, interval_ms: int, now_ms: int
+    ) -> None:
+        self._rng = rng
+        self._interval_ms = interval_ms
+        self._due_ms = now_ms
+        self.restart(now_ms)
+
+    def restart(self, now_ms: int) -> None:
+        """Draw the time of the next checkpoint."""
+        factor = 1 + self._rng.random()
+        self._due_ms = now_ms + round(self._interval_ms * factor)
+
+    def hasten(self, now_ms: int, within_ms: int) -> None:
+        """Make the next checkpoint due within the given time, in ms."""
+        if self.left_ms(now_ms) > within_ms:
+            self._due_ms = now_ms + round(within_ms * self._rng.random())
+
+    def left_ms(self, now_ms: int) -> int:
+        """Return the time until the next checkpoint is due, in ms."""
+        return max(0, self._due_ms - now_ms)
+
+    def is_due(self, now_ms: int) -> bool:
+        """Tell whether a checkpoint should be appended now."""
+        return now_ms >= self._due_ms
--- /dev/null
+++ b/lagoonflow/streams/state.py
@@ -0,0 +1,235 @@
+"""Folds: the state that every process computes from a stream."""
+
+import abc
+import dataclasses
+from collections import deque
+from typing import Any, ClassVar, Protocol
+
+import msgspec
+
+from lagoonflow.results import Refusal, Result
+from lagoonflow.streams.checkpoints import (
+    CheckpointBody,
+    decode_checkpoint,
+    decode_checkpoint_body,
+    encode_checkpoint,
+)
+from lagoonflow.streams.envelope import (
+    CHECKPOINT_KIND,
+    Envelope,
+    decode_envelope,
+)
+from lagoonflow.streams.extent import Extent, Gap
+from lagoonflow.streams.history import History
+from lagoonflow.streams.messages import LogRecord, Stream
+from lagoonflow.streams.seen import SeenIds
+
+MAX_REJECTIONS = 16
+MAX_VERIFIED_RECORDS = 512
+DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
+
+MALFORMED_ENVELOPE = 'The record is not a valid envelope.'
+MALFORMED_BODY = 'The body of the record is not valid.'
+WRONG_CHECKPOINT = 'The checkpoint differs from the folded state.'
+MALFORMED_CHECKPOINT = 'The checkpoint is not valid.'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejection:
+    """A record that was passed over, for the status page."""
+
+    offset: int
+    refusal: Refusal
+
+
+class OffsetGapError(ValueError):
+    """Records before the given one are missing."""
+
+
+class Fold(Protocol):
+    """The state of one stream, folded in offset order."""
+
+    stream: ClassVar[Stream]
+    next_offset: int
+    rejected_count: int
+
+    def apply(self, record: LogRecord) -> None:
+        """Fold the next record; earlier ones are ignored."""
+
+    def checkpoint(self) -> str:
+        """Return the state as the text of a checkpoint record."""
+
+
+class FoldBase(abc.ABC):
+    """Handles repeated ids, poison records, checkpoints and gaps.
+
+    Subclasses fold bodies in `_fold`, and turn their state into a JSON
+    value and back in `_dump` and `_load`. They are built without
+    arguments, because a checkpoint is verified on a second instance.
+    """
+
+    stream: ClassVar[Stream]
+
+    def __init__(self) -> None:
+        self.next_offset = 0
+        self.rejected_count = 0
+        self.wrong_checkpoint_count = 0
+        self.last_checkpoint_offset = -1
+        self.rejections: deque[Rejection] = deque(maxlen=MAX_REJECTIONS)
+        self.history = History()
+        self._gaps: tuple[Gap, ...] = ()
+        self._seen = SeenIds()
+        self._anchor: CheckpointBody | None = None
+
+    @property
+    def extent(self) -> Extent:
+        """Return the offsets that are folded in."""
+        return Extent(self.next_offset, self._gaps)
+
+    def apply(self, record: LogRecord) -> None:
+        """Fold the next record; earlier ones are ignored.
+
+        :raises OffsetGapError: when records before it are missing.
+        """
+        if record.offset < self.next_offset:
+            return
+        if record.offset > self.next_offset:
+            raise OffsetGapError(record.offset)
+        refusal = self._apply_text(record)
+        if refusal is not None:
+            self.rejected_count += 1
+            self.rejections.append(Rejection(record.offset, refusal))
+        self.history.add(record)
+        self.next_offset += 1
+
+    def checkpoint(self) -> str:
+        """Return the state as the text of a checkpoint record."""
+        return encode_checkpoint(self._body())
+
+    def restore(self, text: str) -> bool:
+        """Take over a checkpoint that covers more than this state.
+
+        :returns: false when it covers no more or is malformed.
+        """
+        body = decode_checkpoint(text)
+        if body is None or not body.extent.covers_more_than(self.extent):
+            return False
+        return self._take_over(body)
+
+    def skip_to(self, offset: int) -> None:
+        """Go on after a gap of records that nobody holds any more."""
+        if offset <= self.next_offset:
+            return
+        self._gaps = (*self._gaps, Gap(self.next_offset, offset))
+        self.next_offset = offset
+        self._anchor = self._body()
+
+    @abc.abstractmethod
+    def _fold(self, envelope: Envelope, offset: int) -> Refusal | None:
+        """Fold one record, wholly or not at all."""
+
+    @abc.abstractmethod
+    def _dump(self) -> Any:
+        """Return the state as a value that msgspec encodes."""
+
+    @abc.abstractmethod
+    def _load(self, state: msgspec.Raw) -> None:
+        """Replace the state; raise before any change when malformed."""
+
+    def _apply_text(self, record: LogRecord) -> Refusal | None:
+        envelope = decode_envelope(record.text)
+        if envelope is None:
+            return _rejected(MALFORMED_ENVELOPE)
+        if not self._seen.add(envelope.record_id):
+            return None
+        if envelope.kind == CHECKPOINT_KIND:
+            self._report(record.offset, self._consider(envelope, record))
+            return None
+        try:
+            return self._fold(envelope, record.offset)
+        except DECODE_ERRORS:
+            return _rejected(MALFORMED_BODY)
+
+    def _report(self, offset: int, reason: str) -> None:
+        # What a reader can check differs between processes, so these do
+        # not count as rejected records, which are part of the state.
+        if reason:
+            self.wrong_checkpoint_count += 1
+            self.rejections.append(Rejection(offset, _rejected(reason)))
+
+    def _consider(self, envelope: Envelope, record: LogRecord) -> str:
+        body = decode_checkpoint_body(envelope)
+        if body is None or body.as_of > record.offset:
+            return MALFORMED_CHECKPOINT
+        self.last_checkpoint_offset = record.offset
+        own_extent = self.extent.at(body.as_of)
+        if body.extent == own_extent:
+            return self._verify(body)
+        if not body.extent.covers_more_than(own_extent):
+            return ''
+        reason = self._refold(body, record.offset)
+        self._seen.add(envelope.record_id)
+        return reason
+
+    def _verify(self, body: CheckpointBody) -> str:
+        base = self._anchor.as_of if self._anchor else 0
+        records = self.history.between(base, body.as_of)
+        if records is None or body.as_of < base:
+            return ''
+        if len(records) > MAX_VERIFIED_RECORDS:
+            return ''
+        expected = _replay(type(self)(), self._anchor, records)
+        if expected != encode_checkpoint(body):
+            return WRONG_CHECKPOINT
+        self._anchor = body
+        return ''
+
+    def _refold(self, body: CheckpointBody, offset: int) -> str:
+        start = self.extent.resume_from(body.as_of)
+        records = self.history.between(start, offset)
+        if records is None:
+            return ''
+        if not self._take_over(body):
+            return MALFORMED_CHECKPOINT
+        self.skip_to(start)
+        for record in records:
+            self.apply(record)
+        return ''
+
+    def _take_over(self, body: CheckpointBody) -> bool:
+        try:
+            self._load(body.state)
+        except DECODE_ERRORS:
+            return False
+        self.next_offset = body.as_of
+        self.rejected_count = body.rejected_count
+        self._gaps = body.gaps
+        self._seen = SeenIds(body.seen)
+        self._anchor = body
+        return True
+
+    def _body(self) -> CheckpointBody:
+        state = msgspec.json.encode(self._dump(), order='sorted')
+        return CheckpointBody(
+            as_of=self.next_offset,
+            state=msgspec.Raw(state),
+            gaps=self._gaps,
+            seen=self._seen.digests(),
+            rejected_count=self.rejected_count,
+        )
+
+
+def _rejected(reason: str) -> Refusal:
+    return Refusal(Result.RECORD_REJECTED, reason)
+
+
+def _replay(
+    fold: FoldBase,
+    anchor: CheckpointBody | None,
+    records: tuple[LogRecord, ...],
+) -> str:
+    if anchor is not None:
+        fold.restore(encode_checkpoint(anchor))
+    for record in records:
+        fold.apply(record)
+    return fold.checkpoint()
--- /dev/null
+++ b/lagoonflow/streams/task.py
@@ -0,0 +1,214 @@
+"""The task that follows a stream of the log."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import structlog
+
+from lagoonflow.clock import MS_PER_S, Clock, boottime_ms
+from lagoonflow.platform.messages import Appended, ReadResult, Unavailable
+from lagoonflow.results import Refusal
+from lagoonflow.streams.appender import StreamAppender
+from lagoonflow.streams.envelope import Record, decode_envelope
+from lagoonflow.streams.following import (
+    AppendCheckpoint,
+    AskPeer,
+    FollowAction,
+    FollowerSettings,
+    Following,
+    Pause,
+)
+from lagoonflow.streams.messages import (
+    PullReply,
+    PullRequest,
+    Stream,
+    Versions,
+)
+from lagoonflow.streams.ports import LogClient, Pull
+from lagoonflow.streams.pulling import PeerPuller
+from lagoonflow.streams.state import FoldBase
+
+LOG_LOST = 'streams: the log service does not answer'
+LOG_BACK = 'streams: the log service answers again'
+
+logger = structlog.get_logger()
+
+
+class StreamFollower:
+    """Keeps a fold up to date from the log and from peers.
+
+    :param fold: state of the stream; only this task changes it.
+    :param pull: asks some peer for missing records; None without peers.
+    :param appender: appends checkpoints; None when others do that.
+    :param versions: returns this process's versions of all streams.
+    :ivar listeners: called after each change of the fold.
+    """
+
+    def __init__(
+        self,
+        fold: FoldBase,
+        log: LogClient,
+        *,
+        settings: FollowerSettings | None = None,
+        pull: Pull | None = None,
+        appender: StreamAppender | None = None,
+        versions: Callable[[], Versions] | None = None,
+        rng: random.Random | None = None,
+        clock: Clock = boottime_ms,
+    ) -> None:
+        self.fold = fold
+        self.listeners: list[Callable[[], None]] = []
+        self._log = log
+        self._settings = settings or FollowerSettings()
+        self._pull = pull
+        self._appender = appender
+        self._versions = versions or self._own_versions
+        self._clock = clock
+        self._following = Following(
+            fold, rng or random.Random(), self._settings, clock()
+        )
+        self._changed = asyncio.Event()
+        self._checkpointing: asyncio.Task[Appended | Refusal] | None = None
+        self._puller = PeerPuller(self._pull_request, self.absorb)
+
+    @property
+    def is_log_up(self) -> bool:
+        """Tell whether the last read of the log was answered."""
+        return self._following.is_log_up
+
+    @property
+    def is_waiting_for_checkpoint(self) -> bool:
+        """Tell whether records are missing that only a checkpoint has."""
+        return self._following.reader.is_bridging
+
+    async def run(self) -> None:
+        """Follow the stream until cancelled."""
+        try:
+            while True:
+                await self._step()
+        except asyncio.CancelledError:
+            self._puller.stop()
+            if self._checkpointing is not None:
+                self._checkpointing.cancel()
+            raise
+
+    def serve_pull(self, request: PullRequest) -> PullReply:
+        """Return the records that a peer misses, or a checkpoint."""
+        return self._following.reader.serve_pull(request, self._versions())
+
+    def absorb(self, reply: PullReply) -> bool:
+        """Fold what a peer sent.
+
+        :returns: whether the fold has changed.
+        """
+        has_changed = self._following.reader.absorb(reply)
+        if has_changed:
+            self._notify()
+        return has_changed
+
+    def behind(self, peer: Versions, pull: Pull | None = None) -> bool:
+        """Pull missing records when a peer's version is higher.
+
+        :param pull: asks that very peer; None for the usual one.
+        :returns: whether this process is behind the peer.
+        """
+        peer_offset = _offset_of(self.fold.stream, peer)
+        if peer_offset <= self.fold.next_offset:
+            return False
+        self._puller.start(pull or self._pull)
+        return True
+
+    async def wait_for(self, next_offset: int, timeout_ms: int) -> bool:
+        """Wait until the fold has got so far.
+
+        :returns: false when it has not within the timeout, in ms.
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                while self.fold.next_offset < next_offset:
+                    await self._changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _step(self) -> None:
+        before = self.fold.extent
+        was_up = self.is_log_up
+        result = await self._read()
+        actions = self._following.on_read(self._clock(), result)
+        if was_up != self.is_log_up:
+            _log_outage(self.fold.stream, result)
+        if self.fold.extent != before:
+            self._notify()
+        for action in actions:
+            await self._act(action)
+
+    async def _read(self) -> ReadResult:
+        read = self._following.next_read(self._clock())
+        limit_ms = read.wait_ms + self._settings.answer_margin_ms
+        try:
+            async with asyncio.timeout(limit_ms / MS_PER_S):
+                return await self._log.read(
+                    self.fold.stream, read.offset, read.wait_ms
+                )
+        except (OSError, TimeoutError) as error:
+            return Unavailable(repr(error))
+
+    async def _act(self, action: FollowAction) -> None:
+        match action:
+            case Pause(duration_ms):
+                await asyncio.sleep(duration_ms / MS_PER_S)
+            case AskPeer():
+                self._puller.start(self._pull)
+            case AppendCheckpoint():
+                self._start_checkpoint()
+
+    def _start_checkpoint(self) -> None:
+        envelope = decode_envelope(self.fold.checkpoint())
+        if self._appender is None or envelope is None:
+            return
+        record = Record(envelope.record_id, envelope.kind, envelope.body)
+        self._checkpointing = asyncio.create_task(
+            self._appender.append(record),
+        )
+
+    def _pull_request(self) -> PullRequest:
+        return PullRequest(
+            self.fold.stream, self.fold.next_offset, self._versions()
+        )
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+        for listener in self.listeners:
+            listener()
+
+    def _own_versions(self) -> Versions:
+        return versions_of({self.fold.stream: self.fold.next_offset})
+
+
+def versions_of(offsets: dict[Stream, int]) -> Versions:
+    """Return the versions for the next offsets of some streams."""
+    return Versions(
+        releases=offsets.get(Stream.RELEASES, 0),
+        roster=offsets.get(Stream.ROSTER, 0),
+    )
+
+
+def _offset_of(stream: Stream, versions: Versions) -> int:
+    match stream:
+        case Stream.RELEASES:
+            return versions.releases
+        case Stream.ROSTER:
+            return versions.roster
+        case _:
+            return 0
+
+
+def _log_outage(stream: Stream, result: ReadResult) -> None:
+    match result:
+        case Unavailable(reason):
+            logger.warning(LOG_LOST, stream=stream.value, reason=reason)
+        case _:
+            logger.info(LOG_BACK, stream=stream.value)
--- /dev/null
+++ b/tests/streams/list_fold.py
@@ -0,0 +1,27 @@
+"""A fold whose state shows any difference in order or content."""
+
+import msgspec
+
+from lagoonflow.results import Refusal, Result
+from lagoonflow.streams.messages import Stream
+from lagoonflow.streams.state import FoldBase
+
+
+class ListFold(FoldBase):
+    stream = Stream.RELEASES
+
+    def __init__(self):
+        super().__init__()
+        self.items = []
+
+    def _fold(self, envelope, offset):
+        if envelope.kind != 'item':
+            return Refusal(Result.RECORD_REJECTED, 'unknown kind')
+        self.items.append(msgspec.json.decode(envelope.body, type=str))
+        return None
+
+    def _dump(self):
+        return self.items
+
+    def _load(self, state):
+        self.items = msgspec.json.decode(state, type=list[str])
--- /dev/null
+++ b/tests/streams/test_convergence.py
@@ -0,0 +1,152 @@
+"""Every process comes to the same state, whatever happens to the log."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lagoonflow.platform.messages import Batch, Expired
+from lagoonflow.streams.messages import PullRequest, Stream, Versions
+from lagoonflow.streams.reading import StreamReader
+from tests.streams.list_fold import ListFold
+from tests.streams.memory_log import MemoryLog, record_text
+
+PROCESS_COUNT = 3
+STEPS = ('put', 'repeat', 'poison', 'read', 'checkpoint', 'pull', 'restart')
+
+
+class Fleet:
+    """Some processes and a log, driven step by step."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.log = MemoryLog()
+        self.readers = [StreamReader(ListFold()) for _ in range(PROCESS_COUNT)]
+        self.put_count = 0
+
+    def step(self, name):
+        reader = self.rng.choice(self.readers)
+        before = list(reader.fold.items)
+        getattr(self, name)(reader)
+        if name != 'restart':
+            assert reader.fold.items[: len(before)] == before
+
+    def put(self, reader):
+        self.put_count += 1
+        text = record_text(f'id-{self.put_count}', str(self.put_count))
+        self.log.put(text)
+
+    def repeat(self, reader):
+        if self.log.records:
+            self.log.put(self.rng.choice(self.log.records).text)
+
+    def poison(self, reader):
+        self.log.put(self.rng.choice(['{', '{"id": "p"}', '']))
+
+    def checkpoint(self, reader):
+        if not reader.is_bridging and reader.fold.next_offset:
+            self.log.put(reader.fold.checkpoint())
+
+    def pull(self, reader):
+        peer = self.rng.choice(self.readers)
+        request = PullRequest(
+            Stream.RELEASES, reader.fold.next_offset, Versions()
+        )
+        reader.absorb(peer.serve_pull(request, Versions()))
+
+    def restart(self, reader):
+        self.readers.remove(reader)
+        self.readers.append(StreamReader(ListFold()))
+
+    def read(self, reader, limit=None):
+        limit = limit or self.rng.randint(1, 4)
+        match self.log.get(reader.next_read(), limit):
+            case Expired() as expired:
+                reader.on_expired(expired)
+            case Batch() as batch:
+                reader.on_batch(batch)
+
+    def expire(self, newest):
+        if self.log.records:
+            self.log.expire_to(self.rng.randint(self.log.earliest, newest))
+
+    def expire_outside_checkpoints(self):
+        """Expire as retention does while checkpoints are kept in time."""
+        safe = [
+            reader.fold.last_checkpoint_offset
+            for reader in self.readers
+            if not reader.is_bridging
+        ]
+        if safe and min(safe) > 0:
+            self.expire(min(safe))
+
+    def settle(self):
+        for _ in range(3):
+            for reader in self.readers:
+                while not (reader.is_at_head and self._is_read(reader)):
+                    self.read(reader, 100)
+                if reader.is_bridging:
+                    reader.bridge()
+                    self.read(reader, 100)
+                self.checkpoint(reader)
+        for reader in self.readers:
+            self.read(reader, 100)
+            self.read(reader, 100)
+
+    def _is_read(self, reader):
+        return reader.next_read() >= self.log.head
+
+    def states(self):
+        return {reader.fold.checkpoint() for reader in self.readers}
+
+
+@given(st.lists(st.sampled_from(STEPS), max_size=60), st.integers())
+def test_all_processes_agree(steps, seed):
+    fleet = Fleet(seed)
+    for step in steps:
+        fleet.step(step)
+    fleet.settle()
+    assert len(fleet.states()) == 1
+    items = fleet.readers[0].fold.items
+    assert items == [str(n + 1) for n in range(fleet.put_count)]
+
+
+@settings(max_examples=200)
+@given(
+    st.lists(
+        st.sampled_from((*STEPS, 'expire_safely', 'read', 'read')),
+        max_size=80,
+    ),
+    st.integers(),
+)
+def test_nothing_is_lost_while_checkpoints_are_kept(steps, seed):
+    fleet = Fleet(seed)
+    for step in steps:
+        if step == 'expire_safely':
+            fleet.expire_outside_checkpoints()
+        else:
+            fleet.step(step)
+    fleet.settle()
+    assert len(fleet.states()) == 1
+    items = fleet.readers[0].fold.items
+    assert items == [str(n + 1) for n in range(fleet.put_count)]
+
+
+@settings(max_examples=300)
+@given(
+    st.lists(st.sampled_from(STEPS), min_size=1, max_size=40),
+    st.lists(st.sampled_from(STEPS[:-1]), max_size=20),
+    st.integers(),
+)
+def test_all_agree_after_everything_expired(before, after, seed):
+    fleet = Fleet(seed)
+    for step in before:
+        fleet.step(step)
+    fleet.log.expire_to(fleet.log.head)
+    for step in after:
+        fleet.step(step)
+    longest = max(len(reader.fold.items) for reader in fleet.readers)
+    fleet.settle()
+    live = [reader for reader in fleet.readers if not reader.is_bridging]
+    assert len({reader.fold.checkpoint() for reader in live}) <= 1
+    assert all(len(reader.fold.items) >= longest for reader in live)
