--- /dev/null
+++ b/lagoonflow/runners/adapters.py
@@ -0,0 +1,134 @@
+"""Adapters of one runner: loads on replicas of their base models."""
+
+from collections.abc import Iterator
+
+from lagoonflow.releases.messages import AdapterSpec
+from lagoonflow.runners.messages import (
+    Action,
+    AdapterKey,
+    OrderAdapter,
+    OrderUnloadAdapter,
+    PollListing,
+)
+from lagoonflow.runners.replica import AdapterSlot, ReplicaState
+from lagoonflow.runners.replicas import Replicas
+
+
+class Adapters:
+    """Loads, evicts and replaces adapters.
+
+    :param in_flight: most loads at once.
+    """
+
+    def __init__(
+        self,
+        replicas: Replicas,
+        in_flight: int,
+    ) -> None:
+        self._replicas = replicas
+        self._ledger = replicas.ledger
+        self._orders = replicas.orders
+        self._in_flight = in_flight
+
+    def want(
+        self,
+        now_ms: int,
+        replica: ReplicaState,
+        adapter: str,
+        spec: AdapterSpec,
+    ) -> None:
+        """Ask for an adapter on a ready replica."""
+        key = AdapterKey(replica.key, adapter, spec.version)
+        slot = replica.adapters.get(key)
+        if slot is None:
+            slot = AdapterSlot(key, spec.memory_mb, spec.checkpoint)
+            replica.adapters[key] = slot
+        if not self._orders.is_open(key):
+            slot.is_leaving = False
+        slot.last_used_ms = now_ms
+
+    def find(self, replica: ReplicaState, adapter: str) -> AdapterSlot | None:
+        """Find the newest loaded version of an adapter."""
+        ready = [
+            slot
+            for slot in replica.adapters.values()
+            if slot.key.adapter == adapter
+            and slot.is_ready
+            and not slot.is_leaving
+        ]
+        return ready[-1] if ready else None
+
+    def progress(self, now_ms: int) -> Iterator[Action]:
+        """Send the orders that are due."""
+        room = self._in_flight - self._count_in_flight()
+        for slot in self._slots():
+            if slot.is_leaving:
+                yield from self._unload(now_ms, slot)
+            elif not slot.is_ordered and room > 0:
+                room -= 1
+                yield from self._load(now_ms, slot)
+
+    def leave(self, slot: AdapterSlot) -> None:
+        """Unload an adapter when its last request is done."""
+        slot.is_leaving = True
+
+    def forget(self, slot: AdapterSlot) -> None:
+        """Drop an adapter that the engine doesn't list."""
+        self._ledger.release(slot.key)
+        replica = self._replicas.table.get(slot.key.replica)
+        if replica is not None:
+            replica.adapters.pop(slot.key, None)
+
+    def _slots(self) -> tuple[AdapterSlot, ...]:
+        return tuple(
+            slot
+            for replica in self._replicas.table.values()
+            if replica.is_serving
+            for slot in replica.adapters.values()
+        )
+
+    def _count_in_flight(self) -> int:
+        return sum(
+            slot.is_ordered and not slot.is_ready for slot in self._slots()
+        )
+
+    def _load(self, now_ms: int, slot: AdapterSlot) -> Iterator[Action]:
+        if self._orders.is_open(slot.key):
+            return
+        if self._ledger.hold(slot.key, slot.memory_mb) is not None:
+            self._evict_one(slot.memory_mb)
+            return
+        slot.is_ordered = True
+        slot.settled_at_ms = now_ms
+        fence = self._orders.open(now_ms, slot.key, is_unload=False)
+        yield OrderAdapter(fence, slot.key, slot.checkpoint, slot.memory_mb)
+        yield PollListing()
+
+    def _unload(self, now_ms: int, slot: AdapterSlot) -> Iterator[Action]:
+        if slot.running or self._orders.is_open(slot.key):
+            return
+        if not slot.is_ordered:
+            self.forget(slot)
+            return
+        if slot.is_ready:
+            slot.is_ready = False
+            slot.settled_at_ms = now_ms
+            fence = self._orders.open(now_ms, slot.key, is_unload=True)
+            yield OrderUnloadAdapter(fence, slot.key)
+            yield PollListing()
+
+    def _evict_one(self, memory_mb: int) -> None:
+        slots = self._slots()
+        if any(slot.is_leaving for slot in slots):
+            return
+        idle = [
+            slot
+            for slot in slots
+            if slot.is_ready and not slot.running and slot.memory_mb
+        ]
+        if idle:
+            self.leave(min(idle, key=_last_used))
+
+
+def _last_used(slot: AdapterSlot) -> int:
+    return slot.last_used_ms
--- /dev/null
+++ b/lagoonflow/runners/admission.py
@@ -0,0 +1,72 @@
+"""Checks what a runner is asked to do before it does anything."""
+
+from lagoonflow.calls.messages import AttemptRequest
+from lagoonflow.placement.messages import Target
+from lagoonflow.releases.messages import ModelSpec
+from lagoonflow.results import Refusal, Result
+from lagoonflow.runners.parts import RunnerParts
+from lagoonflow.runners.upgrades import IsKeyLive, is_known
+from lagoonflow.streams.messages import Versions
+
+
+class Admission:
+    """Refuses at once what can't be done, or not in time.
+
+    :ivar is_stopping: whether the agent takes nothing new.
+    """
+
+    def __init__(self, parts: RunnerParts, is_key_live: IsKeyLive) -> None:
+        self.is_stopping = False
+        self._parts = parts
+        self._is_key_live = is_key_live
+
+    def admit(self, now_ms: int, request: AttemptRequest) -> Refusal | None:
+        """Queue an attempt, or refuse it."""
+        refusal = self._check(request)
+        return refusal or self._enqueue(now_ms, request)
+
+    def spec_for(
+        self,
+        model: str,
+        versions: Versions,
+    ) -> ModelSpec | Refusal:
+        """Find the model that a home asks for, or refuse the home."""
+        if self.is_stopping:
+            return Refusal(Result.SHUTTING_DOWN, 'The agent is leaving.')
+        if versions.roster < self._parts.versions.roster:
+            return Refusal(Result.STALE_VIEW, 'The home is behind.')
+        if not self._parts.is_reconciled:
+            return Refusal(Result.NO_RUNNER, 'The engine is unknown.')
+        spec = self._parts.releases.model(model)
+        return spec or Refusal(Result.UNKNOWN_MODEL, 'No such model.')
+
+    def _check(self, request: AttemptRequest) -> Refusal | None:
+        if self.is_stopping:
+            return Refusal(Result.SHUTTING_DOWN, 'The agent is leaving.')
+        if not self._is_key_live(request.key_id, request.organisation):
+            return Refusal(Result.KEY_WITHDRAWN, 'The key is withdrawn.')
+        work = request.generation
+        if work is None:
+            return Refusal(Result.UNKNOWN_MODEL, 'No model is named.')
+        if not is_known(self._parts.releases, Target(work.model, work.adapter)):
+            return Refusal(Result.UNKNOWN_MODEL, 'No such model.')
+        return None
+
+    def _enqueue(self, now_ms: int, request: AttemptRequest) -> Refusal | None:
+        scheduler = self._parts.scheduler
+        entry = scheduler.entry(now_ms, request)
+        replica = self._parts.replicas.find(entry.target.model)
+        if replica is None:
+            return Refusal(Result.STALE_LOCATION, 'No replica is here.')
+        self._parts.keep_alive.on_use(now_ms, entry.target.model)
+        ready_in_ms = self._parts.replicas.ready_in_ms(now_ms, replica)
+        late_by_ms = scheduler.late_by_ms(now_ms, entry, ready_in_ms)
+        if late_by_ms:
+            scheduler.served.learn(request.organisation, is_served=False)
+            return Refusal(
+                Result.DEADLINE_UNREACHABLE,
+                'The answer can not begin in time.',
+                retry_after_ms=late_by_ms,
+            )
+        scheduler.queue.add(entry)
+        return None
--- /dev/null
+++ b/lagoonflow/runners/bids.py
@@ -0,0 +1,228 @@
+"""Bids for models that the runner does not hold, and their decisions."""
+
+import dataclasses
+
+from lagoonflow.placement.messages import Bid, BidRequest, Decision, Tier
+from lagoonflow.releases.messages import ModelSpec
+from lagoonflow.results import Refusal, Result
+from lagoonflow.runners.eviction import (
+    Candidate,
+    Eviction,
+    choose_eviction,
+)
+from lagoonflow.runners.keepalive import KeepAlive
+from lagoonflow.runners.messages import ReplicaKey
+from lagoonflow.runners.replica import ReplicaState, State
+from lagoonflow.runners.replicas import Replicas
+from lagoonflow.runners.scheduler import Scheduler
+from lagoonflow.runners.settings import RunnerSettings
+from lagoonflow.streams.messages import Versions
+
+EVICTION_HORIZON_MS = 60_000
+_DECISIONS_REMEMBERED = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _LiveBid:
+    """A bid whose reservation may still be claimed."""
+
+    key: ReplicaKey
+    victims: tuple[ReplicaKey, ...]
+    expires_at_ms: int
+
+
+class Bidder:
+    """Offers memory to homes and executes each decision at most once.
+
+    :ivar store_wait_ms: learnt wait for a permit of the weight store.
+    """
+
+    def __init__(
+        self,
+        settings: RunnerSettings,
+        replicas: Replicas,
+        scheduler: Scheduler,
+        keep_alive: KeepAlive,
+    ) -> None:
+        self._agent = settings.agent
+        self._replicas = replicas
+        self._scheduler = scheduler
+        self._keep_alive = keep_alive
+        self._lifetime_ms = settings.bid_lifetime_ms
+        self._bids: dict[str, _LiveBid] = {}
+        self._executed: dict[str, None] = {}
+        self.store_wait_ms = float(0)
+
+    def bid(
+        self,
+        now_ms: int,
+        request: BidRequest,
+        spec: ModelSpec,
+        versions: Versions,
+    ) -> Bid:
+        """Bid for a model, and reserve its memory."""
+        self.expire(now_ms)
+        replica = self._replicas.find(request.model)
+        wait_ms = round(self._scheduler.probe_wait_ms(now_ms, request.model))
+        empty = _empty_bid(request.bid_id, self._agent, versions)
+        bid = dataclasses.replace(empty, wait_ms=wait_ms)
+        if replica is not None:
+            return dataclasses.replace(
+                bid,
+                tier=Tier.READY if replica.is_ready else Tier.LOADING,
+                ready_in_ms=self._replicas.ready_in_ms(now_ms, replica),
+            )
+        return self._bid_for_load(now_ms, bid, request.model, spec)
+
+    def accept(
+        self,
+        now_ms: int,
+        decision: Decision,
+        spec: ModelSpec,
+    ) -> Refusal | None:
+        """Claim the memory of a bid and drain its victims."""
+        self.expire(now_ms)
+        if decision.decision_id in self._executed:
+            return Refusal(Result.DECISION_REPEATED, 'Already executed.')
+        bid = self._bids.pop(decision.bid_id, None)
+        if bid is None:
+            return Refusal(Result.RESERVATION_LOST, 'The bid has expired.')
+        self._replicas.ledger.withdraw(decision.bid_id)
+        key = ReplicaKey(decision.model, spec.version)
+        if bid.key != key or key in self._replicas.table:
+            return Refusal(Result.RESERVATION_LOST, 'The replica changed.')
+        eviction = self._evict_for(now_ms, spec.memory_mb, key.model)
+        if eviction is None:
+            return Refusal(Result.RESERVATION_LOST, 'No memory is left.')
+        self._remember(decision.decision_id)
+        for victim in eviction.victims:
+            self._replicas.drain(self._replicas.table[victim])
+        extra_ms = self._start_in_ms(eviction, key)
+        self._replicas.add(now_ms, key, spec, decision.decision_id, extra_ms)
+        return None
+
+    def expire(self, now_ms: int) -> None:
+        """Drop the bids whose reservation is over."""
+        self._replicas.ledger.expire(now_ms)
+        for bid_id, bid in tuple(self._bids.items()):
+            if bid.expires_at_ms <= now_ms:
+                self._bids.pop(bid_id)
+
+    def drop_all(self) -> None:
+        """Drop all bids, after a pause."""
+        self._bids.clear()
+        self._replicas.ledger.withdraw_all()
+
+    def room_mb(self) -> int:
+        """Memory that a replica could have without an eviction."""
+        return self._replicas.ledger.available_mb + self._freeing_mb()
+
+    def _bid_for_load(
+        self,
+        now_ms: int,
+        bid: Bid,
+        model: str,
+        spec: ModelSpec,
+    ) -> Bid:
+        if spec.memory_mb > self._replicas.ledger.room_mb:
+            return _refused(bid, Result.MODEL_DOES_NOT_FIT, 'Too large.')
+        key = ReplicaKey(model, spec.version)
+        eviction = self._evict_for(now_ms, spec.memory_mb, model)
+        if eviction is None or key in self._replicas.table:
+            return _refused(bid, Result.NO_RUNNER, 'No memory is free.')
+        needed_mb = max(0, spec.memory_mb - eviction.freed_mb)
+        expires_at_ms = now_ms + self._lifetime_ms
+        self._replicas.ledger.offer(bid.bid_id, needed_mb, expires_at_ms)
+        self._bids[bid.bid_id] = _LiveBid(key, eviction.victims, expires_at_ms)
+        tier = self._replicas.tier(key)
+        load_ms = self._replicas.predictor.load_ms(model, tier, spec.memory_mb)
+        return dataclasses.replace(
+            bid,
+            tier=tier,
+            ready_in_ms=self._start_in_ms(eviction, key) + round(load_ms),
+            eviction_cost_ms=eviction.cost_ms,
+            reserved_for_ms=self._lifetime_ms,
+        )
+
+    def _start_in_ms(self, eviction: Eviction, key: ReplicaKey) -> int:
+        start_in_ms = eviction.drain_ms
+        if eviction.victims:
+            start_in_ms += round(self._replicas.predictor.unload_ms)
+        if self._replicas.tier(key) is Tier.REMOTE:
+            start_in_ms = max(start_in_ms, round(self.store_wait_ms))
+        return start_in_ms
+
+    def _evict_for(
+        self,
+        now_ms: int,
+        memory_mb: int,
+        model: str,
+    ) -> Eviction | None:
+        shortage_mb = memory_mb - self.room_mb()
+        candidates = [
+            self._candidate(now_ms, replica)
+            for replica in self._replicas.table.values()
+            if self._is_evictable(replica, model)
+        ]
+        return choose_eviction(shortage_mb, candidates, EVICTION_HORIZON_MS)
+
+    def _is_evictable(self, replica: ReplicaState, model: str) -> bool:
+        promised = any(
+            replica.key in bid.victims for bid in self._bids.values()
+        )
+        is_other = replica.key.model != model
+        return replica.is_ready and is_other and not promised
+
+    def _candidate(self, now_ms: int, replica: ReplicaState) -> Candidate:
+        model = replica.key.model
+        idle_ms = now_ms - replica.last_used_ms
+        tier = self._replicas.tier(replica.key)
+        return Candidate(
+            key=replica.key,
+            memory_mb=replica.memory_mb,
+            reload_ms=self._replicas.predictor.load_ms(
+                model, tier, replica.memory_mb
+            ),
+            next_use_ms=self._keep_alive.next_use_ms(model, idle_ms),
+            drain_ms=self._scheduler.drain_ms(now_ms, replica.key),
+        )
+
+    def _freeing_mb(self) -> int:
+        return sum(
+            replica.memory_mb
+            for replica in self._replicas.table.values()
+            if replica.state in {State.DRAINING, State.UNLOADING}
+        )
+
+    def _remember(self, decision_id: str) -> None:
+        self._executed[decision_id] = None
+        if len(self._executed) > _DECISIONS_REMEMBERED:
+            self._executed.pop(next(iter(self._executed)))
+
+
+def refused_bid(
+    bid_id: str,
+    agent: str,
+    versions: Versions,
+    refusal: Refusal,
+) -> Bid:
+    """Build the answer of an agent that can't load the model."""
+    bid = _empty_bid(bid_id, agent, versions)
+    return dataclasses.replace(bid, refusal=refusal)
+
+
+def _empty_bid(bid_id: str, agent: str, versions: Versions) -> Bid:
+    return Bid(
+        bid_id=bid_id,
+        agent=agent,
+        tier=Tier.REMOTE,
+        ready_in_ms=0,
+        wait_ms=0,
+        eviction_cost_ms=0,
+        reserved_for_ms=0,
+        versions=versions,
+    )
+
+
+def _refused(bid: Bid, code: Result, reason: str) -> Bid:
+    return dataclasses.replace(bid, refusal=Refusal(code, reason))
--- /dev/null
+++ b/lagoonflow/runners/eviction.py
@@ -0,0 +1,99 @@
+"""Choice of the replicas that make room for another one."""
+
+import dataclasses
+from collections.abc import Iterable
+
+from lagoonflow.runners.messages import ReplicaKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A replica that could be evicted.
+
+    :param memory_mb: memory that its eviction frees, adapters included.
+    :param reload_ms: predicted time to load it again.
+    :param next_use_ms: predicted time until it is used again.
+    :param drain_ms: predicted time until its requests are done.
+    """
+
+    key: ReplicaKey
+    memory_mb: int
+    reload_ms: float
+    next_use_ms: float
+    drain_ms: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Eviction:
+    """Replicas to drain and unload, in order, and what that costs."""
+
+    victims: tuple[ReplicaKey, ...] = ()
+    freed_mb: int = 0
+    cost_ms: int = 0
+    drain_ms: int = 0
+
+
+def choose_eviction(
+    shortage_mb: int,
+    candidates: Iterable[Candidate],
+    horizon_ms: float,
+) -> Eviction | None:
+    """Choose victims which free enough memory at the least cost.
+
+    Idle replicas go before busy ones, which are only drained: nothing is
+    unloaded before its last request is done.
+
+    :param horizon_ms: a next use that far away costs a tenth of a reload.
+    :returns: ``None`` when all candidates together free too little.
+    """
+    if shortage_mb <= 0:
+        return Eviction()
+    ranked = sorted(
+        candidates,
+        key=lambda candidate: (
+            candidate.drain_ms > 0,
+            _cost_ms(candidate, horizon_ms) + candidate.drain_ms,
+            candidate.key.model,
+            candidate.key.version,
+        ),
+    )
+    chosen: list[Candidate] = []
+    freed_mb = 0
+    for candidate in ranked:
+        if freed_mb >= shortage_mb:
+            break
+        chosen.append(candidate)
+        freed_mb += candidate.memory_mb
+    if freed_mb < shortage_mb:
+        return None
+    return _summary(
+        _without_surplus(chosen, freed_mb - shortage_mb), horizon_ms
+    )
+
+
+def _cost_ms(candidate: Candidate, horizon_ms: float) -> float:
+    likelihood = horizon_ms / (horizon_ms + 9 * candidate.next_use_ms)
+    return candidate.reload_ms * likelihood
+
+
+def _without_surplus(
+    chosen: list[Candidate],
+    surplus_mb: int,
+) -> list[Candidate]:
+    kept: list[Candidate] = []
+    for candidate in reversed(chosen):
+        if candidate.memory_mb <= surplus_mb:
+            surplus_mb -= candidate.memory_mb
+        else:
+            kept.append(candidate)
+    return list(reversed(kept))
+
+
+def _summary(chosen: list[Candidate], horizon_ms: float) -> Eviction:
+    cost_ms = sum(_cost_ms(candidate, horizon_ms) for candidate in chosen)
+    return Eviction(
+        victims=tuple(candidate.key for candidate in chosen),
+        freed_mb=sum(candidate.memory_mb for candidate in chosen),
+        cost_ms=round(cost_ms),
+        drain_ms=round(max(candidate.drain_ms for candidate in chosen)),
+    )
--- /dev/null
+++ b/lagoonflow/runners/parts.py
@@ -0,0 +1,121 @@
+"""Wires the parts of a runner and lets them progress together."""
+
+from collections.abc import Iterator
+
+from lagoonflow.runners.adapters import Adapters
+from lagoonflow.runners.announcer import Announcer
+from lagoonflow.runners.bids import Bidder
+from lagoonflow.runners.keepalive import KeepAlive
+from lagoonflow.runners.ledger import Ledger
+from lagoonflow.runners.loads import OrderBook
+from lagoonflow.runners.messages import Action, Announce
+from lagoonflow.runners.predictor import Predictor
+from lagoonflow.runners.progress import Progress
+from lagoonflow.runners.reconcile import Reconciler
+from lagoonflow.runners.replica import ReplicaState, State
+from lagoonflow.runners.replicas import Replicas
+from lagoonflow.runners.scheduler import Scheduler
+from lagoonflow.runners.settings import Releases, RunnerSettings
+from lagoonflow.runners.upgrades import Upgrades
+from lagoonflow.streams.messages import Versions
+
+_TRANSIENT = frozenset((State.ORDERED, State.LOADING, State.UNLOADING))
+
+
+class RunnerParts:
+    """The parts of one runner.
+
+    :ivar releases: release notes in force.
+    :ivar versions: versions that this process has folded.
+    """
+
+    def __init__(self, settings: RunnerSettings, releases: Releases) -> None:
+        self.releases = releases
+        self.versions = Versions()
+        self.keep_alive = KeepAlive(settings.reload_weight)
+        self.replicas = Replicas(
+            Ledger(0, settings.kv_room_mb, settings.adapter_room_mb),
+            OrderBook(settings.first_fence),
+            Predictor(),
+        )
+        self.adapters = Adapters(self.replicas, settings.adapters_in_flight)
+        self.scheduler = Scheduler(
+            self.replicas, self.adapters, settings.max_running
+        )
+        self.bidder = Bidder(
+            settings, self.replicas, self.scheduler, self.keep_alive
+        )
+        self.reconciler = Reconciler(self.replicas, self.adapters)
+        self.announcer = Announcer(
+            self.replicas, self.scheduler, settings.pressure_wait_ms
+        )
+        self._progress = Progress(settings.agent, self.replicas)
+        self._upgrades = Upgrades(
+            self.replicas, self.adapters, self.bidder.room_mb
+        )
+
+    @property
+    def is_reconciled(self) -> bool:
+        """Whether the engine's listing has been seen."""
+        return bool(self.reconciler.epoch)
+
+    @property
+    def is_pending(self) -> bool:
+        """Whether a listing is needed to settle a change."""
+        if not self.is_reconciled or len(self.replicas.orders):
+            return True
+        return any(
+            replica.state in _TRANSIENT or _has_pending_adapter(replica)
+            for replica in self.replicas.table.values()
+        )
+
+    def unload_idle(self, now_ms: int) -> None:
+        """Drain the replicas whose keep-alive is over."""
+        for replica in tuple(self.replicas.table.values()):
+            if self._is_idle_too_long(now_ms, replica):
+                self.replicas.drain(replica)
+
+    def settle(self, now_ms: int) -> tuple[Action, ...]:
+        """Do everything that has become possible."""
+        if not self.is_reconciled:
+            return ()
+        self._upgrades.progress(now_ms, self.releases)
+        actions = list(self._advance(now_ms))
+        changed = self.announcer.changed_models(now_ms)
+        if changed:
+            actions.append(Announce(changed))
+        return tuple(actions)
+
+    def _advance(self, now_ms: int) -> Iterator[Action]:
+        self._want_adapters(now_ms)
+        yield from self._progress.progress(
+            now_ms, self.scheduler.waiting_for, self.versions
+        )
+        yield from self.adapters.progress(now_ms)
+        yield from self.scheduler.refuse_late(now_ms)
+        yield from self.scheduler.dispatch(now_ms)
+
+    def _want_adapters(self, now_ms: int) -> None:
+        for entry in self.scheduler.queue:
+            name = entry.target.adapter
+            replica = self.replicas.serving(entry.target.model)
+            spec = self.releases.adapter(name) if name else None
+            if replica is not None and spec is not None:
+                self.adapters.want(now_ms, replica, name, spec)
+
+    def _is_idle_too_long(self, now_ms: int, replica: ReplicaState) -> bool:
+        model = replica.key.model
+        if not replica.is_ready or replica.running:
+            return False
+        if self.scheduler.waiting_for(model).count:
+            return False
+        tier = self.replicas.tier(replica.key)
+        reload_ms = self.replicas.predictor.load_ms(
+            model, tier, replica.memory_mb
+        )
+        keep_ms = self.keep_alive.keep_alive_ms(model, reload_ms)
+        return now_ms - replica.last_used_ms > keep_ms
+
+
+def _has_pending_adapter(replica: ReplicaState) -> bool:
+    return any(not slot.is_ready for slot in replica.adapters.values())
--- /dev/null
+++ b/lagoonflow/runners/progress.py
@@ -0,0 +1,143 @@
+"""Sends the orders of replicas and asks for their permits."""
+
+import dataclasses
+from collections.abc import Callable, Iterator
+
+from lagoonflow.placement.messages import PermitRequest, Tier
+from lagoonflow.runners.messages import (
+    Action,
+    AskPermit,
+    OrderLoad,
+    OrderUnload,
+    PollListing,
+)
+from lagoonflow.runners.replica import Event, ReplicaState, State
+from lagoonflow.runners.replicas import Replicas
+from lagoonflow.streams.messages import Versions
+
+PERMIT_TIMEOUT_MS = 3_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """Requests that wait for one model.
+
+    :param served_ratio: ratio of the organisation served worst.
+    """
+
+    count: int = 0
+    deadline_ms: int = 0
+    served_ratio: float = 1
+
+
+WaitingFor = Callable[[str], Waiting]
+
+
+class Progress:
+    """Takes each replica as far as memory, permits and orders allow."""
+
+    def __init__(self, agent: str, replicas: Replicas) -> None:
+        self._agent = agent
+        self._replicas = replicas
+        self._orders = replicas.orders
+
+    def progress(
+        self,
+        now_ms: int,
+        waiting_for: WaitingFor,
+        versions: Versions,
+    ) -> Iterator[Action]:
+        """Send the orders and ask for the permits that are due."""
+        self._replicas.ledger.grant()
+        for replica in tuple(self._replicas.table.values()):
+            waiting = waiting_for(replica.key.model)
+            if replica.state == State.RESERVED:
+                yield from self._advance(now_ms, replica, waiting, versions)
+            elif self._can_unload(replica, waiting):
+                yield from self._unload(now_ms, replica)
+
+    def _advance(
+        self,
+        now_ms: int,
+        replica: ReplicaState,
+        waiting: Waiting,
+        versions: Versions,
+    ) -> Iterator[Action]:
+        if (
+            not self._replicas.ledger.holds(replica.key)
+            or now_ms < replica.retry_at_ms
+        ):
+            return
+        replica.tier = self._replicas.tier(replica.key)
+        if replica.tier is not Tier.REMOTE or replica.has_permit:
+            yield from self._load(now_ms, replica)
+        elif not replica.permit_id or self._is_permit_late(now_ms, replica):
+            yield self._ask_permit(now_ms, replica, waiting, versions)
+
+    def _is_permit_late(self, now_ms: int, replica: ReplicaState) -> bool:
+        return now_ms - replica.asked_permit_at_ms > PERMIT_TIMEOUT_MS
+
+    def _ask_permit(
+        self,
+        now_ms: int,
+        replica: ReplicaState,
+        waiting: Waiting,
+        versions: Versions,
+    ) -> AskPermit:
+        replica.permit_id = replica.permit_id or (
+            f'{self._agent}/{replica.decision_id}/{now_ms}/{replica.attempts}'
+        )
+        replica.asked_permit_at_ms = now_ms
+        request = PermitRequest(
+            permit_id=replica.permit_id,
+            agent=self._agent,
+            model=replica.key.model,
+            waiting=waiting.count,
+            deadline_in_ms=max(0, waiting.deadline_ms - now_ms),
+            served_ratio=waiting.served_ratio,
+            versions=versions,
+        )
+        return AskPermit(request)
+
+    def _load(self, now_ms: int, replica: ReplicaState) -> Iterator[Action]:
+        key = replica.key
+        fence = self._orders.open(now_ms, key, is_unload=False)
+        load_ms = self._replicas.predictor.load_ms(
+            key.model, replica.tier, replica.memory_mb
+        )
+        replica.fire(Event.ORDER)
+        replica.ordered_at_ms = now_ms
+        replica.settled_at_ms = now_ms
+        replica.predicted_load_ms = round(load_ms)
+        replica.predicted_ready_ms = now_ms + round(load_ms)
+        yield OrderLoad(
+            fence,
+            key,
+            replica.checkpoint,
+            replica.memory_mb,
+            replica.decision_id,
+        )
+        yield PollListing()
+
+    def _can_unload(self, replica: ReplicaState, waiting: Waiting) -> bool:
+        if self._orders.is_open(replica.key) or replica.running:
+            return False
+        if any(self._orders.is_open(key) for key in replica.adapters):
+            return False
+        if replica.state == State.UNLOADING:
+            return replica.needs_unload
+        if replica.state != State.DRAINING:
+            return False
+        return (
+            not waiting.count
+            or self._replicas.find(replica.key.model) is not None
+        )
+
+    def _unload(self, now_ms: int, replica: ReplicaState) -> Iterator[Action]:
+        if replica.state == State.DRAINING:
+            replica.fire(Event.UNLOAD)
+        replica.needs_unload = False
+        replica.settled_at_ms = now_ms
+        fence = self._orders.open(now_ms, replica.key, is_unload=True)
+        yield OrderUnload(fence, replica.key)
+        yield PollListing()
--- /dev/null
+++ b/lagoonflow/runners/queue.py
@@ -0,0 +1,181 @@
+"""Run queue: priority, fair by organisation, then earliest deadline."""
+
+import bisect
+import dataclasses
+from collections import deque
+from collections.abc import Callable, Iterator
+
+from lagoonflow.calls.messages import AttemptId, AttemptRequest
+from lagoonflow.placement.messages import Target
+
+QUANTUM_TOKENS = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One waiting attempt.
+
+    :param service_ms: predicted time on the engine.
+    """
+
+    request: AttemptRequest
+    target: Target
+    arrived_at_ms: int
+    deadline_ms: int
+    cost_tokens: float
+    service_ms: float
+    sequence: int = 0
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Order within an organisation."""
+        return self.deadline_ms, self.sequence
+
+
+Predicate = Callable[[Entry], bool]
+
+
+class _FairLevel:
+    """Deficit round robin in tokens over organisations."""
+
+    def __init__(self, quantum_tokens: float) -> None:
+        self.queues: dict[str, list[Entry]] = {}
+        self._quantum_tokens = quantum_tokens
+        self._deficits: dict[str, float] = {}
+        self._rotation: deque[str] = deque()
+
+    def add(self, entry: Entry) -> None:
+        organisation = entry.request.organisation
+        if organisation not in self.queues:
+            self.queues[organisation] = []
+            self._deficits[organisation] = 0
+            self._rotation.append(organisation)
+        bisect.insort(self.queues[organisation], entry, key=_rank)
+
+    def discard(self, entry: Entry) -> None:
+        organisation = entry.request.organisation
+        queue = self.queues[organisation]
+        queue.remove(entry)
+        if not queue:
+            self.queues.pop(organisation)
+            self._deficits.pop(organisation)
+            self._rotation.remove(organisation)
+
+    def pop(self, is_eligible: Predicate) -> Entry | None:
+        heads = self._heads(is_eligible)
+        if not heads:
+            return None
+        while True:
+            organisation = self._rotation[0]
+            head = heads.get(organisation)
+            if head is None:
+                self._rotation.rotate(-1)
+            elif self._deficits[organisation] >= head.cost_tokens:
+                self._deficits[organisation] -= head.cost_tokens
+                self.discard(head)
+                return head
+            else:
+                self._deficits[organisation] += self._quantum_tokens
+                self._rotation.rotate(-1)
+
+    def _heads(self, is_eligible: Predicate) -> dict[str, Entry]:
+        heads: dict[str, Entry] = {}
+        for organisation, queue in self.queues.items():
+            head = next(filter(is_eligible, queue), None)
+            if head is not None:
+                heads[organisation] = head
+        return heads
+
+
+class RunQueue:
+    """Waiting attempts of one runner."""
+
+    def __init__(self, quantum_tokens: float = QUANTUM_TOKENS) -> None:
+        self._quantum_tokens = quantum_tokens
+        self._levels: dict[int, _FairLevel] = {}
+        self._entries: dict[AttemptId, Entry] = {}
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __iter__(self) -> Iterator[Entry]:
+        return iter(tuple(self._entries.values()))
+
+    def add(self, entry: Entry) -> None:
+        """Add a waiting attempt."""
+        self._sequence += 1
+        numbered = dataclasses.replace(entry, sequence=self._sequence)
+        priority = entry.request.priority
+        if priority not in self._levels:
+            self._levels[priority] = _FairLevel(self._quantum_tokens)
+        self._levels[priority].add(numbered)
+        self._entries[entry.request.attempt] = numbered
+
+    def remove(self, attempt: AttemptId) -> Entry | None:
+        """Take an attempt out; ``None`` when it does not wait."""
+        entry = self._entries.pop(attempt, None)
+        if entry is not None:
+            self._levels[entry.request.priority].discard(entry)
+        return entry
+
+    def pop(self, is_eligible: Predicate) -> Entry | None:
+        """Take the attempt that runs next among the eligible ones."""
+        for priority in sorted(self._levels):
+            entry = self._levels[priority].pop(is_eligible)
+            if entry is not None:
+                self._entries.pop(entry.request.attempt)
+                return entry
+        return None
+
+    def ahead_ms(self, entry: Entry, is_counted: Predicate) -> float:
+        """Predict the engine time of the work that runs before an entry.
+
+        Another organisation gets at most as much as the entry's own one
+        until the entry runs, so a flood adds no more than that.
+        """
+        ahead_ms = float(0)
+        for priority, level in self._levels.items():
+            if priority < entry.request.priority:
+                works = _works_ms(level, is_counted)
+                ahead_ms += sum(works.values())
+            elif priority == entry.request.priority:
+                ahead_ms += _fair_ahead_ms(level, entry, is_counted)
+        return ahead_ms
+
+    def drop(self, is_dropped: Predicate) -> tuple[Entry, ...]:
+        """Take out all attempts for which the predicate holds."""
+        dropped = tuple(entry for entry in self if is_dropped(entry))
+        for entry in dropped:
+            self.remove(entry.request.attempt)
+        return dropped
+
+
+def _rank(entry: Entry) -> tuple[int, int]:
+    return entry.rank
+
+
+def _works_ms(level: _FairLevel, is_counted: Predicate) -> dict[str, float]:
+    return {
+        organisation: sum(
+            waiting.service_ms for waiting in queue if is_counted(waiting)
+        )
+        for organisation, queue in level.queues.items()
+    }
+
+
+def _fair_ahead_ms(
+    level: _FairLevel,
+    entry: Entry,
+    is_counted: Predicate,
+) -> float:
+    own = entry.request.organisation
+    own_ms = sum(
+        waiting.service_ms
+        for waiting in level.queues.get(own, ())
+        if waiting.deadline_ms <= entry.deadline_ms and is_counted(waiting)
+    )
+    share_ms = own_ms + entry.service_ms
+    works = _works_ms(level, is_counted)
+    works.pop(own, None)
+    return own_ms + sum(min(work_ms, share_ms) for work_ms in works.values())
--- /dev/null
+++ b/lagoonflow/runners/reconcile.py
@@ -0,0 +1,207 @@
+"""Brings the agent's view in line with the engine's listing."""
+
+from collections.abc import Iterator
+
+from lagoonflow.runners.adapters import Adapters
+from lagoonflow.runners.engine_messages import (
+    Answer,
+    EngineState,
+    ListedReplica,
+    Listing,
+    OrderAnswer,
+)
+from lagoonflow.runners.messages import (
+    Action,
+    AdapterKey,
+    PollListing,
+    ReplicaKey,
+)
+from lagoonflow.runners.reconcile_adapters import TAKEN, AdapterReconciler
+from lagoonflow.runners.replica import Event, ReplicaState, State
+from lagoonflow.runners.replicas import Replicas
+
+
+class Reconciler:
+    """Applies listings and answers of the engine.
+
+    :ivar epoch: epoch of the engine; empty until the first listing.
+    """
+
+    def __init__(self, replicas: Replicas, adapters: Adapters) -> None:
+        self.epoch = ''
+        self._replicas = replicas
+        self._adapters = AdapterReconciler(replicas, adapters)
+        self._orders = replicas.orders
+
+    def on_listing(
+        self,
+        now_ms: int,
+        listing: Listing,
+        asked_at_ms: int,
+    ) -> Iterator[Action]:
+        """Apply a listing that was asked for at a given time."""
+        if listing.epoch != self.epoch:
+            self._restart(listing)
+        self._orders.raise_above(listing.last_fence)
+        self._replicas.checkpoints = {
+            ReplicaKey(copy.model, copy.version): copy.tier
+            for copy in listing.checkpoints
+        }
+        listed = {
+            ReplicaKey(one.model, one.version): one for one in listing.replicas
+        }
+        for key, one in listed.items():
+            yield from self._apply(now_ms, key, one, asked_at_ms)
+        for replica in tuple(self._replicas.table.values()):
+            if replica.key not in listed:
+                yield from self._apply_absence(now_ms, replica, asked_at_ms)
+
+    def on_answer(
+        self,
+        now_ms: int,
+        answer: OrderAnswer,
+    ) -> Iterator[Action]:
+        """Apply the answer to an order; late ones change nothing."""
+        order = self._orders.get(answer.fence)
+        if order is None:
+            return
+        if answer.answer is Answer.LOST:
+            self._orders.lose(now_ms, answer.fence)
+            yield PollListing()
+            return
+        self._orders.close(answer.fence)
+        if answer.answer is Answer.STALE_FENCE:
+            self._orders.raise_above(max(answer.last_fence, answer.fence))
+        replica = self._replica_of(order.holder)
+        if replica is None:
+            return
+        if isinstance(order.holder, AdapterKey):
+            self._adapters.on_answer(
+                now_ms, replica, order.holder, answer.answer
+            )
+        elif order.is_unload:
+            replica.needs_unload = answer.answer not in TAKEN
+        else:
+            yield from self._answer_load(now_ms, replica, answer)
+        yield PollListing()
+
+    def _restart(self, listing: Listing) -> None:
+        self.epoch = listing.epoch
+        self._orders.clear()
+        self._replicas.ledger.withdraw_all()
+        for replica in self._replicas.table.values():
+            replica.settled_at_ms = 0
+            for slot in replica.adapters.values():
+                slot.settled_at_ms = 0
+
+    def _replica_of(
+        self,
+        holder: ReplicaKey | AdapterKey,
+    ) -> ReplicaState | None:
+        match holder:
+            case AdapterKey(replica=key):
+                return self._replicas.table.get(key)
+            case _:
+                return self._replicas.table.get(holder)
+
+    def _answer_load(
+        self,
+        now_ms: int,
+        replica: ReplicaState,
+        answer: OrderAnswer,
+    ) -> Iterator[Action]:
+        if replica.state != State.ORDERED:
+            return
+        replica.settled_at_ms = now_ms
+        match answer.answer:
+            case Answer.ACCEPTED:
+                replica.fire(Event.ACCEPT)
+            case Answer.DONE:
+                yield from self._replicas.become_ready(now_ms, replica)
+            case Answer.STALE_FENCE:
+                replica.fire(Event.RETRY)
+            case _:
+                yield from self._replicas.retry(now_ms, replica)
+
+    def _apply(
+        self,
+        now_ms: int,
+        key: ReplicaKey,
+        listed: ListedReplica,
+        asked_at_ms: int,
+    ) -> Iterator[Action]:
+        replica = self._replicas.table.get(key)
+        if replica is None:
+            if listed.state is EngineState.FAILED:
+                return
+            replica = ReplicaState(key, listed.memory_mb, created_at_ms=now_ms)
+            self._replicas.table[key] = replica
+        if listed.state is not EngineState.FAILED:
+            self._adopt(replica, listed)
+        yield from self._apply_state(now_ms, replica, listed, asked_at_ms)
+        self._adapters.on_listing(now_ms, replica, listed, asked_at_ms)
+
+    def _adopt(self, replica: ReplicaState, listed: ListedReplica) -> None:
+        self._replicas.ledger.adopt({replica.key: listed.memory_mb})
+        if replica.state == State.RESERVED:
+            replica.fire(Event.ORDER)
+
+    def _apply_state(
+        self,
+        now_ms: int,
+        replica: ReplicaState,
+        listed: ListedReplica,
+        asked_at_ms: int,
+    ) -> Iterator[Action]:
+        match listed.state:
+            case EngineState.READY if replica.is_coming:
+                self._close_order(replica.key)
+                yield from self._replicas.become_ready(now_ms, replica)
+            case EngineState.LOADING if replica.state == State.ORDERED:
+                self._close_order(replica.key)
+                replica.fire(Event.ACCEPT)
+            case EngineState.FAILED if replica.is_coming:
+                if replica.state != State.RESERVED:
+                    self._close_order(replica.key)
+                    yield from self._replicas.retry(now_ms, replica)
+            case EngineState.READY if replica.state == State.UNLOADING:
+                self._repeat_unload(replica, asked_at_ms)
+
+    def _repeat_unload(self, replica: ReplicaState, asked_at_ms: int) -> None:
+        order = self._orders.find(replica.key)
+        if order is None:
+            replica.needs_unload = asked_at_ms > replica.settled_at_ms
+        elif self._orders.is_waited_out(order, asked_at_ms):
+            self._orders.close(order.fence)
+            replica.needs_unload = True
+
+    def _apply_absence(
+        self,
+        now_ms: int,
+        replica: ReplicaState,
+        asked_at_ms: int,
+    ) -> Iterator[Action]:
+        if replica.state == State.RESERVED:
+            return
+        order = self._orders.find(replica.key)
+        if order is None:
+            if asked_at_ms > replica.settled_at_ms:
+                yield from self._vanish(now_ms, replica)
+        elif self._orders.is_waited_out(order, asked_at_ms):
+            self._orders.close(order.fence)
+            yield from self._vanish(now_ms, replica)
+
+    def _vanish(
+        self,
+        now_ms: int,
+        replica: ReplicaState,
+    ) -> Iterator[Action]:
+        if replica.is_coming:
+            yield from self._replicas.retry(now_ms, replica)
+        else:
+            self._replicas.remove(replica, Event.VANISH)
+
+    def _close_order(self, key: ReplicaKey) -> None:
+        order = self._orders.find(key)
+        if order is not None:
+            self._orders.close(order.fence)
--- /dev/null
+++ b/lagoonflow/runners/reconcile_adapters.py
@@ -0,0 +1,96 @@
+"""Brings the adapters of a replica in line with the engine."""
+
+from lagoonflow.runners.adapters import Adapters
+from lagoonflow.runners.engine_messages import (
+    Answer,
+    EngineState,
+    ListedReplica,
+)
+from lagoonflow.runners.messages import AdapterKey
+from lagoonflow.runners.replica import AdapterSlot, ReplicaState
+from lagoonflow.runners.replicas import Replicas
+
+TAKEN = frozenset((Answer.ACCEPTED, Answer.DONE))
+
+
+class AdapterReconciler:
+    """Applies listings and answers that concern adapters."""
+
+    def __init__(self, replicas: Replicas, adapters: Adapters) -> None:
+        self._replicas = replicas
+        self._adapters = adapters
+        self._orders = replicas.orders
+
+    def on_answer(
+        self,
+        now_ms: int,
+        replica: ReplicaState,
+        key: AdapterKey,
+        answer: Answer,
+    ) -> None:
+        """Apply the answer to an order for an adapter."""
+        slot = replica.adapters.get(key)
+        if slot is None:
+            return
+        slot.settled_at_ms = now_ms
+        if slot.is_leaving:
+            slot.is_ready = answer not in TAKEN
+        elif answer is Answer.DONE:
+            slot.is_ready = True
+        elif answer is not Answer.ACCEPTED:
+            self._adapters.forget(slot)
+
+    def on_listing(
+        self,
+        now_ms: int,
+        replica: ReplicaState,
+        listed: ListedReplica,
+        asked_at_ms: int,
+    ) -> None:
+        """Apply what the engine lists on one replica."""
+        present: set[AdapterKey] = set()
+        for one in listed.adapters:
+            key = AdapterKey(replica.key, one.adapter, one.version)
+            if one.state is EngineState.FAILED:
+                continue
+            present.add(key)
+            slot = replica.adapters.get(key)
+            if slot is None:
+                slot = AdapterSlot(key, one.memory_mb, last_used_ms=now_ms)
+                replica.adapters[key] = slot
+            self._apply(slot, one.state, asked_at_ms)
+        for slot in tuple(replica.adapters.values()):
+            if slot.is_ordered and slot.key not in present:
+                self._apply_absence(slot, asked_at_ms)
+
+    def _apply(
+        self,
+        slot: AdapterSlot,
+        state: EngineState,
+        asked_at_ms: int,
+    ) -> None:
+        self._replicas.ledger.adopt({slot.key: slot.memory_mb})
+        slot.is_ordered = True
+        order = self._orders.find(slot.key)
+        if order is not None and not order.is_unload:
+            self._orders.close(order.fence)
+            slot.is_ready = state is EngineState.READY
+        elif order is not None:
+            if self._orders.is_waited_out(order, asked_at_ms):
+                self._orders.close(order.fence)
+                slot.is_ready = True
+        elif asked_at_ms > slot.settled_at_ms:
+            slot.is_ready = state is EngineState.READY
+
+    def _apply_absence(
+        self,
+        slot: AdapterSlot,
+        asked_at_ms: int,
+    ) -> None:
+        order = self._orders.find(slot.key)
+        if order is None:
+            if asked_at_ms > slot.settled_at_ms:
+                self._adapters.forget(slot)
+        elif self._orders.is_waited_out(order, asked_at_ms):
+            self._orders.close(order.fence)
+            self._adapters.forget(slot)
--- /dev/null
+++ b/lagoonflow/runners/replica.py
@@ -0,0 +1,149 @@
+"""Life cycle of one replica, as a state machine."""
+
+import dataclasses
+import enum
+
+from transitions import Machine
+
+from lagoonflow.placement.messages import Tier
+from lagoonflow.runners.messages import AdapterKey, ReplicaKey
+
+
+class State(enum.StrEnum):
+    """States of a replica on its runner."""
+
+    RESERVED = 'reserved'
+    ORDERED = 'ordered'
+    LOADING = 'loading'
+    READY = 'ready'
+    DRAINING = 'draining'
+    UNLOADING = 'unloading'
+    GONE = 'gone'
+    FAILED = 'failed'
+
+
+class Event(enum.StrEnum):
+    """Events that change the state of a replica."""
+
+    ORDER = 'order'
+    ACCEPT = 'accept'
+    READY = 'become_ready'
+    RETRY = 'retry'
+    DRAIN = 'drain'
+    RESUME = 'resume'
+    UNLOAD = 'unload'
+    VANISH = 'vanish'
+    FAIL = 'fail'
+
+
+_BEFORE_READY = (State.RESERVED, State.ORDERED, State.LOADING)
+_LIVE = (*_BEFORE_READY, State.READY, State.DRAINING, State.UNLOADING)
+_TRANSITIONS = (
+    (Event.ORDER, (State.RESERVED,), State.ORDERED),
+    (Event.ACCEPT, (State.ORDERED,), State.LOADING),
+    (Event.READY, (State.ORDERED, State.LOADING), State.READY),
+    (Event.RETRY, (State.ORDERED, State.LOADING), State.RESERVED),
+    (Event.DRAIN, (State.READY,), State.DRAINING),
+    (Event.RESUME, (State.DRAINING,), State.READY),
+    (Event.UNLOAD, (State.READY, State.DRAINING), State.UNLOADING),
+    (Event.VANISH, _LIVE, State.GONE),
+    (Event.FAIL, _LIVE, State.FAILED),
+)
+
+
+def _build_machine() -> Machine:
+    machine = Machine(
+        model=None,
+        states=[state.value for state in State],
+        initial=State.RESERVED.value,
+        auto_transitions=False,
+    )
+    for event, sources, target in _TRANSITIONS:
+        names = [source.value for source in sources]
+        machine.add_transition(event.value, names, target.value)
+    return machine
+
+
+_MACHINE = _build_machine()
+
+
+@dataclasses.dataclass(slots=True)
+class AdapterSlot:
+    """One adapter on a replica.
+
+    :param is_ordered: whether the engine may have it.
+    :param is_ready: whether the engine has it loaded.
+    :param is_leaving: whether it is to be unloaded.
+    """
+
+    key: AdapterKey
+    memory_mb: int
+    checkpoint: str = ''
+    is_ordered: bool = False
+    is_ready: bool = False
+    is_leaving: bool = False
+    settled_at_ms: int = 0
+    last_used_ms: int = 0
+    running: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class ReplicaState:
+    """What the agent knows about one replica.
+
+    :param predicted_ready_ms: when it should be ready, on the agent's clock.
+    :param settled_at_ms: listings asked for earlier prove nothing about it.
+    :param needs_unload: whether the order to unload has to go out.
+    :param retry_at_ms: when the next attempt to load may start.
+    """
+
+    key: ReplicaKey
+    memory_mb: int
+    checkpoint: str = ''
+    decision_id: str = ''
+    state: str = State.RESERVED.value
+    tier: Tier = Tier.REMOTE
+    created_at_ms: int = 0
+    ordered_at_ms: int = 0
+    predicted_ready_ms: int = 0
+    predicted_load_ms: int = 0
+    ready_at_ms: int = 0
+    settled_at_ms: int = 0
+    last_used_ms: int = 0
+    running: int = 0
+    attempts: int = 0
+    permit_id: str = ''
+    has_permit: bool = False
+    asked_permit_at_ms: int = 0
+    retry_at_ms: int = 0
+    needs_unload: bool = False
+    adapters: dict[AdapterKey, AdapterSlot] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    def fire(self, event: Event) -> None:
+        """Change the state.
+
+        :raises transitions.MachineError: when the event does not fit.
+        """
+        _MACHINE.events[event.value].trigger(self)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it takes requests and runs them."""
+        return self.state == State.READY
+
+    @property
+    def is_coming(self) -> bool:
+        """Whether it takes requests that wait for its load."""
+        return self.state in _BEFORE_READY
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether queued requests may still start on it."""
+        return self.state in {State.READY, State.DRAINING}
+
+    @property
+    def is_over(self) -> bool:
+        """Whether it is gone or failed."""
+        return self.state in {State.GONE, State.FAILED}
--- /dev/null
+++ b/lagoonflow/runners/replicas.py
@@ -0,0 +1,154 @@
+"""Replicas of one runner: from the claim of memory to the unload."""
+
+from collections.abc import Iterator
+
+from lagoonflow.placement.messages import Tier
+from lagoonflow.releases.messages import ModelSpec
+from lagoonflow.runners.ledger import Ledger
+from lagoonflow.runners.loads import OrderBook
+from lagoonflow.runners.messages import Action, ReplicaKey, ReportLoad
+from lagoonflow.runners.predictor import Predictor
+from lagoonflow.runners.replica import Event, ReplicaState, State
+
+MAX_LOAD_ATTEMPTS = 3
+RETRY_MS = 200
+_OVERDUE_RATIO = 0.25
+
+
+class Replicas:
+    """Table of the replicas of one runner and their orders."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        orders: OrderBook,
+        predictor: Predictor,
+    ) -> None:
+        self.table: dict[ReplicaKey, ReplicaState] = {}
+        self.checkpoints: dict[ReplicaKey, Tier] = {}
+        self.ledger = ledger
+        self.orders = orders
+        self.predictor = predictor
+
+    def of_model(self, model: str) -> Iterator[ReplicaState]:
+        """Replicas of a model that are neither gone nor failed."""
+        for replica in self.table.values():
+            if replica.key.model == model and not replica.is_over:
+                yield replica
+
+    def find(self, model: str) -> ReplicaState | None:
+        """Find the replica that takes new requests, if there is one."""
+        ready = [one for one in self.of_model(model) if one.is_ready]
+        if ready:
+            return max(ready, key=_readiness)
+        coming = [one for one in self.of_model(model) if one.is_coming]
+        return max(coming, key=_readiness) if coming else None
+
+    def serving(self, model: str) -> ReplicaState | None:
+        """Find the replica that runs what is already queued."""
+        replica = self.find(model)
+        if replica is not None and replica.is_ready:
+            return replica
+        return next(
+            (one for one in self.of_model(model) if one.is_serving), None
+        )
+
+    def tier(self, key: ReplicaKey) -> Tier:
+        """Nearest tier that holds a checkpoint."""
+        return self.checkpoints.get(key, Tier.REMOTE)
+
+    def ready_in_ms(self, now_ms: int, replica: ReplicaState) -> int:
+        """Predict the time until a replica is ready."""
+        if replica.is_serving:
+            return 0
+        left_ms = replica.predicted_ready_ms - now_ms
+        since_ms = now_ms - (replica.ordered_at_ms or replica.created_at_ms)
+        return max(left_ms, round(since_ms * _OVERDUE_RATIO), 1)
+
+    def add(
+        self,
+        now_ms: int,
+        key: ReplicaKey,
+        spec: ModelSpec,
+        decision_id: str,
+        extra_ms: int = 0,
+    ) -> ReplicaState:
+        """Claim memory for a new replica.
+
+        :param extra_ms: predicted time until its load can start.
+        """
+        tier = self.tier(key)
+        load_ms = round(self.predictor.load_ms(key.model, tier, spec.memory_mb))
+        replica = ReplicaState(
+            key,
+            spec.memory_mb,
+            checkpoint=spec.checkpoint,
+            decision_id=decision_id,
+            tier=tier,
+            created_at_ms=now_ms,
+            predicted_load_ms=load_ms,
+            predicted_ready_ms=now_ms + extra_ms + load_ms,
+            last_used_ms=now_ms,
+        )
+        self.table[key] = replica
+        self.ledger.claim(key, spec.memory_mb)
+        return replica
+
+    def drain(self, replica: ReplicaState) -> None:
+        """Take no new requests; unload when the last one is done."""
+        if replica.is_ready:
+            replica.fire(Event.DRAIN)
+        elif replica.state == State.RESERVED:
+            self.remove(replica, Event.VANISH)
+
+    def remove(self, replica: ReplicaState, event: Event) -> None:
+        """Free what a replica held; the engine doesn't list it."""
+        replica.fire(event)
+        for adapter_key in replica.adapters:
+            self.ledger.release(adapter_key)
+        self.ledger.release(replica.key)
+        self.table.pop(replica.key, None)
+
+    def become_ready(
+        self,
+        now_ms: int,
+        replica: ReplicaState,
+    ) -> Iterator[Action]:
+        """Note that the engine has loaded a replica."""
+        replica.fire(Event.READY)
+        replica.ready_at_ms = now_ms
+        replica.last_used_ms = now_ms
+        replica.attempts = 0
+        took_ms = now_ms - replica.ordered_at_ms
+        if replica.ordered_at_ms:
+            self.predictor.learn_load(
+                replica.key.model, replica.tier, replica.memory_mb, took_ms
+            )
+        yield from _report(replica, took_ms, is_loaded=True)
+
+    def retry(self, now_ms: int, replica: ReplicaState) -> Iterator[Action]:
+        """Load again later, or give up after too many attempts."""
+        took_ms = now_ms - replica.ordered_at_ms
+        yield from _report(replica, took_ms, is_loaded=False)
+        replica.has_permit = False
+        replica.attempts += 1
+        replica.retry_at_ms = now_ms + RETRY_MS * replica.attempts
+        if replica.attempts >= MAX_LOAD_ATTEMPTS:
+            self.remove(replica, Event.FAIL)
+        else:
+            replica.fire(Event.RETRY)
+
+
+def _readiness(replica: ReplicaState) -> tuple[int, int]:
+    return replica.created_at_ms, replica.ready_at_ms
+
+
+def _report(
+    replica: ReplicaState,
+    took_ms: int,
+    *,
+    is_loaded: bool,
+) -> Iterator[Action]:
+    if replica.permit_id:
+        yield ReportLoad(replica.permit_id, took_ms, is_loaded)
+        replica.permit_id = ''
--- /dev/null
+++ b/lagoonflow/runners/served.py
@@ -0,0 +1,25 @@
+"""How each organisation fares on one runner."""
+
+_DECAY = 0.99
+
+
+class ServedRatios:
+    """Decaying ratio of served to offered requests by organisation."""
+
+    def __init__(self) -> None:
+        self._offered: dict[str, float] = {}
+        self._served: dict[str, float] = {}
+
+    def learn(self, organisation: str, *, is_served: bool) -> None:
+        """Note the end of one request."""
+        offered = self._offered.get(organisation, 0)
+        served = self._served.get(organisation, 0)
+        self._offered[organisation] = offered * _DECAY + 1
+        self._served[organisation] = served * _DECAY + int(is_served)
+
+    def ratio(self, organisation: str) -> float:
+        """Ratio of an organisation; 1 before its first request."""
+        offered = self._offered.get(organisation, 0)
+        if not offered:
+            return 1
+        return self._served[organisation] / offered
--- /dev/null
+++ b/lagoonflow/runners/store_access.py
@@ -0,0 +1,64 @@
+"""Permits for loads from the weight store, and what stands in for them."""
+
+from lagoonflow.placement.messages import PermitReply
+from lagoonflow.runners.bids import Bidder
+from lagoonflow.runners.replica import ReplicaState
+from lagoonflow.runners.replicas import Replicas
+
+_MS_PER_S = 1000
+_LEARNING_RATE = 0.3
+
+
+class StoreAccess:
+    """Applies permits, and paces loads when their home is unreachable.
+
+    :param share_per_s: loads each second without permits.
+    """
+
+    def __init__(
+        self,
+        replicas: Replicas,
+        bidder: Bidder,
+        share_per_s: float,
+    ) -> None:
+        self._replicas = replicas
+        self._bidder = bidder
+        self._interval_ms = round(_MS_PER_S / share_per_s)
+        self._next_own_load_ms = 0
+
+    def on_permit(self, now_ms: int, reply: PermitReply) -> None:
+        """Apply the answer of the store's home."""
+        replica = self._find(reply.permit_id)
+        if replica is None:
+            return
+        if reply.is_granted:
+            replica.has_permit = True
+            self._learn_wait(now_ms - replica.created_at_ms)
+        else:
+            _ask_again(replica, now_ms + reply.retry_after_ms)
+
+    def on_lost(self, now_ms: int, permit_id: str) -> None:
+        """Fall back to the runner's share of the store's rate."""
+        replica = self._find(permit_id)
+        if replica is None:
+            return
+        if now_ms >= self._next_own_load_ms:
+            self._next_own_load_ms = now_ms + self._interval_ms
+            replica.has_permit = True
+        else:
+            _ask_again(replica, self._next_own_load_ms)
+
+    def _find(self, permit_id: str) -> ReplicaState | None:
+        for replica in self._replicas.table.values():
+            if replica.permit_id == permit_id:
+                return replica
+        return None
+
+    def _learn_wait(self, waited_ms: int) -> None:
+        difference_ms = waited_ms - self._bidder.store_wait_ms
+        self._bidder.store_wait_ms += _LEARNING_RATE * difference_ms
+
+
+def _ask_again(replica: ReplicaState, at_ms: int) -> None:
+    replica.retry_at_ms = at_ms
+    replica.asked_permit_at_ms = 0
