--- /dev/null
+++ b/lagoonflow/cli/exits.py
@@ -0,0 +1,17 @@
+"""Exit statuses of the programs."""
+
+import enum
+
+
+class ExitStatus(enum.IntEnum):
+    """What a program tells its caller when it ends."""
+
+    SUCCESS = 0
+    ERROR = 1
+    USAGE = 2
+    NOTE_MALFORMED = 3
+    NOTE_REJECTED = 4
+    LOG_UNAVAILABLE = 5
+    PARTIAL_ANSWER = 6
+    CHANGES_PENDING = 7
+    INTERRUPTED = 130
--- /dev/null
+++ b/lagoonflow/cli/types.py
@@ -0,0 +1,95 @@
+"""Values of flags, with checks that end in a clear message."""
+
+import dataclasses
+import ipaddress
+import re
+
+MAX_PORT = 65_535
+NAME_PATTERN = re.compile('[a-z0-9]([a-z0-9._-]{0,62}[a-z0-9])?')
+
+BAD_ADDRESS = '{text!r} is not HOST:PORT. Example: 10.0.0.5:7000'
+BAD_HOST = '{text!r} is not an IP address. Example: 10.0.0.5'
+BAD_PORT = '{text!r} is not a port between 1 and 65535.'
+BAD_NAME = (
+    '{text!r} is not a name. Use lower-case letters, digits, dots,'
+    ' hyphens and underscores, at most 64. Example: zone-a'
+)
+BAD_DURATION = '{text!r} is not a positive number of {unit}.'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """Where a process or a service listens.
+
+    :param host: IP address, or ``localhost``.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the address as it is written in flags."""
+        if ':' in self.host:
+            return f'[{self.host}]:{self.port}'
+        return f'{self.host}:{self.port}'
+
+    @property
+    def url(self) -> str:
+        """Return the address as the base of HTTP URLs."""
+        return f'http://{self}'
+
+
+def parse_address(text: str) -> Address:
+    """Parse ``HOST:PORT``; IPv6 addresses stand in brackets.
+
+    :raises ValueError: with a message for the operator.
+    """
+    host, separator, port = text.strip().rpartition(':')
+    if not separator or not host:
+        raise ValueError(BAD_ADDRESS.format(text=text))
+    return Address(parse_host(host.strip('[]')), parse_port(port))
+
+
+def parse_host(text: str) -> str:
+    """Parse an IP address.
+
+    :raises ValueError: with a message for the operator.
+    """
+    if text == 'localhost':
+        return '127.0.0.1'
+    try:
+        return str(ipaddress.ip_address(text))
+    except ValueError as error:
+        raise ValueError(BAD_HOST.format(text=text)) from error
+
+
+def parse_port(text: str) -> int:
+    """Parse a port number.
+
+    :raises ValueError: with a message for the operator.
+    """
+    port = int(text) if text.isascii() and text.isdecimal() else 0
+    if not 1 <= port <= MAX_PORT:
+        raise ValueError(BAD_PORT.format(text=text))
+    return port
+
+
+def parse_name(text: str) -> str:
+    """Parse the name of an availability zone, a host or an object.
+
+    :raises ValueError: with a message for the operator.
+    """
+    if not NAME_PATTERN.fullmatch(text):
+        raise ValueError(BAD_NAME.format(text=text))
+    return text
+
+
+def parse_positive(text: str, unit: str = 'ms') -> int:
+    """Parse a positive whole number.
+
+    :raises ValueError: with a message for the operator.
+    """
+    number = int(text) if text.isascii() and text.isdecimal() else 0
+    if number < 1:
+        raise ValueError(BAD_DURATION.format(text=text, unit=unit))
+    return number
--- /dev/null
+++ b/lagoonflow/keys/state.py
@@ -0,0 +1,176 @@
+"""Authentication of callers by the digests of their keys."""
+
+import dataclasses
+import hashlib
+import hmac
+import secrets
+from collections.abc import Callable, Iterable
+from typing import Protocol
+from urllib.parse import unquote_plus
+
+from lagoonflow.calls.messages import Header
+from lagoonflow.keys.messages import Identity
+from lagoonflow.releases.messages import KeySpec
+from lagoonflow.results import Refusal, Result
+
+KEY_PREFIX = 'lf_'
+KEY_BYTES = 32
+MIN_KEY_CHARS = 8
+BEARER = 'bearer '
+
+AUTHORIZATION = 'authorization'
+KEY_HEADERS = frozenset(
+    (
+        AUTHORIZATION,
+        'x-api-key',
+        'api-key',
+        'proxy-authorization',
+        'cookie',
+    ),
+)
+KEY_PARAMETERS = frozenset(('api_key', 'key', 'access_token'))
+
+MISSING = 'The request carries no key.'
+UNKNOWN = 'The key is not known.'
+WITHDRAWN = 'The key has been withdrawn.'
+
+
+class KeyState(Protocol):
+    """One key of the releases in force."""
+
+    key_id: str
+    spec: KeySpec
+    is_withdrawn: bool
+
+
+class KeyDirectory(Protocol):
+    """The keys of the releases in force."""
+
+    def key(self, key_id: str) -> KeyState | None:
+        """Return a key by its id."""
+
+    def key_by_digest(self, digest: str) -> KeyState | None:
+        """Return a key by its digest."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewKey:
+    """A key that was just made; only the digest may be kept."""
+
+    token: str = dataclasses.field(repr=False)
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stripped:
+    """The headers and the query of a request, without its key."""
+
+    headers: tuple[Header, ...]
+    query: str
+
+
+def digest(token: str) -> str:
+    """Return the SHA-256 of a key, in hexadecimal."""
+    encoded = token.encode('utf-8', 'surrogateescape')
+    return hashlib.sha256(encoded).hexdigest()
+
+
+def new_key(
+    random_bytes: Callable[[int], bytes] = secrets.token_bytes,
+) -> NewKey:
+    """Make a key from a source of random bytes."""
+    token = KEY_PREFIX + random_bytes(KEY_BYTES).hex()
+    return NewKey(token, digest(token))
+
+
+def presented_key(headers: Iterable[Header], query: str) -> str:
+    """Return the key that a request carries, or an empty text.
+
+    A bearer token goes before the other headers, and these before the
+    query.
+    """
+    by_name = {header.name.lower(): header.value for header in headers}
+    authorization = by_name.get(AUTHORIZATION, '').strip()
+    if authorization.lower().startswith(BEARER):
+        return authorization[len(BEARER) :].strip()
+    for header_name in ('x-api-key', 'api-key'):
+        if by_name.get(header_name):
+            return by_name[header_name].strip()
+    for part in query.split('&'):
+        name, text = _decode_parameter(part)
+        if name in KEY_PARAMETERS and text:
+            return text
+    return ''
+
+
+def authenticate(directory: KeyDirectory, token: str) -> Identity | Refusal:
+    """Find out whose key a request carries."""
+    if not token:
+        return Refusal(Result.KEY_MISSING, MISSING)
+    if len(token) < MIN_KEY_CHARS:
+        return Refusal(Result.KEY_UNKNOWN, UNKNOWN)
+    presented = digest(token)
+    key = directory.key_by_digest(presented)
+    if key is None:
+        return Refusal(Result.KEY_UNKNOWN, UNKNOWN)
+    if not hmac.compare_digest(key.spec.digest, presented):
+        return Refusal(Result.KEY_UNKNOWN, UNKNOWN)
+    if key.is_withdrawn:
+        return Refusal(Result.KEY_WITHDRAWN, WITHDRAWN)
+    return Identity(key.spec.organisation, key.key_id)
+
+
+def check_identity(
+    directory: KeyDirectory, identity: Identity
+) -> Refusal | None:
+    """Check an identity against the own version of the releases.
+
+    An empty identity belongs to a caller of an open route and passes;
+    whether the route is open is checked by its caller.
+    """
+    if identity == Identity():
+        return None
+    key = directory.key(identity.key_id)
+    if key is None or key.spec.organisation != identity.organisation:
+        return Refusal(Result.KEY_UNKNOWN, UNKNOWN)
+    if key.is_withdrawn:
+        return Refusal(Result.KEY_WITHDRAWN, WITHDRAWN)
+    return None
+
+
+def without_key(
+    headers: Iterable[Header], query: str, token: str = ''
+) -> Stripped:
+    """Remove everything that may carry the caller's key.
+
+    :param token: the presented key; values that contain it go as well.
+    """
+    kept = tuple(
+        header
+        for header in headers
+        if header.name.lower() not in KEY_HEADERS
+        and not _contains(header.value, token)
+        and not _contains(header.name, token)
+    )
+    parts = [part for part in query.split('&') if part]
+    kept_parts = [part for part in parts if not _names_key(part, token)]
+    return Stripped(kept, '&'.join(kept_parts))
+
+
+def _names_key(part: str, token: str) -> bool:
+    name, _ = _decode_parameter(part)
+    return name in KEY_PARAMETERS or _contains(part, token)
+
+
+def _decode_parameter(part: str) -> tuple[str, str]:
+    encoded_name, _, encoded_text = part.partition('=')
+    name = unquote_plus(encoded_name).strip().lower()
+    return name, unquote_plus(encoded_text).strip()
+
+
+def _contains(text: str, token: str) -> bool:
+    # Shorter texts are no keys and occur in many unrelated headers.
+    if len(token) < MIN_KEY_CHARS:
+        return False
+    lowered = token.lower()
+    return lowered in text.lower() or lowered in unquote_plus(text).lower()
--- a/lagoonflow/streams/appender.py
+++ b/lagoonflow/streams/appender.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable
 
 from lagoonflow.clock import MS_PER_S, Clock, boottime_ms
-from lagoonflow.platform.messages import Appended, AppendResult, AppendUnknown
+from lagoonflow.platform.messages.log import (
+    Appended,
+    AppendResult,
+    AppendUnknown,
+)
 from lagoonflow.results import Refusal, Result
 from lagoonflow.streams.appending import (
     AppendQueue,
--- a/lagoonflow/streams/appending.py
+++ b/lagoonflow/streams/appending.py
@@ -4,7 +4,8 @@
 import random
 from collections.abc import Iterable
 
-from lagoonflow.platform.messages import (
+from lagoonflow.platform.messages.common import Unavailable
+from lagoonflow.platform.messages.log import (
     Appended,
     AppendRefused,
     AppendResult,
@@ -12,11 +13,10 @@
     Batch,
     Expired,
     ReadResult,
-    Unavailable,
 )
+from lagoonflow.platform.messages.log import Record as StoredRecord
 from lagoonflow.streams.backoff import Backoff
 from lagoonflow.streams.envelope import decode_envelope
-from lagoonflow.streams.messages import LogRecord
 
 MAX_BATCH_RECORDS = 64
 MAX_BATCH_CHARS = 262_144
@@ -164,7 +164,7 @@
         return self._finish(stored)
 
     def _on_records(
-        self, records: tuple[LogRecord, ...], head: int
+        self, records: tuple[StoredRecord, ...], head: int
     ) -> tuple[Stored, ...]:
         stored = [
             Stored(record_id, record.offset)
@@ -189,6 +189,6 @@
         self._not_before_ms = now_ms + max(least_ms, self._backoff.fail())
 
 
-def _record_id(record: LogRecord) -> str:
-    envelope = decode_envelope(record.text)
+def _record_id(record: StoredRecord) -> str:
+    envelope = decode_envelope(record.value)
     return envelope.record_id if envelope else ''
--- a/lagoonflow/streams/following.py
+++ b/lagoonflow/streams/following.py
@@ -3,12 +3,8 @@
 import dataclasses
 import random
 
-from lagoonflow.platform.messages import (
-    Batch,
-    Expired,
-    ReadResult,
-    Unavailable,
-)
+from lagoonflow.platform.messages.common import Unavailable
+from lagoonflow.platform.messages.log import Batch, Expired, ReadResult
 from lagoonflow.streams.backoff import Backoff
 from lagoonflow.streams.reading import StreamReader
 from lagoonflow.streams.schedule import CheckpointSchedule
--- a/lagoonflow/streams/ports.py
+++ b/lagoonflow/streams/ports.py
@@ -1,10 +1,10 @@
 """What the tasks of this slice need from their surroundings."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-from lagoonflow.platform.messages import AppendResult, ReadResult
-from lagoonflow.streams.messages import PullReply, PullRequest, Stream
+from lagoonflow.platform.messages.log import AppendResult, ReadResult
+from lagoonflow.streams.messages import PullReply, PullRequest
 
 Pull = Callable[[PullRequest], Awaitable[PullReply | None]]
 
@@ -13,11 +13,9 @@
     """Client of the log service; failures are results, not exceptions."""
 
     async def append(
-        self, stream: Stream, texts: Sequence[str]
+        self, stream: str, records: tuple[str, ...]
     ) -> AppendResult:
         """Append records in one request."""
 
-    async def read(
-        self, stream: Stream, offset: int, wait_ms: int
-    ) -> ReadResult:
+    async def read(self, stream: str, offset: int, wait_ms: int) -> ReadResult:
         """Read from an offset; wait for a record when there is none."""
--- a/lagoonflow/streams/reading.py
+++ b/lagoonflow/streams/reading.py
@@ -1,6 +1,6 @@
 """Decides where a process reads its stream next, across gaps."""
 
-from lagoonflow.platform.messages import Batch, Expired
+from lagoonflow.platform.messages.log import Batch, Expired
 from lagoonflow.streams.checkpoints import decode_checkpoint
 from lagoonflow.streams.messages import (
     LogRecord,
@@ -50,10 +50,13 @@
     def on_batch(self, batch: Batch) -> None:
         """Fold the records, or look for a checkpoint in them."""
         self._leave_bridging()
+        records = tuple(
+            LogRecord(record.offset, record.value) for record in batch.records
+        )
         if self._scan_offset is None:
-            self._fold_all(batch.records)
+            self._fold_all(records)
         else:
-            self._scan(batch.records)
+            self._scan(records)
         self.is_at_head = self.next_read() >= batch.head
 
     def bridge(self) -> bool:
--- a/tests/streams/memory_log.py
+++ b/tests/streams/memory_log.py
@@ -3,15 +3,15 @@
 import asyncio
 import json
 
-from lagoonflow.platform.messages import (
+from lagoonflow.platform.messages.common import Unavailable
+from lagoonflow.platform.messages.log import (
     Appended,
     AppendRefused,
     AppendUnknown,
     Batch,
     Expired,
-    Unavailable,
+    Record,
 )
-from lagoonflow.streams.messages import LogRecord
 
 
 class MemoryLog:
@@ -34,7 +34,7 @@
     def put(self, *texts):
         first = self.head
         for text in texts:
-            self.records.append(LogRecord(self.head, text))
+            self.records.append(Record(self.head, text, 0))
             self.head += 1
         self._changed.set()
         self._changed = asyncio.Event()
--- a/tests/streams/test_convergence.py
+++ b/tests/streams/test_convergence.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lagoonflow.platform.messages import Batch, Expired
+from lagoonflow.platform.messages.log import Batch, Expired
 from lagoonflow.streams.messages import PullRequest, Stream, Versions
 from lagoonflow.streams.reading import StreamReader
 from tests.streams.list_fold import ListFold
@@ -38,7 +38,7 @@
 
     def repeat(self, reader):
         if self.log.records:
-            self.log.put(self.rng.choice(self.log.records).text)
+            self.log.put(self.rng.choice(self.log.records).value)
 
     def poison(self, reader):
         self.log.put(self.rng.choice(['{', '{"id": "p"}', '']))
