--- a/lagoonflow/cli/arguments.py
+++ b/lagoonflow/cli/arguments.py
@@ -1,42 +1,35 @@
 """Argument types of the programs' settings, with their checks."""
 
-import ipaddress
-import re
 from typing import Annotated
 from urllib.parse import urlsplit
 
 import cyclopts
 from cyclopts import Parameter
 
-from lagoonflow.wire.http import Address
+from lagoonflow.cli.types import parse_address, parse_host, parse_name
+from lagoonflow.wire.address import Address
 
-MAX_PORT = 65535
-NAME_PATTERN = re.compile(r'[a-z0-9](?:[a-z0-9.-]{0,61}[a-z0-9])?')
-ADDRESS_HINT = 'is not HOST:PORT, such as 127.0.0.1:8080'
-NAME_HINT = 'is not a name: use a-z, 0-9, dots and hyphens, at most 63'
+ANY_PORT = ':0'
 URL_HINT = 'is not an http URL, such as http://127.0.0.1:9000'
 
 
-def parse_address(text: str) -> Address:
-    """Parse HOST:PORT.
+def parse_listen_address(text: str) -> Address:
+    """Parse HOST:PORT, where port 0 lets the system choose one.
 
-    :raises ValueError: when the text has another form, or no IP address.
+    :raises ValueError: with a message for the operator.
     """
-    host, _, port = text.rpartition(':')
-    host = host.removeprefix('[').removesuffix(']')
-    if not host or not port.isdigit() or int(port) > MAX_PORT:
-        raise ValueError(f'{text!r} {ADDRESS_HINT}')
-    ipaddress.ip_address(host)
-    return Address(host, int(port))
+    if text.endswith(ANY_PORT):
+        host = text.removesuffix(ANY_PORT).strip('[]')
+        return Address(parse_host(host), 0)
+    return parse_address(text)
 
 
 def _convert_address(_type: object, tokens: list[cyclopts.Token]) -> Address:
-    return parse_address(tokens[0].value)
+    return parse_listen_address(tokens[0].value)
 
 
 def _check_name(_type: object, name: str) -> None:
-    if NAME_PATTERN.fullmatch(name) is None:
-        raise ValueError(f'{name!r} {NAME_HINT}')
+    parse_name(name)
 
 
 def _check_url(_type: object, url: str) -> None:
--- /dev/null
+++ b/lagoonflow/cli/launch.py
@@ -0,0 +1,74 @@
+"""What the router's and the agent's command lines have in common."""
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable
+
+import cyclopts
+
+from lagoonflow.cli.environment import ENVIRONMENT_PREFIX, Environment
+from lagoonflow.cli.exits import ExitStatus
+from lagoonflow.cli.settings import CommonSettings, SettingError
+from lagoonflow.cli.version import package_version
+from lagoonflow.telemetry.logs import configure_logs
+
+HELP_HINT = 'Try {program} --help.'
+CANNOT_LISTEN = 'An address cannot be used: {error}'
+VERBATIM = 'return_value'
+
+Serve = Callable[[CommonSettings, Environment], Awaitable[None]]
+
+
+def build_app(program: str, help_text: str) -> cyclopts.App:
+    """Return an app that reads flags and environment variables."""
+    return cyclopts.App(
+        name=program,
+        help=help_text,
+        version=package_version,
+        config=cyclopts.config.Env(ENVIRONMENT_PREFIX, command=False),
+        result_action=VERBATIM,
+    )
+
+
+def launch(
+    app: cyclopts.App,
+    arguments: list[str] | None,
+    environment: Environment,
+    serve: Serve,
+) -> ExitStatus:
+    """Read the settings, check them, and serve until a signal comes."""
+    tokens = sys.argv[1:] if arguments is None else arguments
+    try:
+        settings = app(tokens, print_error=False, exit_on_error=False)
+        if settings is None:
+            return ExitStatus.SUCCESS
+        settings.check()
+    except (cyclopts.CycloptsError, SettingError) as error:
+        environment.complain(_one_line(error))
+        environment.complain(HELP_HINT.format(program=app.name[0]))
+        return ExitStatus.USAGE
+    return _run(settings, environment, serve)
+
+
+def _run(
+    settings: CommonSettings,
+    environment: Environment,
+    serve: Serve,
+) -> ExitStatus:
+    configure_logs(
+        environment.stderr,
+        settings.log_format,
+        settings.log_level,
+    )
+    try:
+        asyncio.run(serve(settings, environment))
+    except OSError as error:
+        environment.complain(CANNOT_LISTEN.format(error=error))
+        return ExitStatus.ERROR
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        return ExitStatus.INTERRUPTED
+    return ExitStatus.SUCCESS
+
+
+def _one_line(error: Exception) -> str:
+    return ' '.join(str(error).split())
--- a/lagoonflow/cli/settings.py
+++ b/lagoonflow/cli/settings.py
@@ -15,7 +15,7 @@
     UrlArgument,
 )
 from lagoonflow.telemetry.logs import LogFormat, LogLevel
-from lagoonflow.wire.http import Address
+from lagoonflow.wire.address import Address
 
 LOOPBACK = Address('127.0.0.1', 0)
 
--- a/lagoonflow/cli/types.py
+++ b/lagoonflow/cli/types.py
@@ -1,9 +1,10 @@
 """Values of flags, with checks that end in a clear message."""
 
-import dataclasses
 import ipaddress
 import re
 
+from lagoonflow.wire.address import Address
+
 MAX_PORT = 65_535
 NAME_PATTERN = re.compile('[a-z0-9]([a-z0-9._-]{0,62}[a-z0-9])?')
 
@@ -17,28 +18,6 @@
 BAD_DURATION = '{text!r} is not a positive number of {unit}.'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Address:
-    """Where a process or a service listens.
-
-    :param host: IP address, or ``localhost``.
-    """
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return the address as it is written in flags."""
-        if ':' in self.host:
-            return f'[{self.host}]:{self.port}'
-        return f'{self.host}:{self.port}'
-
-    @property
-    def url(self) -> str:
-        """Return the address as the base of HTTP URLs."""
-        return f'http://{self}'
-
-
 def parse_address(text: str) -> Address:
     """Parse ``HOST:PORT``; IPv6 addresses stand in brackets.
 
--- /dev/null
+++ b/lagoonflow/wire/address.py
@@ -0,0 +1,26 @@
+"""Addresses of processes and services."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """Where a process or a service listens.
+
+    :param host: IP address.
+    :param port: TCP port; 0 lets the system choose one.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the address as it is written in flags."""
+        if ':' in self.host:
+            return f'[{self.host}]:{self.port}'
+        return f'{self.host}:{self.port}'
+
+    @property
+    def url(self) -> str:
+        """Return the address as the base of HTTP URLs."""
+        return f'http://{self}'
--- a/lagoonflow/wire/http.py
+++ b/lagoonflow/wire/http.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import socket
 import ssl
 from collections.abc import Iterator
@@ -10,24 +9,12 @@
 
 import uvicorn
 
+from lagoonflow.wire.address import Address
+
 BACKLOG = 1024
 SHUTDOWN_TIMEOUT_S = 30
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Address:
-    """An IP address and a port; port 0 lets the system choose."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return the usual HOST:PORT form."""
-        if ':' in self.host:
-            return f'[{self.host}]:{self.port}'
-        return f'{self.host}:{self.port}'
-
-
 class _Server(uvicorn.Server):
     """A uvicorn server that leaves signals to the program."""
 
