Fold the roster through the shared stream code

Cause: repeated ids, poison records and checkpoints are handled once, in FoldBase. The order of joining is part of the checkpoint. Lent tokens now keep their place 5 ms longer than the borrow timeout: the clock has a resolution of 1 ms, so that the lender's timeout could end up to 1 ms before the borrower's.

--- a/lagoonflow/quotas/account.py
+++ b/lagoonflow/quotas/account.py
@@ -120,7 +120,7 @@
         spare_tokens = self.bucket.balance_tokens - self.queue.cost_tokens
         lent_tokens = max(min(spare_tokens, request.amount_tokens), 0)
         if lent_tokens:
-            until_ms = now_ms + self._settings.borrow_timeout_ms
+            until_ms = now_ms + self._settings.place_ms
             self.bucket.lend(lent_tokens, until_ms)
         return BorrowReply(
             request.borrow_id,
--- a/lagoonflow/quotas/gate.py
+++ b/lagoonflow/quotas/gate.py
@@ -19,7 +19,7 @@
     waits for ``settle_ms``, in which tokens lent under an older and larger
     share, or by a predecessor of its name, are spent or dropped.
 
-    :param settle_ms: at least the borrow timeout, in ms.
+    :param settle_ms: how long lent tokens keep their place, in ms.
     """
 
     def __init__(self, name: str, nonce: str, settle_ms: float) -> None:
--- a/lagoonflow/quotas/settings.py
+++ b/lagoonflow/quotas/settings.py
@@ -10,7 +10,15 @@
     :param borrow_timeout_ms: borrowed tokens that are not spent this long
         after they were asked for are dropped.
     :param round_trip_ms: least time that borrowing takes.
+    :param place_margin_ms: allows for the resolution of clocks and for
+        clocks that run at different speeds.
     """
 
     borrow_timeout_ms: float = 100
     round_trip_ms: float = 2
+    place_margin_ms: float = 5
+
+    @property
+    def place_ms(self) -> float:
+        """How long lent tokens keep their place under the lender's cap."""
+        return self.borrow_timeout_ms + self.place_margin_ms
--- a/lagoonflow/quotas/shares.py
+++ b/lagoonflow/quotas/shares.py
@@ -29,7 +29,7 @@
         self._name = name
         self._nonce = nonce
         self._settings = settings or QuotaSettings()
-        self._gate = ShareGate(name, nonce, self._settings.borrow_timeout_ms)
+        self._gate = ShareGate(name, nonce, self._settings.place_ms)
         self._charges = Charges()
         self._accounts: dict[str, Account] = {}
         self._versions = Versions()
--- a/lagoonflow/quotas/task.py
+++ b/lagoonflow/quotas/task.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any
 
+from lagoonflow.clock import MS_PER_S, Clock, boottime_ms
 from lagoonflow.quotas.actions import (
     AckPeer,
     Action,
@@ -20,13 +21,11 @@
 )
 from lagoonflow.quotas.state import QuotaShares
 from lagoonflow.results import Refusal
-from lagoonflow.roster.task import boot_time_ms
 from lagoonflow.wire.services import ACK_ROSTER, BORROW, HAND_OVER, Method
 
 Send = Callable[[str, Method, Any], Awaitable[Any]]
 
 _IDLE_INTERVAL_MS = 1000
-_MS_PER_S = 1000
 
 
 class QuotaTask:
@@ -42,7 +41,7 @@
         self,
         shares: QuotaShares,
         send: Send,
-        clock_ms: Callable[[], float] = boot_time_ms,
+        clock_ms: Clock = boottime_ms,
     ) -> None:
         """Prepare; ``run`` has to be started too."""
         self.shares = shares
@@ -109,7 +108,7 @@
         await asyncio.gather(*self._sending, return_exceptions=True)
         while self.shares.leave_ms(self.clock_ms()) > self.clock_ms():
             left_ms = self.shares.leave_ms(self.clock_ms()) - self.clock_ms()
-            await asyncio.sleep(left_ms / _MS_PER_S)
+            await asyncio.sleep(left_ms / MS_PER_S)
 
     async def run(self) -> None:
         """Do what becomes due, until cancelled."""
@@ -180,7 +179,7 @@
         now_ms = self.clock_ms()
         wake_ms = self.shares.next_wake_ms(now_ms)
         left_ms = _IDLE_INTERVAL_MS if wake_ms is None else wake_ms - now_ms
-        timeout_s = min(max(left_ms, 0), _IDLE_INTERVAL_MS) / _MS_PER_S
+        timeout_s = min(max(left_ms, 0), _IDLE_INTERVAL_MS) / MS_PER_S
         try:
             await asyncio.wait_for(self._changed.wait(), timeout_s)
         except TimeoutError:
--- a/lagoonflow/roster/state.py
+++ b/lagoonflow/roster/state.py
@@ -1,7 +1,11 @@
 """Folds the roster stream into the set of members."""
 
 import dataclasses
+from typing import Any
 
+import msgspec
+
+from lagoonflow.results import Refusal, Result
 from lagoonflow.roster.messages import (
     Gone,
     Joined,
@@ -10,6 +14,12 @@
     Role,
     RosterChange,
 )
+from lagoonflow.roster.records import decode_change
+from lagoonflow.streams.envelope import Envelope
+from lagoonflow.streams.messages import Stream
+from lagoonflow.streams.state import FoldBase
+
+_UNKNOWN_KIND = 'The kind of the record is unknown.'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,17 +33,24 @@
     joined_version: int
 
 
-class RosterFold:
-    """The members as of one version of the roster stream.
+_states = msgspec.json.Decoder(tuple[Membership, ...])
 
-    :ivar version: offset of the next record of the stream.
-    """
+
+class RosterFold(FoldBase):
+    """The members as of one version of the roster stream."""
+
+    stream = Stream.ROSTER
 
     def __init__(self) -> None:
         """Start with no members."""
-        self.version = 0
+        super().__init__()
         self._memberships: dict[str, Membership] = {}
 
+    @property
+    def version(self) -> int:
+        """Offset of the next record of the stream."""
+        return self.next_offset
+
     @property
     def memberships(self) -> tuple[Membership, ...]:
         """All members in the order in which they joined."""
@@ -44,25 +61,13 @@
         """All members in the order in which they joined."""
         return tuple(entry.member for entry in self._memberships.values())
 
-    def change(self, change: RosterChange, version: int | None = None) -> None:
-        """Apply one change in stream order.
-
-        :param version: roster version after the change; default is the next.
-        """
-        self.version = self.version + 1 if version is None else version
-        match change:
-            case Joined(member=member):
-                self._add(member)
-            case Left(name=name, nonce=nonce) | Gone(name=name, nonce=nonce):
-                self._remove(name, nonce)
-
     def routers(self) -> tuple[Member, ...]:
         """Routers in the order in which they joined."""
-        return self._with_role(Role.ROUTER)
+        return _with_role(self.members, Role.ROUTER)
 
     def agents(self) -> tuple[Member, ...]:
         """Agents in the order in which they joined."""
-        return self._with_role(Role.AGENT)
+        return _with_role(self.members, Role.AGENT)
 
     def engine_agents(self) -> tuple[Member, ...]:
         """Agents whose backend server is a model engine."""
@@ -84,21 +89,39 @@
         member = self.member(name)
         return member is not None and member.nonce == nonce
 
-    def _with_role(self, role: Role) -> tuple[Member, ...]:
-        return tuple(
-            entry.member
-            for entry in self._memberships.values()
-            if entry.member.role is role
-        )
+    def _fold(self, envelope: Envelope, offset: int) -> Refusal | None:
+        change = decode_change(envelope)
+        if change is None:
+            return Refusal(Result.RECORD_REJECTED, _UNKNOWN_KIND)
+        self._change(change, offset + 1)
+        return None
+
+    def _dump(self) -> Any:
+        return self.memberships
+
+    def _load(self, state: msgspec.Raw) -> None:
+        memberships = _states.decode(state)
+        self._memberships = {entry.member.name: entry for entry in memberships}
+
+    def _change(self, change: RosterChange, version: int) -> None:
+        match change:
+            case Joined(member=member):
+                self._add(member, version)
+            case Left(name=name, nonce=nonce) | Gone(name=name, nonce=nonce):
+                self._remove(name, nonce)
 
-    def _add(self, member: Member) -> None:
+    def _add(self, member: Member, version: int) -> None:
         if self.is_member(member.name, member.nonce):
             return
         # A restarted process joins anew: its predecessor's place in the
         # order of joining must not pass to it.
         self._memberships.pop(member.name, None)
-        self._memberships[member.name] = Membership(member, self.version)
+        self._memberships[member.name] = Membership(member, version)
 
     def _remove(self, name: str, nonce: str) -> None:
         if self.is_member(name, nonce):
             self._memberships.pop(name)
+
+
+def _with_role(members: tuple[Member, ...], role: Role) -> tuple[Member, ...]:
+    return tuple(member for member in members if member.role is role)
--- a/lagoonflow/roster/task.py
+++ b/lagoonflow/roster/task.py
@@ -1,9 +1,9 @@
 """The task that joins the roster, watches the host list and leaves."""
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable, Mapping
 
+from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.results import Refusal
 from lagoonflow.roster.departures import Departures, HostState
 from lagoonflow.roster.messages import Joined, Left, Member, RosterChange
@@ -16,12 +16,6 @@
 TICK_INTERVAL_MS = 200
 HOSTS_INTERVAL_MS = 1000
 JOIN_RETRY_MS = 1000
-_MS_PER_S = 1000
-
-
-def boot_time_ms() -> float:
-    """Milliseconds since boot, suspended time included."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) * _MS_PER_S
 
 
 class RosterTask:
@@ -83,16 +77,16 @@
             await _sleep_ms(HOSTS_INTERVAL_MS)
 
     async def _report_gone(self, hosts: Mapping[str, HostState]) -> None:
-        for gone in self.departures.on_hosts(boot_time_ms(), hosts, self._fold):
+        for gone in self.departures.on_hosts(boottime_ms(), hosts, self._fold):
             await self._append(gone)
 
     async def _watch_pauses(self) -> None:
-        detector = PauseDetector(boot_time_ms())
+        detector = PauseDetector(boottime_ms())
         while True:
             await _sleep_ms(TICK_INTERVAL_MS)
-            if detector.tick(boot_time_ms()):
+            if detector.tick(boottime_ms()):
                 self._on_pause()
 
 
 async def _sleep_ms(duration_ms: float) -> None:
-    await asyncio.sleep(duration_ms / _MS_PER_S)
+    await asyncio.sleep(duration_ms / MS_PER_S)
