--- /dev/null
+++ b/lagoonflow/wiring/core.py
@@ -0,0 +1,150 @@
+"""What the router and the agent have in common."""
+
+import uuid
+from collections.abc import Collection
+from typing import Any
+from urllib.parse import urlsplit
+
+import prometheus_client as prometheus
+
+from lagoonflow.cli.environment import Environment
+from lagoonflow.cli.settings import CommonSettings
+from lagoonflow.cli.version import package_version
+from lagoonflow.platform.hosts import HostListClient
+from lagoonflow.platform.log import LogClient
+from lagoonflow.platform.messages.common import Unavailable
+from lagoonflow.results import Refusal, Result
+from lagoonflow.roster.departures import HostState
+from lagoonflow.roster.state import RosterFold
+from lagoonflow.telemetry.admin import (
+    AdminApp,
+    ProcessStatus,
+    StreamStatus,
+)
+from lagoonflow.telemetry.timeline import TimeLine
+from lagoonflow.wire.address import Address
+from lagoonflow.wire.http import HttpServer, bind
+from lagoonflow.wire.peers import Peers
+from lagoonflow.wire.server import GrpcServer, Route
+from lagoonflow.wire.services import PULL, Method
+from lagoonflow.wiring.agreed import AgreedStreams
+from lagoonflow.wiring.background import Background
+from lagoonflow.wiring.directory import Directory
+from lagoonflow.wiring.hearing import HearingPeers, hearing
+from lagoonflow.wiring.tls import peer_contexts
+
+LISTENING = 'listening {name} {address}'
+CATCH_UP_TIMEOUT_MS = 1000
+
+
+class Core:
+    """The parts that every program has.
+
+    :ivar nonce: tells this process from its predecessors.
+    :ivar is_ready: what ``/ready`` and ``/status`` say.
+    """
+
+    def __init__(
+        self,
+        settings: CommonSettings,
+        environment: Environment,
+        role: str,
+    ) -> None:
+        """Wire the parts; nothing is sent yet."""
+        self.settings = settings
+        self.environment = environment
+        self.role = role
+        self.nonce = uuid.uuid4().hex
+        self.timeline = TimeLine(settings.name)
+        self.background = Background()
+        self.tls = peer_contexts(settings)
+        roster = RosterFold()
+        self.directory = Directory(settings.name, roster)
+        self.connections = Peers(
+            self.directory.resolve,
+            ssl_context=self.tls[1].context if self.tls else None,
+        )
+        self.agreed = AgreedStreams(
+            LogClient(server_of(settings.log_url)),
+            self.connections,
+            self.directory.peers,
+            settings.retention_s,
+            roster,
+        )
+        self.peers = HearingPeers(self.connections, self.agreed.hear)
+        self.is_ready = False
+        self.details: dict[str, Any] = {}
+        self._hosts = HostListClient(server_of(settings.hosts_url))
+        self._grpc: GrpcServer | None = None
+        self._admin: HttpServer | None = None
+
+    def unary(self, method: Method, answer: Any) -> Route:
+        """Return a route whose handler learns from the sender's versions."""
+        return Route(method, hearing(answer, self.agreed.hear))
+
+    async def listen(
+        self,
+        routes: Collection[Route],
+        registry: prometheus.CollectorRegistry,
+    ) -> tuple[Address, Address]:
+        """Bind the peers' and the administrative port, and serve them.
+
+        :raises OSError: when an address cannot be bound.
+        """
+        app = AdminApp(registry, self.timeline, self.status).build()
+        self._admin = HttpServer(app, bind(self.settings.admin_address))
+        self._grpc = GrpcServer(
+            (Route(PULL, self.agreed.serve_pull), *routes),
+            ssl_context=self.tls[0].context if self.tls else None,
+        )
+        peer = self.settings.peer_address
+        port = await self._grpc.start(peer.host, peer.port)
+        await self._admin.start()
+        for context in self.tls:
+            self.background.start('tls', context.follow())
+        return Address(peer.host, port), self._admin.address
+
+    def announce_address(self, name: str, address: Address) -> None:
+        """Print one bound address, for whoever started the program."""
+        self.environment.print(LISTENING.format(name=name, address=address))
+        self.environment.stdout.flush()
+
+    async def read_hosts(self) -> dict[str, HostState] | Refusal:
+        """Read the platform's list of hosts."""
+        listing = await self._hosts.fetch()
+        if isinstance(listing, Unavailable):
+            return Refusal(Result.LOG_UNAVAILABLE, listing.reason)
+        return self.directory.learn(listing)
+
+    def status(self) -> ProcessStatus:
+        """Describe this process."""
+        return ProcessStatus(
+            process=self.settings.name,
+            role=self.role,
+            zone=self.settings.zone,
+            is_ready=self.is_ready,
+            reason='' if self.is_ready else 'starting or stopping',
+            version=package_version(),
+            streams={
+                stream.value: StreamStatus(
+                    follower.fold.next_offset,
+                    follower.fold.rejected_count,
+                )
+                for stream, follower in self.agreed.followers.items()
+            },
+            details=self.details,
+        )
+
+    async def close(self) -> None:
+        """Stop all tasks and close all connections."""
+        await self.background.stop()
+        if self._grpc is not None:
+            await self._grpc.close()
+        if self._admin is not None:
+            await self._admin.stop()
+        self.connections.close()
+
+
+def server_of(url: str) -> str:
+    """Return the HOST:PORT part of a URL."""
+    return urlsplit(url).netloc
--- /dev/null
+++ b/lagoonflow/wiring/hearing.py
@@ -0,0 +1,62 @@
+"""Takes the versions out of every message that comes in."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from lagoonflow.results import Refusal
+from lagoonflow.streams.messages import Versions
+from lagoonflow.wire.peers import Peers
+from lagoonflow.wire.services import Method
+
+SENDER_FIELDS = ('router', 'agent', 'home', 'borrower', 'giver', 'sender')
+
+Hear = Callable[[str, Versions], None]
+Answer = Callable[[Any], Awaitable[Any]]
+
+
+def sender_of(message: Any) -> str:
+    """Return the name of the process that sent a message, or nothing."""
+    for field in SENDER_FIELDS:
+        name = getattr(message, field, '')
+        if name:
+            return name
+    return ''
+
+
+def hearing(answer: Answer, hear: Hear) -> Answer:
+    """Wrap a unary handler so that it learns from the sender's versions."""
+
+    async def answer_and_hear(message: Any) -> Any:
+        sender = sender_of(message)
+        if sender:
+            hear(sender, message.versions)
+        return await answer(message)
+
+    return answer_and_hear
+
+
+class HearingPeers:
+    """Sends messages, and learns from the versions in the replies."""
+
+    def __init__(self, peers: Peers, hear: Hear) -> None:
+        """Wrap the connections."""
+        self._peers = peers
+        self._hear = hear
+
+    async def send(
+        self,
+        member_name: str,
+        method: Method,
+        message: Any,
+        timeout_ms: int = 0,
+    ) -> Any:
+        """Call a unary method, and return its reply or a refusal."""
+        reply = await self._peers.send(
+            member_name,
+            method,
+            message,
+            timeout_ms,
+        )
+        if not isinstance(reply, Refusal):
+            self._hear(member_name, reply.versions)
+        return reply
--- /dev/null
+++ b/lagoonflow/wiring/tls.py
@@ -0,0 +1,89 @@
+"""TLS contexts, which follow certificates that are replaced on disk."""
+
+import asyncio
+import pathlib
+import ssl
+
+from lagoonflow.cli.settings import CommonSettings, RouterSettings
+from lagoonflow.telemetry.logs import get_logger
+
+RELOAD_INTERVAL_S = 5
+
+
+class ReloadedContext:
+    """A TLS context that loads its certificate again when it changes."""
+
+    def __init__(
+        self,
+        context: ssl.SSLContext,
+        certificate: pathlib.Path,
+        key: pathlib.Path,
+    ) -> None:
+        """Load the certificate.
+
+        :raises OSError: when the files do not fit together.
+        """
+        self.context = context
+        self._certificate = certificate
+        self._key = key
+        self._changed_ns = self._last_change_ns()
+        context.load_cert_chain(certificate, key)
+
+    async def follow(self) -> None:
+        """Load the certificate again whenever its file changes."""
+        while True:
+            await asyncio.sleep(RELOAD_INTERVAL_S)
+            self._reload()
+
+    def _reload(self) -> None:
+        changed_ns = self._last_change_ns()
+        if changed_ns == self._changed_ns:
+            return
+        log = get_logger('tls')
+        try:
+            self.context.load_cert_chain(self._certificate, self._key)
+        except OSError as error:
+            log.error('Certificate not loaded.', error=str(error))
+            return
+        self._changed_ns = changed_ns
+        log.info('Certificate loaded again.')
+
+    def _last_change_ns(self) -> int:
+        try:
+            return max(
+                self._certificate.stat().st_mtime_ns,
+                self._key.stat().st_mtime_ns,
+            )
+        except OSError:
+            return 0
+
+
+def peer_contexts(settings: CommonSettings) -> tuple[ReloadedContext, ...]:
+    """Return the server's and the client's context, or nothing."""
+    if not settings.has_tls():
+        return ()
+    server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    server.verify_mode = ssl.CERT_REQUIRED
+    client = ssl.create_default_context(ssl.Purpose.SERVER_AUTH)
+    # Processes are told apart by the authority that signs them; their
+    # addresses change with every replaced host.
+    client.check_hostname = False
+    for side in (server, client):
+        side.load_verify_locations(settings.tls_authority)
+        side.set_alpn_protocols(['h2'])
+    return tuple(
+        ReloadedContext(context, settings.tls_certificate, settings.tls_key)
+        for context in (server, client)
+    )
+
+
+def caller_context(settings: RouterSettings) -> ReloadedContext | None:
+    """Return the context towards callers, if there is one."""
+    if settings.caller_certificate is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    return ReloadedContext(
+        context,
+        settings.caller_certificate,
+        settings.caller_key,
+    )
