Fold release notes into what is in force

Cause: every process has to compute the same models, adapters, organisations, keys and routes from the releases stream. A note is checked as a whole: bases against the versions before it, references against the catalogue after it, so the order of changes within a note does not matter. Ruled out: checking change by change, which would depend on their order.

--- /dev/null
+++ b/lagoonflow/releases/state.py
@@ -0,0 +1,165 @@
+"""The releases in force, folded from the releases stream."""
+
+import dataclasses
+import hashlib
+from typing import Any
+
+import msgspec
+
+from lagoonflow.releases.catalogue import (
+    Catalogue,
+    ObjectProblem,
+    StoredCatalogue,
+    check_bases,
+    load_catalogue,
+)
+from lagoonflow.releases.changes import (
+    NOTE_KIND,
+    Change,
+    NoteBody,
+    decode_change,
+    kind_of,
+)
+from lagoonflow.releases.lookups import ReleaseLookups
+from lagoonflow.releases.messages import ObjectKind
+from lagoonflow.releases.references import check_references
+from lagoonflow.results import Refusal, Result
+from lagoonflow.streams.envelope import Envelope
+from lagoonflow.streams.messages import Stream
+from lagoonflow.streams.state import FoldBase
+
+MAX_OUTCOMES = 500
+UNKNOWN_KIND = 'The kind of the record is not known.'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectVersion:
+    """The version of an object after a note."""
+
+    kind: ObjectKind
+    name: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteOutcome:
+    """What became of a release note.
+
+    :param content: digest of its changes.
+    :param versions: versions after it, when it was accepted.
+    :param problems: why it was rejected; empty when it was accepted.
+    """
+
+    note_id: str
+    offset: int
+    content: str
+    author: str = ''
+    message: str = ''
+    published_at_ms: int = 0
+    versions: tuple[ObjectVersion, ...] = ()
+    problems: tuple[ObjectProblem, ...] = ()
+
+    @property
+    def is_accepted(self) -> bool:
+        """Tell whether the note is in force."""
+        return not self.problems
+
+
+class _StoredState(msgspec.Struct, frozen=True):
+    catalogue: StoredCatalogue
+    outcomes: tuple[NoteOutcome, ...]
+
+
+class ReleaseFold(ReleaseLookups, FoldBase):
+    """The models, adapters, organisations, keys and routes in force."""
+
+    stream = Stream.RELEASES
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._outcomes: dict[str, NoteOutcome] = {}
+
+    @property
+    def outcomes(self) -> tuple[NoteOutcome, ...]:
+        """Return the outcomes of the last notes, oldest first."""
+        return tuple(self._outcomes.values())
+
+    def note(self, note_id: str) -> NoteOutcome | None:
+        """Return what became of a note."""
+        return self._outcomes.get(note_id)
+
+    def _fold(self, envelope: Envelope, offset: int) -> Refusal | None:
+        if envelope.kind != NOTE_KIND:
+            return Refusal(Result.RECORD_REJECTED, UNKNOWN_KIND)
+        note = msgspec.json.decode(envelope.body, type=NoteBody)
+        changes = tuple(decode_change(fields) for fields in note.changes)
+        problems, after = check_changes(self.catalogue, changes)
+        if not problems:
+            self.put_in_force(after)
+        self._remember(
+            NoteOutcome(
+                note_id=envelope.record_id,
+                offset=offset,
+                content=content_digest(changes),
+                author=note.author,
+                message=note.message,
+                published_at_ms=note.published_at_ms,
+                versions=() if problems else _versions(after, changes),
+                problems=tuple(problems),
+            ),
+        )
+        return None
+
+    def _dump(self) -> Any:
+        return {
+            'catalogue': self.catalogue.dump(),
+            'outcomes': tuple(self._outcomes.values()),
+        }
+
+    def _load(self, state: msgspec.Raw) -> None:
+        stored = msgspec.json.decode(state, type=_StoredState)
+        self.put_in_force(load_catalogue(stored.catalogue))
+        self._outcomes = {
+            outcome.note_id: outcome for outcome in stored.outcomes
+        }
+
+    def _remember(self, outcome: NoteOutcome) -> None:
+        self._outcomes.pop(outcome.note_id, None)
+        self._outcomes[outcome.note_id] = outcome
+        if len(self._outcomes) > MAX_OUTCOMES:
+            self._outcomes.pop(next(iter(self._outcomes)))
+
+
+def check_changes(
+    catalogue: Catalogue, changes: tuple[Change, ...]
+) -> tuple[list[ObjectProblem], Catalogue]:
+    """Check a note as a whole.
+
+    :returns: all problems, and the catalogue after the note.
+    """
+    problems = check_bases(catalogue, changes)
+    if problems:
+        return problems, catalogue
+    after = catalogue.changed(changes)
+    return check_references(after, changes), after
+
+
+def content_digest(changes: tuple[Change, ...]) -> str:
+    """Return a digest of changes, in any order."""
+    encoded = sorted(
+        msgspec.json.encode(change, order='sorted') for change in changes
+    )
+    return hashlib.sha256(b'\n'.join(encoded)).hexdigest()
+
+
+def _versions(
+    after: Catalogue, changes: tuple[Change, ...]
+) -> tuple[ObjectVersion, ...]:
+    return tuple(
+        ObjectVersion(
+            kind_of(change),
+            change.name,
+            after.version(kind_of(change), change.name),
+        )
+        for change in changes
+    )
