--- /dev/null
+++ b/lagoonflow/calls/agent_task.py
@@ -0,0 +1,204 @@
+"""Serves the calls of routers at an agent: run, revoke, cancel."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator, Callable, Mapping
+
+from lagoonflow.calls.attempts import Admitted, AttemptTable, Rejected
+from lagoonflow.calls.buffer import BufferLimits
+from lagoonflow.calls.executions import Execution, Executions
+from lagoonflow.calls.messages import (
+    AttemptRequest,
+    AttemptState,
+    CancelRequest,
+    Chunk,
+    RevokeReply,
+    RevokeRequest,
+)
+from lagoonflow.calls.policy import CallPolicy
+from lagoonflow.calls.work import Work
+from lagoonflow.placement.messages import Ack
+from lagoonflow.results import Refusal, Result
+from lagoonflow.streams.messages import Versions
+
+MS_PER_S = 1000
+SWEEP_INTERVAL_MS = 1000
+DRAIN_INTERVAL_MS = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AgentPorts:
+    """What the calls of an agent need from its other parts.
+
+    :param admit: returns why a new attempt is refused, or ``None``.
+    :param versions: returns the agent's versions.
+    :param clock_ms: monotonic time in ms.
+    :param generations: runs generations, on an agent with an engine.
+    :param services: runs calls of plain services, by service name.
+    """
+
+    admit: Callable[[AttemptRequest], Refusal | None]
+    versions: Callable[[], Versions]
+    clock_ms: Callable[[], int]
+    generations: Work | None = None
+    services: Mapping[str, Work] = dataclasses.field(default_factory=dict)
+
+    def work_for(self, request: AttemptRequest) -> Work | None:
+        """Return what runs an attempt, if the agent has it."""
+        if request.service_call is not None:
+            return self.services.get(request.service_call.service)
+        return self.generations
+
+
+class AgentCalls:
+    """Runs attempts and streams their answers to routers.
+
+    :ivar is_draining: whether new attempts are refused.
+    """
+
+    def __init__(
+        self,
+        nonce: str,
+        ports: AgentPorts,
+        policy: CallPolicy | None = None,
+        limits: BufferLimits | None = None,
+    ) -> None:
+        """Start with no attempt.
+
+        :param nonce: identifies this agent process.
+        """
+        self.is_draining = False
+        self._ports = ports
+        self._policy = policy or CallPolicy()
+        self._table = AttemptTable(nonce)
+        self._executions = Executions(self._table, ports.clock_ms, limits)
+
+    @property
+    def open_count(self) -> int:
+        """Number of attempts that are queued or started."""
+        return self._table.open_count
+
+    async def run(self, request: AttemptRequest) -> AsyncIterator[Chunk]:
+        """Start an attempt or resume its stream, and yield its chunks."""
+        arrival = self._table.arrive(request, self._ports.clock_ms())
+        refusal = None
+        match arrival:
+            case Rejected():
+                refusal = arrival.refusal
+            case Admitted():
+                refusal = self._begin(request)
+        execution = self._executions.find(request.attempt)
+        if execution is None:
+            yield self._refusal(request, refusal or _answer_gone())
+            return
+        async for chunk in self._follow(execution, request.next_index):
+            yield chunk
+
+    async def revoke(self, request: RevokeRequest) -> RevokeReply:
+        """Revoke a queued attempt; return the state of any other one."""
+        state = self._table.revoke(request, self._ports.clock_ms())
+        if state is AttemptState.QUEUED:
+            revoked = Refusal(Result.REVOKED, 'the attempt was revoked')
+            self._executions.withdraw(request.attempt, revoked)
+            state = self._table.state(request.attempt)
+        return RevokeReply(
+            request.attempt, state, self._ports.versions(), self._table.nonce
+        )
+
+    async def cancel(self, request: CancelRequest) -> Ack:
+        """Stop an attempt whose caller is gone."""
+        self._executions.cancel(request.attempt)
+        return Ack(self._ports.versions())
+
+    async def drain(self) -> None:
+        """Refuse new attempts, hand back queued ones, finish the others.
+
+        It returns when these have ended and were read, or nobody reads them.
+        """
+        self.is_draining = True
+        self._executions.withdraw_all(_shutting_down())
+        while self._executions.is_busy:
+            await asyncio.sleep(DRAIN_INTERVAL_MS / MS_PER_S)
+            self._executions.sweep(self._policy.orphan_timeout_ms)
+
+    async def sweep_forever(self) -> None:
+        """Stop attempts that nobody reads, and drop old answers."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_MS / MS_PER_S)
+            self._executions.sweep(self._policy.orphan_timeout_ms)
+
+    def _begin(self, request: AttemptRequest) -> Refusal | None:
+        refusal = self._check(request)
+        work = self._ports.work_for(request)
+        if refusal is None and work is None:
+            refusal = Refusal(Result.STALE_LOCATION, 'the agent has no such')
+        if refusal is not None:
+            # A late copy of the request must not be admitted later on.
+            self._table.withdraw(request.attempt, self._ports.clock_ms())
+            return refusal
+        self._executions.begin(request, work)
+        return None
+
+    def _check(self, request: AttemptRequest) -> Refusal | None:
+        if self.is_draining:
+            return _shutting_down()
+        return self._ports.admit(request)
+
+    async def _follow(
+        self, execution: Execution, index: int
+    ) -> AsyncIterator[Chunk]:
+        execution.readers += 1
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(self._leave, execution)
+            yield self._keep_alive(execution, index)
+            async for chunk in self._chunks(execution, index):
+                yield chunk
+
+    def _leave(self, execution: Execution) -> None:
+        execution.readers -= 1
+        execution.unread_since_ms = self._ports.clock_ms()
+
+    async def _chunks(
+        self, execution: Execution, index: int
+    ) -> AsyncIterator[Chunk]:
+        keep_alive_ms = self._policy.keep_alive_ms
+        while True:
+            chunk = execution.read(index)
+            if chunk is not None:
+                index += 1
+                yield chunk
+                if chunk.is_last:
+                    return
+            elif not await execution.wait_for_change(keep_alive_ms):
+                yield self._keep_alive(execution, index)
+
+    def _keep_alive(self, execution: Execution, index: int) -> Chunk:
+        attempt = execution.request.attempt
+        return Chunk(
+            attempt,
+            index,
+            self._table.state(attempt),
+            versions=self._ports.versions(),
+            nonce=self._table.nonce,
+        )
+
+    def _refusal(self, request: AttemptRequest, refusal: Refusal) -> Chunk:
+        return Chunk(
+            request.attempt,
+            request.next_index,
+            self._table.state(request.attempt),
+            refusal=refusal,
+            versions=self._ports.versions(),
+            nonce=self._table.nonce,
+        )
+
+
+def _shutting_down() -> Refusal:
+    return Refusal(Result.SHUTTING_DOWN, 'the agent shuts down')
+
+
+def _answer_gone() -> Refusal:
+    return Refusal(
+        Result.STREAM_BROKEN, 'the answer is no longer kept', not_run=False
+    )
--- /dev/null
+++ b/lagoonflow/calls/claimed_call.py
@@ -0,0 +1,113 @@
+"""A call under a claim: it runs to its outcome though the caller leaves."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+from lagoonflow.calls import actions
+from lagoonflow.calls.claim_records import (
+    MAX_BODY_BYTES,
+    MAX_HEADERS,
+    Outcome,
+    OutcomeKind,
+)
+from lagoonflow.calls.messages import ServiceAnswer
+
+MAX_QUEUED_DELIVERIES = 16
+
+
+class OutcomeRecorder:
+    """Turns the parts of an answer into an outcome for repeats."""
+
+    def __init__(self) -> None:
+        """Start without an answer."""
+        self._kind = OutcomeKind.UNKNOWN
+        self._answer = ServiceAnswer(0, ())
+        self._body = b''
+        self._is_body_omitted = False
+
+    @property
+    def outcome(self) -> Outcome:
+        """The outcome as far as it is known."""
+        if self._kind is not OutcomeKind.ANSWERED:
+            return Outcome(self._kind)
+        return Outcome(
+            self._kind,
+            self._answer.status,
+            self._answer.headers[:MAX_HEADERS],
+            self._body,
+            self._is_body_omitted,
+        )
+
+    def take(self, delivery: actions.Delivery) -> None:
+        """Record one part of the answer."""
+        match delivery:
+            case actions.DeliverAnswer(answer):
+                self._answer = answer
+            case actions.DeliverBody(body):
+                self._add_body(body)
+            case actions.DeliverFinish():
+                self._kind = OutcomeKind.ANSWERED
+            case actions.Refuse(refusal):
+                if refusal.not_run:
+                    self._kind = OutcomeKind.NOT_RUN
+
+    def _add_body(self, body: bytes) -> None:
+        if len(self._body) + len(body) > MAX_BODY_BYTES:
+            self._is_body_omitted = True
+        if self._is_body_omitted:
+            self._body = b''
+        else:
+            self._body += body
+
+
+class ClaimedCall:
+    """Records the outcome of a call, and passes the answer to its caller.
+
+    :param answer: the call's answer, which is read to its end.
+    :param settle: takes the outcome.
+    """
+
+    def __init__(
+        self,
+        answer: AsyncIterator[actions.Delivery],
+        settle: Callable[[Outcome], None],
+    ) -> None:
+        """Prepare the call; :meth:`run` records it."""
+        self._answer = answer
+        self._settle = settle
+        self._is_caller_gone = False
+        self._deliveries: asyncio.Queue[actions.Delivery] = asyncio.Queue(
+            MAX_QUEUED_DELIVERIES
+        )
+
+    async def run(self) -> None:
+        """Read the answer to its end, and settle the claim.
+
+        The claim is settled before the caller gets the last part, so that
+        the caller's repeats find the outcome.
+        """
+        recorder = OutcomeRecorder()
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(lambda: self._settle(recorder.outcome))
+            async for delivery in self._answer:
+                recorder.take(delivery)
+                if actions.is_last(delivery):
+                    cleanup.close()
+                if not self._is_caller_gone:
+                    await self._deliveries.put(delivery)
+
+    async def answer(self) -> AsyncIterator[actions.Delivery]:
+        """Yield the parts of the answer; it may be closed at any time."""
+        is_last = False
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(self._leave)
+            while not is_last:
+                delivery = await self._deliveries.get()
+                is_last = actions.is_last(delivery)
+                yield delivery
+
+    def _leave(self) -> None:
+        self._is_caller_gone = True
+        while not self._deliveries.empty():
+            self._deliveries.get_nowait()
--- /dev/null
+++ b/lagoonflow/calls/executions.py
@@ -0,0 +1,205 @@
+"""Attempts that are queued, run, or have an answer to be read."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+import structlog
+
+from lagoonflow.calls.attempts import AttemptTable
+from lagoonflow.calls.buffer import BufferLimits, ChunkBuffer
+from lagoonflow.calls.messages import (
+    AttemptId,
+    AttemptRequest,
+    AttemptState,
+    Chunk,
+)
+from lagoonflow.calls.work import (
+    AnswerBegun,
+    BodyProduced,
+    Finished,
+    Refused,
+    Started,
+    TextProduced,
+    Work,
+    WorkEvent,
+)
+from lagoonflow.results import Refusal, Result
+
+MS_PER_S = 1000
+MAX_KEPT_ANSWERS = 1024
+
+_log = structlog.get_logger()
+
+
+class Execution:
+    """One attempt with the buffer of its answer."""
+
+    def __init__(
+        self, request: AttemptRequest, work: Work, limits: BufferLimits
+    ) -> None:
+        """Start without readers."""
+        self.request = request
+        self.work = work
+        self.buffer = ChunkBuffer(request.attempt, limits)
+        self.readers = 0
+        self.unread_since_ms = 0
+        self.is_submitted = False
+        self.task: asyncio.Task[None] | None = None
+        self._changed = asyncio.Event()
+        self._room = asyncio.Event()
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether the answer is not complete or not read."""
+        return bool(self.readers) or not self.buffer.is_read
+
+    def notify(self) -> None:
+        """Wake the readers."""
+        self._changed.set()
+
+    async def wait_for_change(self, timeout_ms: int) -> bool:
+        """Wait for more to read; return false after ``timeout_ms``."""
+        self._changed.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                return await self._changed.wait()
+        return False
+
+    async def wait_for_room(self) -> None:
+        """Wait until a slow reader has read on."""
+        while self.buffer.is_full and not self.buffer.is_complete:
+            self._room.clear()
+            await self._room.wait()
+
+    def read(self, index: int) -> Chunk | None:
+        """Read one chunk, and let the source go on."""
+        chunk = self.buffer.read(index)
+        if chunk is not None:
+            self._room.set()
+        return chunk
+
+
+class Executions:
+    """Runs attempts, and settles each of them once in the table."""
+
+    def __init__(
+        self,
+        table: AttemptTable,
+        clock_ms: Callable[[], int],
+        limits: BufferLimits | None = None,
+    ) -> None:
+        """Start with none.
+
+        :param clock_ms: monotonic time in ms.
+        """
+        self._table = table
+        self._clock_ms = clock_ms
+        self._limits = limits or BufferLimits()
+        self._executions: dict[AttemptId, Execution] = {}
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether an answer is not complete or not read."""
+        return any(execution.is_busy for execution in self._executions.values())
+
+    def find(self, attempt: AttemptId) -> Execution | None:
+        """Return an attempt that runs, or whose answer is still kept."""
+        return self._executions.get(attempt)
+
+    def begin(self, request: AttemptRequest, work: Work) -> None:
+        """Queue an admitted attempt."""
+        execution = Execution(request, work, self._limits)
+        execution.unread_since_ms = self._clock_ms()
+        self._executions[request.attempt] = execution
+        execution.task = asyncio.create_task(self._drive(execution))
+
+    def withdraw(self, attempt: AttemptId, refusal: Refusal) -> None:
+        """Take an attempt out of the queue, unless it has started."""
+        execution = self._executions.get(attempt)
+        if execution is None or execution.task is None:
+            return
+        if execution.is_submitted and not execution.work.withdraw(attempt):
+            return
+        self._end(execution, refusal)
+        execution.task.cancel()
+
+    def withdraw_all(self, refusal: Refusal) -> None:
+        """Take all queued attempts out of the queue."""
+        for attempt in list(self._executions):
+            if self._table.state(attempt) is AttemptState.QUEUED:
+                self.withdraw(attempt, refusal)
+
+    def cancel(self, attempt: AttemptId) -> None:
+        """Stop an attempt whose answer nobody wants."""
+        if self._table.state(attempt) is AttemptState.QUEUED:
+            gone = Refusal(Result.CALLER_GONE, 'nobody wants the answer')
+            self.withdraw(attempt, gone)
+        execution = self._executions.get(attempt)
+        if execution is not None and not execution.buffer.is_complete:
+            execution.work.cancel(attempt)
+
+    def sweep(self, orphan_timeout_ms: int) -> None:
+        """Stop attempts that nobody reads, and drop old answers."""
+        oldest_ms = self._clock_ms() - orphan_timeout_ms
+        excess = len(self._executions) - MAX_KEPT_ANSWERS
+        for attempt, execution in list(self._executions.items()):
+            if execution.readers:
+                continue
+            is_orphan = execution.unread_since_ms <= oldest_ms
+            if execution.buffer.is_complete and (is_orphan or excess > 0):
+                self._executions.pop(attempt)
+                excess -= 1
+            elif is_orphan:
+                self.cancel(attempt)
+
+    async def _drive(self, execution: Execution) -> None:
+        execution.is_submitted = True
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(self._end, execution, _failed())
+            try:
+                await self._run(execution)
+            except Exception:
+                _log.exception('calls: an attempt failed')
+
+    async def _run(self, execution: Execution) -> None:
+        running = execution.work.run(execution.request)
+        async with contextlib.aclosing(running) as work_events:
+            async for event in work_events:
+                if not self._take(execution, event):
+                    return
+                execution.notify()
+                await execution.wait_for_room()
+
+    def _take(self, execution: Execution, event: WorkEvent) -> bool:
+        buffer = execution.buffer
+        match event:
+            case Started():
+                return self._table.start(execution.request.attempt)
+            case TextProduced(text, tokens):
+                buffer.add_text(text, tokens)
+            case AnswerBegun(answer):
+                buffer.add_answer(answer)
+            case BodyProduced(body):
+                buffer.add_body(body)
+            case Finished(finish):
+                buffer.finish(finish)
+            case Refused(refusal):
+                self._end(execution, refusal)
+        return True
+
+    def _end(self, execution: Execution, refusal: Refusal) -> None:
+        """Settle an attempt; the refusal counts if it has no end yet."""
+        attempt = execution.request.attempt
+        now_ms = self._clock_ms()
+        if not execution.buffer.is_complete:
+            if refusal.not_run:
+                self._table.withdraw(attempt, now_ms)
+            self._table.finish(attempt, now_ms)
+            execution.buffer.refuse(refusal, self._table.state(attempt))
+        self._table.finish(attempt, now_ms)
+        execution.notify()
+
+
+def _failed() -> Refusal:
+    return Refusal(Result.BACKEND_FAILED, 'the attempt failed', not_run=False)
--- /dev/null
+++ b/lagoonflow/calls/grpc_ports.py
@@ -0,0 +1,53 @@
+"""Connects the calls of routers and agents through gRPC."""
+
+from collections.abc import Awaitable
+from typing import Any
+
+from lagoonflow.calls.agent_task import AgentCalls
+from lagoonflow.calls.call_stream import Replies
+from lagoonflow.calls.messages import (
+    AttemptRequest,
+    CancelRequest,
+    RevokeReply,
+    RevokeRequest,
+)
+from lagoonflow.results import Refusal
+from lagoonflow.wire.peers import Peers
+from lagoonflow.wire.server import Route
+from lagoonflow.wire.services import CANCEL, REVOKE, RUN
+
+REVOKE_TIMEOUT_MS = 300
+CANCEL_TIMEOUT_MS = 1000
+
+
+def agent_routes(calls: AgentCalls) -> list[Route]:
+    """Return the gRPC methods that an agent serves for calls."""
+    return [
+        Route(RUN, calls.run),
+        Route(REVOKE, calls.revoke),
+        Route(CANCEL, calls.cancel),
+    ]
+
+
+class PeerSender:
+    """Sends what a router's calls ask for to agents."""
+
+    def __init__(self, peers: Peers) -> None:
+        """Use the connections of ``peers``."""
+        self._peers = peers
+
+    def open_stream(
+        self, agent: str, request: AttemptRequest, progress_timeout_ms: int
+    ) -> Replies:
+        """Run or resume an attempt."""
+        return self._peers.stream(agent, RUN, request, progress_timeout_ms)
+
+    def revoke(
+        self, agent: str, request: RevokeRequest
+    ) -> Awaitable[RevokeReply | Refusal]:
+        """Revoke an attempt."""
+        return self._peers.send(agent, REVOKE, request, REVOKE_TIMEOUT_MS)
+
+    def cancel(self, agent: str, request: CancelRequest) -> Awaitable[Any]:
+        """Cancel an attempt."""
+        return self._peers.send(agent, CANCEL, request, CANCEL_TIMEOUT_MS)
--- a/lagoonflow/calls/messages.py
+++ b/lagoonflow/calls/messages.py
@@ -30,6 +30,7 @@
     """Work for a model engine.
 
     :param from_token: first token to be generated, when continuing.
+    :param delivered_text: text of the tokens before ``from_token``.
     """
 
     model: str
@@ -38,6 +39,7 @@
     max_tokens: int
     from_token: int = 0
     seed: int = 0
+    delivered_text: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +70,9 @@
     :param deadline_in_ms: time left until the answer has to begin.
     :param priority: smaller runs earlier.
     :param cost_tokens: what fair queueing charges the organisation.
+    :param router_nonce: tells a restarted router from its predecessor.
+    :param agent_nonce: the agent process that the attempt was sent to.
+    :param sequence: grows with every attempt of the router process.
     """
 
     attempt: AttemptId
@@ -82,6 +87,9 @@
     cost_tokens: float = 0
     next_index: int = 0
     is_resumption: bool = False
+    router_nonce: str = ''
+    agent_nonce: str = ''
+    sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,6 +129,7 @@
     :param index: position in the stream of the attempt, from 0.
     :param tokens: number of tokens in ``text``.
     :param state: the attempt's state; sent also alone, as a keep-alive.
+    :param nonce: the agent process that sent the chunk.
     """
 
     attempt: AttemptId
@@ -133,27 +142,49 @@
     finish: Finish | None = None
     refusal: Refusal | None = None
     versions: Versions = Versions()
+    nonce: str = ''
+
+    @property
+    def is_keep_alive(self) -> bool:
+        """Whether the chunk carries no part of the answer."""
+        has_content = self.tokens or self.text or self.body or self.answer
+        return not (has_content or self.finish or self.refusal)
+
+    @property
+    def is_last(self) -> bool:
+        """Whether nothing follows the chunk."""
+        return self.finish is not None or self.refusal is not None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RevokeRequest:
-    """Asks to revoke an attempt; unseen ones get a tombstone."""
+    """Asks to revoke an attempt; unseen ones get a tombstone.
+
+    The last three fields are those of the attempt's request.
+    """
 
     attempt: AttemptId
     router: str
     versions: Versions
+    router_nonce: str = ''
+    agent_nonce: str = ''
+    sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RevokeReply:
     """The state of the attempt after the request.
 
-    Only ``REVOKED`` means that it has not run and never will.
+    Only ``REVOKED`` means that it has not run and never will. ``UNKNOWN``
+    means that an earlier agent process may have run it.
+
+    :param nonce: the agent process that answers.
     """
 
     attempt: AttemptId
     state: AttemptState
     versions: Versions
+    nonce: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lagoonflow/calls/settling.py
@@ -0,0 +1,111 @@
+"""Settles claims of dead claimers, and ends the retention of outcomes."""
+
+import dataclasses
+from collections import deque
+from collections.abc import Callable
+
+import xxhash
+
+from lagoonflow.calls.claim_records import Claimed, Closed, Forgotten
+from lagoonflow.calls.claims import ClaimsState
+
+IsMember = Callable[[str, str], bool]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettlingPolicy:
+    """Times after which claims are settled; each process counts its own.
+
+    :param gone_ms: time after which a claim is closed when the roster no
+        longer has its claimer.
+    :param open_ms: longest time that a claim stays open; longer than a call.
+    :param retention_ms: time for which an outcome is kept for repeats.
+    :param spread_ms: processes wait up to this much longer, each another
+        time, so that mostly one of them appends.
+    :param repeat_ms: time after which an append without effect is repeated.
+    """
+
+    gone_ms: int = 2000
+    open_ms: int = 180_000
+    retention_ms: int = 600_000
+    spread_ms: int = 4000
+    repeat_ms: int = 15_000
+
+
+class ClaimSettler:
+    """Decides which records any process appends on behalf of dead ones.
+
+    Any process may append these records at any time: a claim that is closed
+    too early has an unknown outcome until its claimer settles it.
+    """
+
+    def __init__(
+        self, process_name: str, policy: SettlingPolicy | None = None
+    ) -> None:
+        """Start with nothing seen."""
+        self._process_name = process_name
+        self._policy = policy or SettlingPolicy()
+        self._opened_ms: dict[str, int] = {}
+        self._gone_ms: dict[str, int] = {}
+        self._appended_ms: dict[str, int] = {}
+        self._settled: deque[tuple[int, int]] = deque()
+
+    def due(
+        self, state: ClaimsState, is_member: IsMember, now_ms: int
+    ) -> list[Closed | Forgotten]:
+        """Return the records to append now.
+
+        :param is_member: tells by name and nonce who is in the roster.
+        """
+        open_claims = {claim.claim_id: claim for claim in state.open_claims}
+        self._drop_settled(open_claims)
+        closed = [
+            Closed(claim_id)
+            for claim_id, claim in open_claims.items()
+            if self._is_due(claim, is_member, now_ms)
+            and self._may_append(claim_id, now_ms)
+        ]
+        return [*closed, *self._forget(state, now_ms)]
+
+    def _is_due(self, claim: Claimed, is_member: IsMember, now_ms: int) -> bool:
+        claim_id = claim.claim_id
+        policy = self._policy
+        spread_ms = self._spread_ms(claim_id)
+        opened_ms = self._opened_ms.setdefault(claim_id, now_ms)
+        if now_ms - opened_ms >= policy.open_ms + spread_ms:
+            return True
+        if is_member(claim.claimer, claim.claimer_nonce):
+            self._gone_ms.pop(claim_id, None)
+            return False
+        gone_ms = self._gone_ms.setdefault(claim_id, now_ms)
+        return now_ms - gone_ms >= policy.gone_ms + spread_ms
+
+    def _may_append(self, claim_id: str, now_ms: int) -> bool:
+        appended_ms = self._appended_ms.get(claim_id)
+        repeat_ms = self._policy.repeat_ms
+        if appended_ms is not None and now_ms - appended_ms < repeat_ms:
+            return False
+        self._appended_ms[claim_id] = now_ms
+        return True
+
+    def _forget(self, state: ClaimsState, now_ms: int) -> list[Forgotten]:
+        offset = state.last_settled_offset
+        if offset >= 0 and (not self._settled or self._settled[-1][0] < offset):
+            self._settled.append((offset, now_ms))
+        oldest_ms = now_ms - self._policy.retention_ms
+        oldest_ms -= self._spread_ms(self._process_name)
+        up_to_offset = -1
+        while self._settled and self._settled[0][1] <= oldest_ms:
+            up_to_offset = self._settled.popleft()[0]
+        if up_to_offset < 0 or not state.keeps_settled(up_to_offset):
+            return []
+        return [Forgotten(up_to_offset)]
+
+    def _drop_settled(self, open_claims: dict[str, Claimed]) -> None:
+        for times_ms in (self._opened_ms, self._gone_ms, self._appended_ms):
+            for claim_id in times_ms.keys() - open_claims.keys():
+                times_ms.pop(claim_id)
+
+    def _spread_ms(self, seed: str) -> int:
+        digest = xxhash.xxh64_intdigest(f'{seed}/{self._process_name}')
+        return digest % max(1, self._policy.spread_ms)
--- a/lagoonflow/wire/peers.py
+++ b/lagoonflow/wire/peers.py
@@ -4,7 +4,7 @@
 import contextlib
 import ssl
 import time
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from typing import Any
 
 from grpclib.client import Stream
@@ -88,7 +88,7 @@
         method: Method,
         message: Any,
         progress_timeout_ms: int,
-    ) -> AsyncIterator[Any]:
+    ) -> AsyncGenerator[Any, None]:
         """Call a streaming method, and yield its replies.
 
         The last item is a refusal when the stream broke or made no progress.
@@ -122,17 +122,16 @@
         message: Any,
         timeout_ms: int,
         purpose: str,
-    ) -> AsyncIterator[Any]:
+    ) -> AsyncGenerator[Any, None]:
         link = self._acquire(member_name, purpose)
         if isinstance(link, Refusal):
             yield link
             return
         try:
             replies = self._replies(link, method, message, timeout_ms)
-            with _retiring(link):
-                async with contextlib.aclosing(replies) as received:
-                    async for reply in received:
-                        yield reply
+            async with _retiring(link, replies) as received:
+                async for reply in received:
+                    yield reply
         except _FAILURES as failure:
             yield _refusal_of(failure)
         finally:
@@ -140,7 +139,7 @@
 
     async def _replies(
         self, link: Link, method: Method, message: Any, timeout_ms: int
-    ) -> AsyncIterator[Any]:
+    ) -> AsyncGenerator[Any, None]:
         request = link.channel.request(
             method.path,
             method.cardinality,
@@ -186,10 +185,13 @@
         return link
 
 
-@contextlib.contextmanager
-def _retiring(link: Link) -> Iterator[None]:
+@contextlib.asynccontextmanager
+async def _retiring(
+    link: Link, replies: AsyncGenerator[Any, None]
+) -> AsyncIterator[AsyncIterator[Any]]:
     try:
-        yield
+        async with contextlib.aclosing(replies) as received:
+            yield received
     except _SILENT:
         link.retire()
         raise
