Decide where models load: homes, bids, location cache, permits

A burst of locate requests for one cold model joins one round of bids and makes one numbered decision. Losing bids are withdrawn at once: a round reserves memory on several runners, and waiting for its expiry would refuse other models that ask at the same time.

BidRequest gets is_withdrawal (default false).

--- /dev/null
+++ b/lagoonflow/placement/actions.py
@@ -0,0 +1,50 @@
+"""Actions that a home asks its task to carry out."""
+
+import dataclasses
+
+from lagoonflow.placement.messages import (
+    BidRequest,
+    Decision,
+    LocateReply,
+    PermitReply,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplyLocate:
+    """Answers one waiting locate request."""
+
+    waiter: int
+    reply: LocateReply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskBid:
+    """Asks an agent for a bid, or withdraws the request."""
+
+    agent: str
+    request: BidRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendDecision:
+    """Sends a decision to its agent."""
+
+    decision: Decision
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Finds out whether a peer can be reached and acts as home."""
+
+    peer: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplyPermit:
+    """Answers one waiting permit request."""
+
+    reply: PermitReply
+
+
+HomeAction = ReplyLocate | AskBid | SendDecision | Probe
--- a/lagoonflow/placement/messages.py
+++ b/lagoonflow/placement/messages.py
@@ -66,12 +66,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BidRequest:
-    """Asks an agent how soon it can have a model ready."""
+    """Asks an agent how soon it can have a model ready.
+
+    :param is_withdrawal: the bid of this id was not taken; release it.
+    """
 
     bid_id: str
     model: str
     versions: Versions
     home: str = ''
+    is_withdrawal: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lagoonflow/placement/permits.py
@@ -0,0 +1,159 @@
+"""Permits for loads from the weight store, over the whole fleet."""
+
+import dataclasses
+
+from lagoonflow.placement.messages import (
+    LoadFinished,
+    PermitReply,
+    PermitRequest,
+)
+from lagoonflow.streams.messages import Versions
+
+PERMIT_LIFETIME_MS = 120_000
+REQUEST_LIFETIME_MS = 4_000
+_MS_PER_S = 1000
+_REQUEST_BONUS_MS = 500
+_MOST_REQUESTS = 20
+_UNFAIRNESS_BONUS_MS = 10_000
+_SLOW_RATIO = 1.5
+_LEARNING_RATE = 0.2
+_RECOVERY = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """What the weight store allows.
+
+    :param rate_per_s: loads that may start each second.
+    :param parallel: loads at once at full speed.
+    """
+
+    rate_per_s: float
+    parallel: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiting:
+    """One request for a permit."""
+
+    request: PermitRequest
+    due_ms: float
+    asked_at_ms: int
+
+
+class StorePermits:
+    """Paces loads and orders them by need.
+
+    :ivar versions: versions that this process has folded.
+    """
+
+    def __init__(self, settings: StoreSettings) -> None:
+        self.versions = Versions()
+        self._settings = settings
+        self._parallel = float(settings.parallel)
+        self._waiting: dict[str, _Waiting] = {}
+        self._running: dict[str, int] = {}
+        self._next_start_ms = float(0)
+        self._usual_ms = float(0)
+
+    @property
+    def parallel(self) -> int:
+        """Loads that may run at once now."""
+        return max(1, int(self._parallel))
+
+    def ask(self, now_ms: int, request: PermitRequest) -> None:
+        """Let a load wait for its permit; asking again renews it."""
+        self._waiting[request.permit_id] = _Waiting(
+            request, _due_ms(now_ms, request), now_ms
+        )
+
+    def cancel(self, permit_id: str) -> None:
+        """Forget a load that waits no longer."""
+        self._waiting.pop(permit_id, None)
+
+    def grants(self, now_ms: int) -> tuple[PermitReply, ...]:
+        """Grant what may start now, most needed first."""
+        self._expire(now_ms)
+        granted: list[PermitReply] = []
+        for waiting in sorted(self._waiting.values(), key=_due):
+            permit_id = waiting.request.permit_id
+            if permit_id in self._running:
+                granted.append(self._grant(now_ms, permit_id))
+            elif self._has_room(now_ms):
+                self._take_turn(now_ms)
+                granted.append(self._grant(now_ms, permit_id))
+        return tuple(granted)
+
+    def refusal(self, now_ms: int, permit_id: str) -> PermitReply:
+        """Tell a load that still waits when to ask again."""
+        wait_ms = max(1, round(self._next_start_ms - now_ms))
+        return PermitReply(permit_id, False, wait_ms, self.versions)
+
+    def next_grant_in_ms(self, now_ms: int) -> int | None:
+        """Time until the next grant; ``None`` if it waits for a load."""
+        if not self._waiting or len(self._running) >= self.parallel:
+            return None
+        return max(0, round(self._next_start_ms - now_ms))
+
+    def on_finished(self, now_ms: int, message: LoadFinished) -> None:
+        """Free the place of a load, and back off if loads turn slow."""
+        self._running.pop(message.permit_id, None)
+        self._waiting.pop(message.permit_id, None)
+        if not message.is_loaded or message.took_ms <= 0:
+            return
+        if self._usual_ms and message.took_ms > self._usual_ms * _SLOW_RATIO:
+            least = max(1, self._settings.parallel / 2)
+            self._parallel = max(least, self._parallel - 1)
+        else:
+            most = self._settings.parallel
+            self._parallel = min(most, self._parallel + _RECOVERY)
+        self._learn_usual(message.took_ms)
+
+    def reset(self) -> None:
+        """Forget all loads, after a pause."""
+        self._waiting.clear()
+        self._running.clear()
+
+    def _has_room(self, now_ms: int) -> bool:
+        is_parallel = len(self._running) < self.parallel
+        return is_parallel and now_ms >= self._next_start_ms
+
+    def _take_turn(self, now_ms: int) -> None:
+        interval_ms = _MS_PER_S / self._settings.rate_per_s
+        base_ms = max(self._next_start_ms, now_ms - interval_ms)
+        self._next_start_ms = base_ms + interval_ms
+
+    def _grant(self, now_ms: int, permit_id: str) -> PermitReply:
+        self._waiting.pop(permit_id, None)
+        self._running[permit_id] = now_ms + PERMIT_LIFETIME_MS
+        return PermitReply(permit_id, True, 0, self.versions)
+
+    def _expire(self, now_ms: int) -> None:
+        for permit_id, expires_at_ms in tuple(self._running.items()):
+            if expires_at_ms <= now_ms:
+                self._running.pop(permit_id)
+        for permit_id, waiting in tuple(self._waiting.items()):
+            if waiting.asked_at_ms + REQUEST_LIFETIME_MS <= now_ms:
+                self._waiting.pop(permit_id)
+
+    def _learn_usual(self, took_ms: float) -> None:
+        if self._usual_ms:
+            self._usual_ms += _LEARNING_RATE * (took_ms - self._usual_ms)
+        else:
+            self._usual_ms = took_ms
+
+
+def _due_ms(now_ms: int, request: PermitRequest) -> float:
+    """Deadline, moved ahead for many requests and for unfair service."""
+    requests = min(request.waiting, _MOST_REQUESTS)
+    unfairness = 1 - request.served_ratio
+    return (
+        now_ms
+        + request.deadline_in_ms
+        - requests * _REQUEST_BONUS_MS
+        - unfairness * _UNFAIRNESS_BONUS_MS
+    )
+
+
+def _due(waiting: _Waiting) -> tuple[float, int]:
+    return waiting.due_ms, waiting.asked_at_ms
--- /dev/null
+++ b/lagoonflow/placement/rounds.py
@@ -0,0 +1,107 @@
+"""One round of bids for one model."""
+
+import dataclasses
+import enum
+from collections.abc import Collection
+
+from lagoonflow.placement.messages import Bid, Decision, LocateRequest, Tier
+
+_HELD = frozenset((Tier.READY, Tier.LOADING))
+
+
+class RoundState(enum.StrEnum):
+    """What a round waits for."""
+
+    BIDDING = 'bidding'
+    DECIDED = 'decided'
+    RESTING = 'resting'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiter:
+    """A locate request that waits for the outcome."""
+
+    number: int
+    request: LocateRequest
+    deadline_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Round:
+    """Collects the bids of one round and keeps who waits for it.
+
+    :param is_gathering: wait for all agents, as the home is new.
+    :param worth_ms: wait that a further replica has to beat; 0 when
+        requests wait for the first one.
+    :param resumes_at_ms: when a resting round asks again.
+    """
+
+    bid_id: str
+    model: str
+    started_at_ms: int
+    is_gathering: bool = False
+    worth_ms: int = 0
+    state: RoundState = RoundState.BIDDING
+    waiters: list[Waiter] = dataclasses.field(default_factory=list)
+    asked: set[str] = dataclasses.field(default_factory=set)
+    answered: set[str] = dataclasses.field(default_factory=set)
+    bids: dict[str, Bid] = dataclasses.field(default_factory=dict)
+    decision: Decision | None = None
+    resent: int = 0
+    rests: int = 0
+    resumes_at_ms: int = 0
+
+    def take(self, bid: Bid) -> None:
+        """Add a bid, or an agent's refusal to bid."""
+        self.answered.add(bid.agent)
+        self.bids[bid.agent] = bid
+
+    def miss(self, agent: str) -> None:
+        """Note that an agent can't be reached."""
+        self.answered.add(agent)
+
+    def is_complete(self) -> bool:
+        """Whether all asked agents have answered."""
+        return self.answered >= self.asked
+
+    def held(self) -> list[Bid]:
+        """Bids of agents that already hold a replica."""
+        return [bid for bid in self.bids.values() if _is_held(bid)]
+
+    def best_load(self, unwanted: Collection[str] = ()) -> Bid | None:
+        """Find the best bid to load a replica.
+
+        :param unwanted: agents that are taken only when nobody else bids.
+        """
+        loads = [bid for bid in self.bids.values() if _is_load(bid)]
+        if not loads:
+            return None
+        return min(
+            loads,
+            key=lambda bid: (bid.agent in unwanted, cost_ms(bid), bid.agent),
+        )
+
+    def losers(self, winner: str = '') -> list[str]:
+        """Agents whose reservations nobody needs any more."""
+        return sorted(
+            agent
+            for agent in self.asked
+            if agent != winner and self._may_reserve(agent)
+        )
+
+    def _may_reserve(self, agent: str) -> bool:
+        bid = self.bids.get(agent)
+        return bid is None or _is_load(bid)
+
+
+def cost_ms(bid: Bid) -> int:
+    """Predicted wait of the first request, with what it costs others."""
+    return bid.ready_in_ms + bid.wait_ms + bid.eviction_cost_ms
+
+
+def _is_held(bid: Bid) -> bool:
+    return bid.refusal is None and bid.tier in _HELD
+
+
+def _is_load(bid: Bid) -> bool:
+    return bid.refusal is None and bid.tier not in _HELD
--- /dev/null
+++ b/lagoonflow/placement/table.py
@@ -0,0 +1,162 @@
+"""Replica table of a home: soft state from announcements and bids."""
+
+import dataclasses
+from collections.abc import Collection, Iterator
+
+from lagoonflow.placement.messages import (
+    Announcement,
+    Bid,
+    Place,
+    Replica,
+    Tier,
+)
+
+_HELD = frozenset((Tier.READY, Tier.LOADING))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One replica as its agent last described it."""
+
+    model: str
+    agent: str
+    decision_id: str
+    ready_at_ms: int
+    wait_ms: int
+    heard_at_ms: int
+
+    def place(self, now_ms: int) -> Place:
+        """Describe the replica as a place for requests."""
+        ready_in_ms = max(0, self.ready_at_ms - now_ms)
+        return Place(self.agent, self.decision_id, ready_in_ms, self.wait_ms)
+
+
+class ReplicaTable:
+    """Who holds replicas and checkpoints of which models."""
+
+    def __init__(self, lifetime_ms: int) -> None:
+        self._lifetime_ms = lifetime_ms
+        self._entries: dict[tuple[str, str], Entry] = {}
+        self._checkpoints: dict[tuple[str, str], int] = {}
+        self._nonces: dict[str, str] = {}
+
+    def apply(self, now_ms: int, announcement: Announcement) -> None:
+        """Replace what an agent holds of the announced models."""
+        agent = announcement.agent
+        if self._nonces.get(agent) != announcement.nonce:
+            self.drop_agent(agent)
+            self._nonces[agent] = announcement.nonce
+        for model in announcement.models:
+            self.remove(model, agent)
+            self._checkpoints.pop((model, agent), None)
+        for replica in announcement.replicas:
+            entry = _from_replica(now_ms, agent, replica)
+            self._entries[entry.model, agent] = entry
+        for checkpoint in announcement.checkpoints:
+            self._checkpoints[checkpoint.model, agent] = now_ms
+
+    def apply_bid(self, now_ms: int, model: str, bid: Bid) -> None:
+        """Note what a bid says about a replica; it is the newest truth."""
+        if bid.refusal is not None or bid.tier not in _HELD:
+            self.remove(model, bid.agent)
+            return
+        known = self._entries.get((model, bid.agent))
+        decision_id = known.decision_id if known else ''
+        self.add(now_ms, model, bid, decision_id)
+
+    def add(
+        self,
+        now_ms: int,
+        model: str,
+        bid: Bid,
+        decision_id: str,
+    ) -> None:
+        """Enter the replica that a bid describes."""
+        self._entries[model, bid.agent] = Entry(
+            model=model,
+            agent=bid.agent,
+            decision_id=decision_id,
+            ready_at_ms=now_ms + bid.ready_in_ms,
+            wait_ms=bid.wait_ms,
+            heard_at_ms=now_ms,
+        )
+
+    def remove(self, model: str, agent: str) -> None:
+        """Forget a replica."""
+        self._entries.pop((model, agent), None)
+
+    def drop_agent(self, agent: str) -> None:
+        """Forget all that an agent held."""
+        for key in tuple(self._entries):
+            if key[1] == agent:
+                self._entries.pop(key)
+        for key in tuple(self._checkpoints):
+            if key[1] == agent:
+                self._checkpoints.pop(key)
+
+    def retain(self, agents: Collection[str]) -> None:
+        """Forget the agents that have left the roster."""
+        known = {agent for _, agent in self._entries | self._checkpoints}
+        for agent in known.difference(agents):
+            self.drop_agent(agent)
+
+    def clear(self) -> None:
+        """Forget everything."""
+        self._entries.clear()
+        self._checkpoints.clear()
+
+    def expire(self, now_ms: int) -> None:
+        """Forget what has not been announced again in time."""
+        oldest_ms = now_ms - self._lifetime_ms
+        for key, entry in tuple(self._entries.items()):
+            if entry.heard_at_ms < oldest_ms:
+                self._entries.pop(key)
+        for key, heard_at_ms in tuple(self._checkpoints.items()):
+            if heard_at_ms < oldest_ms:
+                self._checkpoints.pop(key)
+
+    def places(
+        self,
+        now_ms: int,
+        model: str,
+        excluded: Collection[str] = (),
+    ) -> tuple[Place, ...]:
+        """Places of a model, best predicted wait first."""
+        places = [
+            entry.place(now_ms)
+            for entry in self._of_model(model)
+            if entry.agent not in excluded
+        ]
+        return tuple(sorted(places, key=_wait_ms))
+
+    def count(self, model: str) -> int:
+        """Number of known replicas of a model."""
+        return sum(1 for _ in self._of_model(model))
+
+    def holders(self, model: str) -> set[str]:
+        """Agents that hold a checkpoint or a replica of a model."""
+        holders = {entry.agent for entry in self._of_model(model)}
+        holders.update(
+            agent for name, agent in self._checkpoints if name == model
+        )
+        return holders
+
+    def _of_model(self, model: str) -> Iterator[Entry]:
+        for entry in self._entries.values():
+            if entry.model == model:
+                yield entry
+
+
+def _from_replica(now_ms: int, agent: str, replica: Replica) -> Entry:
+    return Entry(
+        model=replica.model,
+        agent=agent,
+        decision_id=replica.decision_id,
+        ready_at_ms=now_ms + replica.ready_in_ms,
+        wait_ms=replica.wait_ms,
+        heard_at_ms=now_ms,
+    )
+
+
+def _wait_ms(place: Place) -> tuple[int, str]:
+    return place.ready_in_ms + place.queued_ms, place.agent
--- a/lagoonflow/runners/adapters.py
+++ b/lagoonflow/runners/adapters.py
@@ -93,7 +93,7 @@
         )
 
     def _load(self, now_ms: int, slot: AdapterSlot) -> Iterator[Action]:
-        if self._orders.is_open(slot.key):
+        if self._orders.is_open(slot.key) or now_ms < slot.retry_at_ms:
             return
         if self._ledger.hold(slot.key, slot.memory_mb) is not None:
             self._evict_one(slot.memory_mb)
@@ -107,6 +107,8 @@
     def _unload(self, now_ms: int, slot: AdapterSlot) -> Iterator[Action]:
         if slot.running or self._orders.is_open(slot.key):
             return
+        if now_ms < slot.retry_at_ms:
+            return
         if not slot.is_ordered:
             self.forget(slot)
             return
--- /dev/null
+++ b/lagoonflow/runners/announcing.py
@@ -0,0 +1,79 @@
+"""Sends announcements to the homes of models."""
+
+import asyncio
+from collections.abc import Iterable
+
+from lagoonflow.placement.clock import Clock
+from lagoonflow.placement.peers import Peers
+from lagoonflow.results import Refusal
+from lagoonflow.runners.state import RunnerState
+from lagoonflow.wire.services import ANNOUNCE
+
+ANNOUNCE_INTERVAL_S = 3
+ACTING_HOMES = 2
+
+
+class AnnouncingTask:
+    """Announces changes at once and everything now and then."""
+
+    def __init__(
+        self,
+        state: RunnerState,
+        peers: Peers,
+        clock: Clock,
+        nonce: str,
+    ) -> None:
+        self._state = state
+        self._peers = peers
+        self._clock = clock
+        self._nonce = nonce
+        self._changed: set[str] = set()
+        self._wake = asyncio.Event()
+
+    def announce(self, models: Iterable[str]) -> None:
+        """Announce these models soon."""
+        self._changed.update(models)
+        self._wake.set()
+
+    def announce_all(self) -> None:
+        """Announce everything soon, after a change of the roster."""
+        self.announce(self._state.parts.announcer.models())
+
+    async def run(self) -> None:
+        """Announce until cancelled."""
+        while True:
+            await self._wait()
+            models, self._changed = self._changed, set()
+            await asyncio.gather(
+                *(
+                    self._send(ranking, names)
+                    for ranking, names in self._group(models).items()
+                ),
+            )
+
+    async def _wait(self) -> None:
+        try:
+            await asyncio.wait_for(self._wake.wait(), ANNOUNCE_INTERVAL_S)
+        except TimeoutError:
+            self.announce_all()
+        self._wake.clear()
+
+    def _group(
+        self,
+        models: Iterable[str],
+    ) -> dict[tuple[str, ...], list[str]]:
+        groups: dict[tuple[str, ...], list[str]] = {}
+        for model in sorted(models):
+            homes = tuple(self._peers.ranking(model))[:ACTING_HOMES]
+            groups.setdefault(homes, []).append(model)
+        return groups
+
+    async def _send(self, homes: tuple[str, ...], models: list[str]) -> None:
+        """Tell the home, or who acts for it when it can't be reached."""
+        for home in homes:
+            announcement = self._state.announcement(
+                self._clock(), self._nonce, models
+            )
+            reply = await self._peers.send(home, ANNOUNCE, announcement)
+            if not isinstance(reply, Refusal):
+                return
--- a/lagoonflow/runners/bids.py
+++ b/lagoonflow/runners/bids.py
@@ -101,6 +101,11 @@
         self._replicas.add(now_ms, key, spec, decision.decision_id, extra_ms)
         return None
 
+    def withdraw(self, bid_id: str) -> None:
+        """Release the memory of a bid that was not taken."""
+        self._bids.pop(bid_id, None)
+        self._replicas.ledger.withdraw(bid_id)
+
     def expire(self, now_ms: int) -> None:
         """Drop the bids whose reservation is over."""
         self._replicas.ledger.expire(now_ms)
--- a/lagoonflow/runners/progress.py
+++ b/lagoonflow/runners/progress.py
@@ -53,7 +53,7 @@
             waiting = waiting_for(replica.key.model)
             if replica.state == State.RESERVED:
                 yield from self._advance(now_ms, replica, waiting, versions)
-            elif self._can_unload(replica, waiting):
+            elif self._can_unload(now_ms, replica, waiting):
                 yield from self._unload(now_ms, replica)
 
     def _advance(
@@ -119,13 +119,18 @@
         )
         yield PollListing()
 
-    def _can_unload(self, replica: ReplicaState, waiting: Waiting) -> bool:
+    def _can_unload(
+        self,
+        now_ms: int,
+        replica: ReplicaState,
+        waiting: Waiting,
+    ) -> bool:
         if self._orders.is_open(replica.key) or replica.running:
             return False
         if any(self._orders.is_open(key) for key in replica.adapters):
             return False
         if replica.state == State.UNLOADING:
-            return replica.needs_unload
+            return replica.needs_unload and now_ms >= replica.retry_at_ms
         if replica.state != State.DRAINING:
             return False
         return (
--- a/lagoonflow/runners/reconcile.py
+++ b/lagoonflow/runners/reconcile.py
@@ -18,7 +18,7 @@
 )
 from lagoonflow.runners.reconcile_adapters import TAKEN, AdapterReconciler
 from lagoonflow.runners.replica import Event, ReplicaState, State
-from lagoonflow.runners.replicas import Replicas
+from lagoonflow.runners.replicas import RETRY_MS, Replicas
 
 
 class Reconciler:
@@ -81,6 +81,7 @@
             )
         elif order.is_unload:
             replica.needs_unload = answer.answer not in TAKEN
+            replica.retry_at_ms = now_ms + RETRY_MS
         else:
             yield from self._answer_load(now_ms, replica, answer)
         yield PollListing()
--- a/lagoonflow/runners/reconcile_adapters.py
+++ b/lagoonflow/runners/reconcile_adapters.py
@@ -8,7 +8,7 @@
 )
 from lagoonflow.runners.messages import AdapterKey
 from lagoonflow.runners.replica import AdapterSlot, ReplicaState
-from lagoonflow.runners.replicas import Replicas
+from lagoonflow.runners.replicas import RETRY_MS, Replicas
 
 TAKEN = frozenset((Answer.ACCEPTED, Answer.DONE))
 
@@ -35,10 +35,12 @@
         slot.settled_at_ms = now_ms
         if slot.is_leaving:
             slot.is_ready = answer not in TAKEN
+            slot.retry_at_ms = now_ms + RETRY_MS
         elif answer is Answer.DONE:
             slot.is_ready = True
         elif answer is not Answer.ACCEPTED:
-            self._adapters.forget(slot)
+            slot.is_ordered = False
+            slot.retry_at_ms = now_ms + RETRY_MS
 
     def on_listing(
         self,
--- a/lagoonflow/runners/replica.py
+++ b/lagoonflow/runners/replica.py
@@ -83,6 +83,7 @@
     is_ready: bool = False
     is_leaving: bool = False
     settled_at_ms: int = 0
+    retry_at_ms: int = 0
     last_used_ms: int = 0
     running: int = 0
 
--- a/lagoonflow/runners/state.py
+++ b/lagoonflow/runners/state.py
@@ -35,6 +35,7 @@
 class RunnerState:
     """Takes messages; each call returns the actions that follow.
 
+    :ivar agent: name of the agent.
     :ivar parts: the parts that share the state.
     """
 
@@ -45,7 +46,7 @@
         is_key_live: IsKeyLive,
     ) -> None:
         self.parts = RunnerParts(settings, releases)
-        self._settings = settings
+        self.agent = settings.agent
         self._is_key_live = is_key_live
         self._admission = Admission(self.parts, is_key_live)
         self._store = StoreAccess(
@@ -120,8 +121,11 @@
         """Bid for a model; reserves memory when it isn't here."""
         spec = self._admission.spec_for(request.model, request.versions)
         versions = self.parts.versions
+        if request.is_withdrawal:
+            self.parts.bidder.withdraw(request.bid_id)
+            spec = Refusal(Result.RESERVATION_LOST, 'Withdrawn.')
         if isinstance(spec, Refusal):
-            agent = self._settings.agent
+            agent = self.agent
             return refused_bid(request.bid_id, agent, versions, spec)
         return self.parts.bidder.bid(now_ms, request, spec, versions)
 
@@ -210,7 +214,7 @@
         )
         return dataclasses.replace(
             announcement,
-            agent=self._settings.agent,
+            agent=self.agent,
             nonce=nonce,
             replicas=()
             if self._admission.is_stopping
--- /dev/null
+++ b/tests/placement/fakes.py
@@ -0,0 +1,148 @@
+"""A few runners and homes that talk without delay."""
+
+import dataclasses
+import itertools
+
+from lagoonflow.placement.actions import (
+    AskBid,
+    Probe,
+    ReplyLocate,
+    SendDecision,
+)
+from lagoonflow.placement.home import HomeState
+from lagoonflow.placement.messages import LocateRequest, Target
+from lagoonflow.placement.settings import HomeSettings
+from lagoonflow.streams.messages import Versions
+from tests.runners.fakes import Bench, FakeEngine
+
+
+class Fleet:
+    """Agents with a home each; the ranking is their order by name."""
+
+    def __init__(self, releases, agents=3, capacity_mb=250, **settings):
+        self.names = [f'agent-{number}' for number in range(1, agents + 1)]
+        self.releases = releases
+        self.now_ms = 1_000
+        self.down = set()
+        self.held_back = set()
+        self.lose_replies = False
+        self.replies = {}
+        self.decisions = []
+        self.pending = []
+        self._numbers = itertools.count()
+        self.benches = {}
+        self.homes = {}
+        for name in self.names:
+            bench = Bench(releases, FakeEngine(capacity_mb))
+            bench.settings = dataclasses.replace(bench.settings, agent=name)
+            bench.restart_agent()
+            bench.list()
+            self.benches[name] = bench
+            self.homes[name] = HomeState(
+                HomeSettings(name, 'nonce', **settings),
+                releases,
+                lambda _model: tuple(self.names),
+            )
+
+    def locate(self, model, home='agent-1', **fields):
+        number = next(self._numbers)
+        request = LocateRequest(
+            Target(model),
+            'org',
+            fields.pop('deadline_in_ms', 60_000),
+            Versions(),
+            **fields,
+        )
+        self.run(home, self.homes[home].on_locate(self.now_ms, number, request))
+        return number
+
+    def run(self, home, actions):
+        for action in actions:
+            match action:
+                case ReplyLocate(waiter=waiter, reply=reply):
+                    assert waiter not in self.replies
+                    self.replies[waiter] = reply
+                case AskBid(agent=agent) if agent in self.held_back:
+                    self.pending.append((home, action))
+                case AskBid():
+                    self._ask(home, action)
+                case SendDecision():
+                    self._decide(home, action.decision)
+                case Probe(peer=peer):
+                    state = self.homes[home]
+                    up = peer not in self.down
+                    up = up and self.homes[peer].is_caught_up
+                    self.run(
+                        home,
+                        state.on_probe(self.now_ms, peer, is_reachable=up),
+                    )
+
+    def release(self):
+        """Deliver the bid requests that were held back."""
+        pending, self.pending = self.pending, []
+        for home, action in pending:
+            self._ask(home, action)
+
+    def tick(self, passed_ms=50):
+        self.now_ms += passed_ms
+        for name, state in self.homes.items():
+            if name not in self.down:
+                self.run(name, state.on_tick(self.now_ms))
+        for bench in self.benches.values():
+            bench.tick(self.now_ms - bench.now_ms)
+
+    def announce(self, name, home='agent-1', **changes):
+        bench = self.benches[name]
+        models = tuple(self.releases.models)
+        announcement = bench.state.announcement(self.now_ms, 'n', models)
+        announcement = dataclasses.replace(announcement, **changes)
+        self.run(
+            home, self.homes[home].on_announcement(self.now_ms, announcement)
+        )
+
+    def complete(self):
+        for bench in self.benches.values():
+            bench.list()
+            bench.engine.complete()
+            bench.list()
+
+    @property
+    def loads(self):
+        return sum(bench.engine.loads for bench in self.benches.values())
+
+    def _ask(self, home, action):
+        state = self.homes[home]
+        bench = self.benches[action.agent]
+        if action.agent in self.down:
+            if not action.request.is_withdrawal:
+                self.run(
+                    home,
+                    state.on_bid_failed(
+                        self.now_ms, action.request.bid_id, action.agent
+                    ),
+                )
+            return
+        bench.now_ms = max(bench.now_ms, self.now_ms)
+        bid = bench.state.on_bid_request(bench.now_ms, action.request)
+        if not action.request.is_withdrawal:
+            self.run(home, state.on_bid(self.now_ms, bid))
+
+    def _decide(self, home, decision):
+        self.decisions.append(decision)
+        state = self.homes[home]
+        if decision.agent in self.down:
+            actions = state.on_decision_failed(
+                self.now_ms, decision.decision_id
+            )
+            self.run(home, actions)
+            return
+        bench = self.benches[decision.agent]
+        reply, todo = bench.state.on_decision(bench.now_ms, decision)
+        bench.run(todo)
+        if self.lose_replies:
+            actions = state.on_decision_failed(
+                self.now_ms, decision.decision_id
+            )
+        else:
+            actions = state.on_decision_reply(self.now_ms, reply)
+        self.run(home, actions)
