--- a/lagoonflow/callers/context.py
+++ b/lagoonflow/callers/context.py
@@ -2,20 +2,24 @@
 
 import contextlib
 import dataclasses
-import time
 import uuid
 from collections.abc import AsyncIterator, Callable
 
 from lagoonflow.callers.messages import Admission, Call, CallRunner, Charge
 from lagoonflow.callers.requests import CallerLimits
-from lagoonflow.calls.events import DeliverFinish, DeliverText, Delivery, Refuse
+from lagoonflow.calls.actions import (
+    DeliverFinish,
+    DeliverText,
+    Delivery,
+    Refuse,
+)
+from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.keys.messages import Identity
 from lagoonflow.releases.state import ReleaseFold
 from lagoonflow.results import Refusal, Result
 from lagoonflow.telemetry.metrics import RouterMetrics
 from lagoonflow.telemetry.timeline import TimeLine
 
-MS_PER_S = 1000
 PART = 'callers'
 STOPPING = Refusal(
     Result.SHUTTING_DOWN,
@@ -25,11 +29,6 @@
 RETRY_WHEN_BUSY_MS = 1000
 
 
-def monotonic_ms() -> float:
-    """Return monotonic time in ms."""
-    return time.monotonic() * MS_PER_S
-
-
 def new_request_id() -> str:
     """Return a unique request id."""
     return uuid.uuid4().hex
@@ -50,7 +49,7 @@
     limits: CallerLimits
     metrics: RouterMetrics
     timeline: TimeLine
-    clock_ms: Callable[[], float] = monotonic_ms
+    clock_ms: Callable[[], float] = boottime_ms
     is_stopping: bool = False
     waiting: int = 0
 
--- a/lagoonflow/callers/endpoint.py
+++ b/lagoonflow/callers/endpoint.py
@@ -75,7 +75,7 @@
         """Charge the organisation; open routes cost nothing."""
         organisation = exchange.identity.organisation
         if not organisation:
-            return AdmittedCall(call, Charge('', 0))
+            return AdmittedCall(call, Charge(0, 0))
         begun_ms = self.context.clock_ms()
         charge = await self.context.admission.take(
             exchange.request_id,
--- a/lagoonflow/callers/generations.py
+++ b/lagoonflow/callers/generations.py
@@ -22,7 +22,12 @@
 from lagoonflow.callers.errors import error_body
 from lagoonflow.callers.messages import Call
 from lagoonflow.callers.requests import bearer_token, read_body
-from lagoonflow.calls.events import DeliverFinish, DeliverText, Delivery, Refuse
+from lagoonflow.calls.actions import (
+    DeliverFinish,
+    DeliverText,
+    Delivery,
+    Refuse,
+)
 from lagoonflow.calls.messages import Generation
 from lagoonflow.keys.state import authenticate
 from lagoonflow.releases.state import ReleaseFold
--- a/lagoonflow/callers/messages.py
+++ b/lagoonflow/callers/messages.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator
 from typing import Protocol
 
-from lagoonflow.calls.events import Delivery
+from lagoonflow.calls.actions import Delivery
 from lagoonflow.calls.messages import Generation, ServiceCall
 from lagoonflow.keys.messages import Identity
 from lagoonflow.results import Refusal
@@ -38,7 +38,7 @@
 class Charge:
     """Tokens that an organisation was charged for one request."""
 
-    charge_id: str
+    charge_id: int
     amount_tokens: float
 
 
--- a/lagoonflow/callers/plain.py
+++ b/lagoonflow/callers/plain.py
@@ -14,7 +14,7 @@
     idempotency_key,
     read_body,
 )
-from lagoonflow.calls.events import (
+from lagoonflow.calls.actions import (
     DeliverAnswer,
     DeliverBody,
     DeliverFinish,
--- /dev/null
+++ b/lagoonflow/placement/locator.py
@@ -0,0 +1,131 @@
+"""A router's way to places: its cache, then the home of the model."""
+
+import random
+from collections.abc import Awaitable, Callable, Collection, Sequence
+from typing import Any
+
+from lagoonflow.clock import Clock
+from lagoonflow.placement.cache import LocationCache
+from lagoonflow.placement.messages import (
+    LocateReply,
+    LocateRequest,
+    Place,
+    Target,
+)
+from lagoonflow.results import Refusal, Result
+from lagoonflow.streams.messages import Versions
+from lagoonflow.wire.services import LOCATE, Method
+
+MAX_HOMES_ASKED = 3
+MAX_LOCATE_MS = 4000
+RETRY_AFTER_MS = 1000
+NO_AGENTS = Refusal(
+    Result.NO_RUNNER,
+    'No agent with a model engine is known.',
+    retry_after_ms=RETRY_AFTER_MS,
+)
+NO_HOME = Refusal(
+    Result.BACKEND_UNREACHABLE,
+    'No home of the model can be reached.',
+    retry_after_ms=RETRY_AFTER_MS,
+)
+
+Send = Callable[[str, Method, Any, int], Awaitable[Any]]
+Ranking = Callable[[str], Sequence[str]]
+
+
+class Locator:
+    """Finds places of models for the calls of one router.
+
+    :param send: sends a message to a member, with a timeout in ms.
+    :param ranking: agents by rank for a model; the first is its home.
+    :param is_fit: tells whether an agent may get new work.
+    """
+
+    def __init__(
+        self,
+        router: str,
+        send: Send,
+        ranking: Ranking,
+        is_fit: Callable[[str], bool],
+        clock: Clock,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Start with an empty cache."""
+        self.versions: Callable[[], Versions] = Versions
+        self._router = router
+        self._send = send
+        self._ranking = ranking
+        self._is_fit = is_fit
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._cache = LocationCache()
+
+    async def locate(
+        self,
+        target: Target,
+        organisation: str,
+        deadline_in_ms: int,
+        stale_agents: Collection[str],
+    ) -> tuple[Place, ...] | Refusal:
+        """Return places, best first."""
+        for agent in stale_agents:
+            self._cache.forget(target.model, agent)
+        place = self._pick(target.model, stale_agents)
+        if place is not None:
+            return (place,)
+        request = LocateRequest(
+            target,
+            organisation,
+            deadline_in_ms,
+            self.versions(),
+            router=self._router,
+            stale_agents=(*stale_agents, *self._unfit(target.model)),
+        )
+        return await self._ask_homes(request)
+
+    def begin(self, model: str, agent: str) -> None:
+        """Count a request on its way to a place."""
+        self._cache.on_sent(model, agent)
+
+    def end(self, model: str, agent: str) -> None:
+        """Count a request as done."""
+        self._cache.on_done(model, agent)
+
+    def _pick(self, model: str, excluded: Collection[str]) -> Place | None:
+        unfit = self._unfit(model)
+        return self._cache.pick(
+            self._clock(),
+            model,
+            self._rng,
+            (*excluded, *unfit),
+        )
+
+    def _unfit(self, model: str) -> tuple[str, ...]:
+        return tuple(
+            agent for agent in self._ranking(model) if not self._is_fit(agent)
+        )
+
+    async def _ask_homes(
+        self,
+        request: LocateRequest,
+    ) -> tuple[Place, ...] | Refusal:
+        model = request.target.model
+        ranking = self._cache.homes(self._clock(), self._ranking(model))
+        refusal = NO_HOME if ranking else NO_AGENTS
+        timeout_ms = min(request.deadline_in_ms, MAX_LOCATE_MS)
+        for home in ranking[:MAX_HOMES_ASKED]:
+            reply = await self._send(home, LOCATE, request, timeout_ms)
+            if isinstance(reply, Refusal):
+                self._cache.on_unreachable(self._clock(), home)
+                continue
+            if reply.refusal is None:
+                return self._learn(model, reply)
+            refusal = reply.refusal
+            if refusal.code is not Result.NOT_HOME:
+                return refusal
+        return refusal
+
+    def _learn(self, model: str, reply: LocateReply) -> tuple[Place, ...]:
+        self._cache.learn(self._clock(), model, reply)
+        return reply.places
--- /dev/null
+++ b/lagoonflow/runners/work.py
@@ -0,0 +1,54 @@
+"""Runs the generations of an agent's calls on its runner."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+from lagoonflow.calls import work
+from lagoonflow.calls.messages import AttemptId, AttemptRequest, Finish
+from lagoonflow.runners import events
+from lagoonflow.runners.task import RunnerTask
+
+
+class GenerationWork:
+    """Translates the events of a runner into those of a call."""
+
+    def __init__(self, runner: RunnerTask) -> None:
+        """Use a runner."""
+        self._runner = runner
+
+    async def run(
+        self,
+        request: AttemptRequest,
+    ) -> AsyncIterator[work.WorkEvent]:
+        """Queue and run one attempt."""
+        started = events.Started(0, 0)
+        submitted = self._runner.submit(request)
+        async with contextlib.aclosing(submitted) as attempt_events:
+            async for event in attempt_events:
+                if isinstance(event, events.Started):
+                    started = event
+                yield _translate(event, started)
+
+    def withdraw(self, attempt: AttemptId) -> bool:
+        """Take an attempt out of the queue."""
+        return self._runner.revoke(attempt)
+
+    def cancel(self, attempt: AttemptId) -> None:
+        """Stop an attempt."""
+        self._runner.cancel(attempt)
+
+
+def _translate(
+    event: events.AttemptEvent,
+    started: events.Started,
+) -> work.WorkEvent:
+    match event:
+        case events.Started():
+            return work.Started()
+        case events.Tokens(text=text, tokens=tokens):
+            return work.TextProduced(text, tokens)
+        case events.Finished(reason=reason, usage=usage):
+            finish = Finish(reason, usage, started.queue_ms, started.load_ms)
+            return work.Finished(finish)
+        case events.Refused(refusal=refusal):
+            return work.Refused(refusal)
--- /dev/null
+++ b/lagoonflow/wiring/callrunner.py
@@ -0,0 +1,162 @@
+"""Connects the callers' front to the calls of the router."""
+
+import asyncio
+import contextlib
+import hashlib
+from collections.abc import AsyncIterator, Callable
+
+from lagoonflow.callers.messages import Call
+from lagoonflow.calls.actions import (
+    DeliverAnswer,
+    DeliverBody,
+    DeliverFinish,
+    Delivery,
+    Refuse,
+)
+from lagoonflow.calls.claim_records import ClaimKey, Outcome, OutcomeKind
+from lagoonflow.calls.claimed_call import ClaimedCall
+from lagoonflow.calls.claims_task import ClaimsTask, Won
+from lagoonflow.calls.messages import Finish, ServiceAnswer
+from lagoonflow.calls.router_calls import RouterCalls
+from lagoonflow.calls.spec import CallSpec
+from lagoonflow.results import Refusal, Result
+
+OUTCOME_WAIT_MS = 30_000
+UNKNOWN_OUTCOME = Refusal(
+    Result.OUTCOME_UNKNOWN,
+    'The call with this Idempotency-Key may have run.',
+    not_run=False,
+)
+NOT_RUN_OUTCOME = Refusal(
+    Result.CLAIM_PENDING,
+    'The call with this Idempotency-Key has not run; send it again.',
+    retry_after_ms=1000,
+)
+NOT_KEPT = Refusal(
+    Result.OUTCOME_UNKNOWN,
+    'The call ran; its answer was too large to be kept.',
+    not_run=False,
+)
+
+
+class CallStarter:
+    """Starts calls, under a claim where they may run at most once."""
+
+    def __init__(
+        self,
+        router: str,
+        nonce: str,
+        calls: RouterCalls,
+        claims: ClaimsTask,
+        finished: Callable[[str], None],
+    ) -> None:
+        """Use the calls and the claims of this router.
+
+        :param finished: told the request id when a call has ended.
+        """
+        self._router = router
+        self._nonce = nonce
+        self._calls = calls
+        self._claims = claims
+        self._finished = finished
+        self._claimed: set[asyncio.Task[None]] = set()
+
+    async def run(self, call: Call) -> AsyncIterator[Delivery]:
+        """Yield the parts of the answer; the last is an end."""
+        service_call = call.service_call
+        is_claimed = (
+            call.idempotency_key
+            and service_call is not None
+            and not service_call.is_idempotent
+        )
+        parts = self._run_claimed(call) if is_claimed else self._run(call)
+        async with contextlib.aclosing(parts) as deliveries:
+            async for delivery in deliveries:
+                yield delivery
+
+    async def drain(self) -> None:
+        """Wait for the calls that go on without their callers."""
+        await self._calls.drain()
+        await asyncio.gather(*self._claimed, return_exceptions=True)
+
+    async def _run(self, call: Call) -> AsyncIterator[Delivery]:
+        started = self._calls.start(self._spec(call))
+        try:
+            async with contextlib.aclosing(started.answer()) as deliveries:
+                async for delivery in deliveries:
+                    yield delivery
+        finally:
+            self._finished(call.request_id)
+
+    async def _run_claimed(self, call: Call) -> AsyncIterator[Delivery]:
+        claim = await self._claims.claim(
+            _claim_key(call),
+            _body_digest(call),
+            int(call.deadline_ms),
+        )
+        match claim:
+            case Won(claim_id=claim_id):
+                claimed = self._start_claimed(call, claim_id)
+                async with contextlib.aclosing(claimed.answer()) as parts:
+                    async for delivery in parts:
+                        yield delivery
+            case Outcome():
+                for delivery in _repeat(claim):
+                    yield delivery
+            case Refusal():
+                yield Refuse(claim)
+
+    def _start_claimed(self, call: Call, claim_id: str) -> ClaimedCall:
+        claimed = ClaimedCall(
+            self._run(call),
+            lambda outcome: self._claims.settle(claim_id, outcome),
+        )
+        task = asyncio.create_task(claimed.run())
+        self._claimed.add(task)
+        task.add_done_callback(self._claimed.discard)
+        return claimed
+
+    def _spec(self, call: Call) -> CallSpec:
+        return CallSpec(
+            request_id=call.request_id,
+            router=self._router,
+            organisation=call.identity.organisation,
+            key_id=call.identity.key_id,
+            deadline_ms=int(call.deadline_ms),
+            generation=call.generation,
+            service_call=call.service_call,
+            cost_tokens=call.cost_tokens,
+            router_nonce=self._nonce,
+            outcome_wait_ms=OUTCOME_WAIT_MS if call.service_call else 0,
+        )
+
+
+def _claim_key(call: Call) -> ClaimKey:
+    key_digest = hashlib.sha256(call.idempotency_key.encode()).hexdigest()
+    return ClaimKey(
+        call.identity.organisation or 'open',
+        call.service_call.service,
+        key_digest,
+    )
+
+
+def _body_digest(call: Call) -> str:
+    service_call = call.service_call
+    head = f'{service_call.method} {service_call.path}?{service_call.query}\n'
+    hashed = hashlib.sha256(head.encode())
+    hashed.update(service_call.body)
+    return hashed.hexdigest()
+
+
+def _repeat(outcome: Outcome) -> tuple[Delivery, ...]:
+    if outcome.kind is OutcomeKind.NOT_RUN:
+        return (Refuse(NOT_RUN_OUTCOME),)
+    if outcome.kind is OutcomeKind.UNKNOWN:
+        return (Refuse(UNKNOWN_OUTCOME),)
+    if outcome.is_body_omitted:
+        return (Refuse(NOT_KEPT),)
+    return (
+        DeliverAnswer(ServiceAnswer(outcome.status, outcome.headers)),
+        DeliverBody(outcome.body),
+        DeliverFinish(Finish('repeated')),
+    )
