--- /dev/null
+++ b/lagoonflow/platform/engine.py
@@ -0,0 +1,158 @@
+"""Client of a model engine: orders, listing, load report, cancel."""
+
+import dataclasses
+from collections.abc import AsyncGenerator
+from typing import TypeVar
+
+from lagoonflow.platform.exchange import (
+    DEFAULT_TIMEOUT_MS,
+    HttpAnswer,
+    HttpFailure,
+    HttpRequest,
+    decode_json,
+    describe_status,
+    post_json,
+)
+from lagoonflow.platform.generation import GenerationStream
+from lagoonflow.platform.http import HttpClient
+from lagoonflow.platform.messages.common import Unavailable
+from lagoonflow.platform.messages.generation import (
+    Cancelled,
+    Generate,
+    GenerationEvent,
+)
+from lagoonflow.platform.messages.listing import (
+    Listing,
+    LoadReport,
+)
+from lagoonflow.platform.messages.orders import (
+    Order,
+    OrderAccepted,
+    OrderRefusal,
+    OrderRefused,
+    OrderResult,
+    OrderUnknown,
+)
+
+OK = 200
+ACCEPTED = 202
+CONFLICT = 409
+FIRST_SERVER_ERROR = 500
+INSUFFICIENT_STORAGE = 507
+REFUSALS = {
+    CONFLICT: OrderRefusal.CONFLICT,
+    INSUFFICIENT_STORAGE: OrderRefusal.OUT_OF_MEMORY,
+}
+
+BodyT = TypeVar('BodyT')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelAnswer:
+    """Body of the answer to a cancel request.
+
+    :param cancelled: whether the engine knew the request.
+    """
+
+    cancelled: bool
+
+
+class EngineClient:
+    """Talks to one model engine.
+
+    :param address: `IP:port` of the engine.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._http = HttpClient(address)
+
+    async def order(
+        self,
+        order: Order,
+        timeout_ms: float = DEFAULT_TIMEOUT_MS,
+    ) -> OrderResult:
+        """Give an order.
+
+        :param order: the order; it may be repeated with the same id.
+        :param timeout_ms: time for the answer, in ms.
+        """
+        request = post_json('/orders', order, timeout_ms)
+        answer = await self._http.call(request)
+        if isinstance(answer, HttpAnswer):
+            return _order_result(order, answer)
+        if answer.was_sent:
+            return OrderUnknown(answer.reason)
+        return OrderRefused(OrderRefusal.NOT_SENT, answer.reason)
+
+    async def listing(self) -> Listing | Unavailable:
+        """Return what the engine holds."""
+        return await self._fetch(HttpRequest('GET', '/listing'), Listing)
+
+    async def load_report(self) -> LoadReport | Unavailable:
+        """Return the lagging load report."""
+        return await self._fetch(HttpRequest('GET', '/load'), LoadReport)
+
+    async def cancel(self, request_id: str) -> Cancelled | Unavailable:
+        """Cancel a request; repeating it is harmless.
+
+        :param request_id: id of the request.
+        """
+        request = post_json('/cancel', {'request_id': request_id})
+        answer = await self._fetch(request, CancelAnswer)
+        if isinstance(answer, Unavailable):
+            return answer
+        return Cancelled(answer.cancelled)
+
+    async def generate(
+        self,
+        request: Generate,
+        first_timeout_ms: float,
+        progress_timeout_ms: float,
+    ) -> AsyncGenerator[GenerationEvent, None]:
+        """Generate an answer; the last event is the end or a failure.
+
+        Close the generator (`contextlib.aclosing`) to end early: that closes
+        the connection, and the engine stops.
+
+        :param request: the request.
+        :param first_timeout_ms: time until the first chunk, in ms.
+        :param progress_timeout_ms: time between chunks, in ms.
+        """
+        post = post_json('/generate', request, first_timeout_ms)
+        async with GenerationStream(self._http, progress_timeout_ms) as stream:
+            failed = await stream.open(post)
+            if failed is not None:
+                yield failed
+            while not stream.is_over:
+                yield await stream.next_event()
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._http.aclose()
+
+    async def _fetch(
+        self,
+        request: HttpRequest,
+        body_type: type[BodyT],
+    ) -> BodyT | Unavailable:
+        answer = await self._http.call(request)
+        if isinstance(answer, HttpFailure):
+            return Unavailable(answer.reason)
+        if answer.status != OK:
+            return Unavailable(describe_status(answer))
+        body = decode_json(answer.body, body_type)
+        if isinstance(body, HttpFailure):
+            return Unavailable(body.reason)
+        return body
+
+
+def _order_result(order: Order, answer: HttpAnswer) -> OrderResult:
+    if answer.status == ACCEPTED:
+        return OrderAccepted(order.order_id)
+    reason = describe_status(answer)
+    kind = REFUSALS.get(answer.status)
+    if kind is not None:
+        return OrderRefused(kind, reason)
+    if answer.status >= FIRST_SERVER_ERROR:
+        return OrderUnknown(reason)
+    return OrderRefused(OrderRefusal.REFUSED, reason)
--- /dev/null
+++ b/lagoonflow/platform/hosts.py
@@ -0,0 +1,39 @@
+"""Client of the platform's list of hosts."""
+
+from lagoonflow.platform.exchange import (
+    HttpFailure,
+    HttpRequest,
+    decode_json,
+    describe_status,
+)
+from lagoonflow.platform.http import HttpClient
+from lagoonflow.platform.messages.common import Unavailable
+from lagoonflow.platform.messages.hosts import HostList
+
+OK = 200
+
+
+class HostListClient:
+    """Reads the lagging list of hosts.
+
+    :param address: `IP:port` of the host list.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._http = HttpClient(address)
+
+    async def fetch(self) -> HostList | Unavailable:
+        """Return the hosts that the platform lists."""
+        answer = await self._http.call(HttpRequest('GET', '/hosts'))
+        if isinstance(answer, HttpFailure):
+            return Unavailable(answer.reason)
+        if answer.status != OK:
+            return Unavailable(describe_status(answer))
+        hosts = decode_json(answer.body, HostList)
+        if isinstance(hosts, HttpFailure):
+            return Unavailable(hosts.reason)
+        return hosts
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._http.aclose()
--- /dev/null
+++ b/lagoonflow/platform/http.py
@@ -0,0 +1,208 @@
+"""HTTP client with one connection per request and errors as values."""
+
+import asyncio
+import contextlib
+import re
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any, TypeVar
+
+from aiosonic import HTTPClient, HttpResponse
+from aiosonic.connectors import TCPConnector
+from aiosonic.exceptions import AiosonicError
+from aiosonic.pools import PoolConfig
+from aiosonic.timeout import Timeouts
+
+from lagoonflow.platform.connection import (
+    OneRequestConnection,
+    SendState,
+    send_state,
+)
+from lagoonflow.platform.exchange import (
+    MS_PER_S,
+    HttpAnswer,
+    HttpFailure,
+    HttpRequest,
+)
+
+DEFAULT_CONNECTIONS = 256
+METHODS_WITHOUT_BODY = frozenset(('GET', 'HEAD'))
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
+SAFE_TARGET = re.compile('/[!-~]*')
+SAFE_METHOD = re.compile('[A-Z]+')
+
+# asyncio.timeout does the timing: the library's own goes through
+# asyncio.wait_for, which can swallow a cancellation on Python 3.11.
+NO_TIMEOUTS = Timeouts(
+    sock_connect=None,
+    sock_read=None,
+    pool_acquire=None,
+    request_timeout=None,
+)
+
+# ValueError and EOFError: truncated or malformed framing.
+FAILURES = (
+    AiosonicError,
+    OSError,
+    EOFError,
+    ValueError,
+    asyncio.LimitOverrunError,
+)
+
+AnswerT = TypeVar('AnswerT')
+
+
+class HttpStream:
+    """An answer whose body is read piece by piece.
+
+    :param response: the response of the library.
+    """
+
+    def __init__(self, response: HttpResponse) -> None:
+        self.status = response.status_code
+        self._response = response
+        self._pieces: AsyncIterator[bytes] = response.read_chunks()
+
+    async def read(self, timeout_ms: float) -> bytes | HttpFailure:
+        """Return the next piece; empty at the end of a whole body.
+
+        :param timeout_ms: time until the piece, in ms.
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                return await anext(self._pieces, b'')
+        except TimeoutError:
+            return HttpFailure('no progress in time', True, True)
+        except FAILURES as error:
+            return HttpFailure(_describe(error), was_sent=True)
+
+    async def aclose(self) -> None:
+        """Close the connection; may be called more than once."""
+        await self._response.aclose()
+
+
+class HttpClient:
+    """Sends requests to one server.
+
+    :param address: `IP:port` of the server.
+    :param connections: most requests at once; more of them wait.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        connections: int = DEFAULT_CONNECTIONS,
+    ) -> None:
+        pool = PoolConfig(size=connections)
+        connector = TCPConnector(
+            pool_configs={':default': pool},
+            timeouts=NO_TIMEOUTS,
+            connection_cls=OneRequestConnection,
+        )
+        self._base = f'http://{address}'
+        self._client = HTTPClient(connector)
+
+    async def call(self, request: HttpRequest) -> HttpAnswer | HttpFailure:
+        """Send a request and read its whole answer."""
+        return await _guard(request, self._exchange(request))
+
+    async def open(self, request: HttpRequest) -> HttpStream | HttpFailure:
+        """Send a request and return once the headers of its answer came."""
+        return await _guard(request, self._open(request))
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def _exchange(self, request: HttpRequest) -> HttpAnswer:
+        response = await self._send(request)
+        async with contextlib.aclosing(response):
+            body = await _read_body(response, request)
+        headers = tuple((name, text) for name, text in response.raw_headers)
+        return HttpAnswer(response.status_code, headers, body)
+
+    async def _open(self, request: HttpRequest) -> HttpStream:
+        return HttpStream(await self._send(request))
+
+    async def _send(self, request: HttpRequest) -> HttpResponse:
+        _check_request_line(request)
+        # The library would drop what follows these characters.
+        target = request.target.replace(';', '%3B').replace('#', '%23')
+        return await self._client.request(
+            f'{self._base}{target}',
+            method=request.method,
+            headers=_request_headers(request),
+            data=request.body,
+            stream=True,
+        )
+
+
+async def _guard(
+    request: HttpRequest,
+    exchange: Coroutine[Any, Any, AnswerT],
+) -> AnswerT | HttpFailure:
+    """Run an exchange within its timeout; exceptions become values."""
+    state = SendState()
+    send_state.set(state)
+    try:
+        async with asyncio.timeout(request.timeout_ms / MS_PER_S):
+            return await exchange
+    except TimeoutError:
+        return HttpFailure('no answer in time', state.was_sent, True)
+    except FAILURES as error:
+        return HttpFailure(_describe(error), state.was_sent)
+
+
+def _describe(error: BaseException) -> str:
+    """Return one line about an exception, for a person."""
+    return f'{type(error).__name__}: {error}'.rstrip(': ')
+
+
+def _request_headers(request: HttpRequest) -> dict[str, str]:
+    """Join repeated headers; the library keeps one of each name."""
+    merged: dict[str, str] = {}
+    if not request.body and request.method not in METHODS_WITHOUT_BODY:
+        merged['content-length'] = '0'
+    for name, text in request.headers:
+        key = name.lower()
+        merged[key] = f'{merged[key]}, {text}' if key in merged else text
+    return merged
+
+
+async def _read_body(response: HttpResponse, request: HttpRequest) -> bytes:
+    """Read a body of bounded length.
+
+    :raises ValueError: when it is too long or its end is not marked.
+    """
+    if request.method == 'HEAD':
+        return b''
+    if response.status_code in STATUSES_WITHOUT_BODY:
+        return b''
+    length = response.headers.get('content-length')
+    if length == '0':
+        return b''
+    if length is None and not response.chunked:
+        raise ValueError('answer without a length')
+    return await _collect(response, request.body_limit_bytes)
+
+
+async def _collect(response: HttpResponse, limit_bytes: int) -> bytes:
+    pieces = bytearray()
+    async with contextlib.aclosing(response.read_chunks()) as chunks:
+        async for chunk in chunks:
+            pieces += chunk
+            if len(pieces) > limit_bytes:
+                raise ValueError('answer too long')
+    return bytes(pieces)
+
+
+def _check_request_line(request: HttpRequest) -> None:
+    """Refuse what could end the request line early.
+
+    :raises ValueError: when the method or the target is malformed.
+    """
+    if not SAFE_METHOD.fullmatch(request.method):
+        raise ValueError('malformed method')
+    if not SAFE_TARGET.fullmatch(request.target):
+        raise ValueError('malformed target')
+    if request.body and request.method in METHODS_WITHOUT_BODY:
+        raise ValueError(f'{request.method} with a body')
--- /dev/null
+++ b/lagoonflow/platform/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to the platform and their results; errors are values."""
--- /dev/null
+++ b/lagoonflow/platform/messages/listing.py
@@ -0,0 +1,82 @@
+"""What a model engine says of itself."""
+
+import dataclasses
+from typing import Literal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedAdapter:
+    """An adapter on a replica.
+
+    :param name: name of the adapter.
+    :param version: version of the adapter.
+    :param state: progress of its load.
+    """
+
+    name: str
+    version: str
+    state: Literal['loading', 'ready', 'failed']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedReplica:
+    """A replica in the memory of an engine.
+
+    :param model: name of the model.
+    :param version: version of the model.
+    :param state: progress of its load.
+    :param memory_mb: memory that the weights take, in MB.
+    :param adapters: adapters on the replica.
+    """
+
+    model: str
+    version: str
+    state: Literal['loading', 'ready', 'failed']
+    memory_mb: float
+    adapters: tuple[ListedAdapter, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedCheckpoint:
+    """A checkpoint that lies on the host of an engine.
+
+    :param model: name of the model.
+    :param version: version of the model.
+    :param tier: where it lies.
+    """
+
+    model: str
+    version: str
+    tier: Literal['memory', 'disk']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """What an engine holds.
+
+    :param epoch: changes whenever the engine restarts.
+    :param memory_mb: memory for weights and adapters, in MB.
+    :param replicas: replicas in memory.
+    :param checkpoints: checkpoints on the host.
+    :param fence: highest fencing number that the engine has seen.
+    """
+
+    epoch: str
+    memory_mb: float
+    replicas: tuple[ListedReplica, ...]
+    checkpoints: tuple[ListedCheckpoint, ...]
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The lagging load report of an engine.
+
+    :param running: sequences that ran.
+    :param queued: sequences that waited.
+    :param as_of_ms: wall clock of the report, in ms.
+    """
+
+    running: int
+    queued: int
+    as_of_ms: int
--- /dev/null
+++ b/lagoonflow/platform/messages/orders.py
@@ -0,0 +1,78 @@
+"""Orders to a model engine and their results."""
+
+import dataclasses
+import enum
+from typing import Literal
+
+OrderKind = Literal['load', 'unload', 'load_adapter', 'unload_adapter']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """An order to an engine.
+
+    :param order_id: unique id; an engine executes it at most once.
+    :param fence: fencing number of the sender.
+    :param kind: what to do.
+    :param model: name of the model.
+    :param version: version of the model.
+    :param checkpoint: name of the checkpoint in the weight store.
+    :param memory_mb: memory that the load takes, in MB.
+    :param adapter: name of the adapter, or an empty string.
+    :param adapter_version: version of the adapter.
+    """
+
+    order_id: str
+    fence: int
+    kind: OrderKind
+    model: str
+    version: str
+    checkpoint: str = ''
+    memory_mb: float = 0
+    adapter: str = ''
+    adapter_version: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderAccepted:
+    """The engine took the order; the listing shows its progress.
+
+    :param order_id: id of the order.
+    """
+
+    order_id: str
+
+
+class OrderRefusal(enum.Enum):
+    """Why an order had no effect."""
+
+    CONFLICT = 'conflict'
+    OUT_OF_MEMORY = 'out of memory'
+    NOT_SENT = 'not sent'
+    REFUSED = 'refused'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderRefused:
+    """The order certainly had no effect.
+
+    :param kind: what the engine objected to; CONFLICT is an old fence or a
+        replica that is not ready.
+    :param reason: one sentence for a person.
+    """
+
+    kind: OrderRefusal
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderUnknown:
+    """The order may take effect, now or later.
+
+    :param reason: one sentence for a person.
+    """
+
+    reason: str
+
+
+OrderResult = OrderAccepted | OrderRefused | OrderUnknown
--- /dev/null
+++ b/lagoonflow/platform/messages/plain.py
@@ -0,0 +1,58 @@
+"""Calls to plain services and their results."""
+
+import dataclasses
+
+from lagoonflow.platform.messages.common import Headers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlainCall:
+    """A call to a plain service.
+
+    :param method: HTTP method.
+    :param target: path and query, percent-encoded.
+    :param headers: headers without credentials.
+    :param body: body of the call.
+    """
+
+    method: str
+    target: str
+    headers: Headers = ()
+    body: bytes = b''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlainAnswer:
+    """The whole answer of a plain service.
+
+    :param status: HTTP status.
+    :param headers: headers that concern the caller.
+    :param body: the body as it was sent, still compressed if it was.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlainNotSent:
+    """The service certainly saw nothing of the call.
+
+    :param reason: one sentence for a person.
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlainUnknown:
+    """The call may have run.
+
+    :param reason: one sentence for a person.
+    """
+
+    reason: str
+
+
+PlainResult = PlainAnswer | PlainNotSent | PlainUnknown
--- /dev/null
+++ b/lagoonflow/platform/plain.py
@@ -0,0 +1,77 @@
+"""Forwards calls to a plain service."""
+
+from lagoonflow.platform.exchange import HttpFailure, HttpRequest
+from lagoonflow.platform.http import HttpClient
+from lagoonflow.platform.messages.common import Headers
+from lagoonflow.platform.messages.plain import (
+    PlainAnswer,
+    PlainCall,
+    PlainNotSent,
+    PlainResult,
+    PlainUnknown,
+)
+
+# Headers that concern one connection; the others are passed on.
+HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+
+class PlainClient:
+    """Forwards calls to one plain service, each of them once.
+
+    :param address: `IP:port` of the service.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._http = HttpClient(address)
+
+    async def forward(self, call: PlainCall, timeout_ms: float) -> PlainResult:
+        """Forward a call; it is never sent a second time.
+
+        :param call: the call, without credentials.
+        :param timeout_ms: time for the whole answer, in ms.
+        """
+        request = HttpRequest(
+            call.method,
+            call.target,
+            _end_to_end(call.headers),
+            call.body,
+            timeout_ms,
+        )
+        answer = await self._http.call(request)
+        if isinstance(answer, HttpFailure):
+            if answer.was_sent:
+                return PlainUnknown(answer.reason)
+            return PlainNotSent(answer.reason)
+        headers = _end_to_end(answer.headers)
+        return PlainAnswer(answer.status, headers, answer.body)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._http.aclose()
+
+
+def _end_to_end(headers: Headers) -> Headers:
+    """Drop the headers that concern one connection only."""
+    named = {
+        token.strip().lower()
+        for name, text in headers
+        if name.lower() == 'connection'
+        for token in text.split(',')
+    }
+    dropped = HOP_HEADERS | named
+    return tuple(pair for pair in headers if pair[0].lower() not in dropped)
--- a/standins/engine/app.py
+++ b/standins/engine/app.py
@@ -70,7 +70,7 @@
         order = await read_body(request, Order)
         faults = self._switch.now
         if faults.refuse_orders:
-            return reply({'error': 'orders refused'}, 503)
+            return reply({'error': 'orders refused'}, 423)
         if faults.late_order_ms:
             self._schedule(order, faults.late_order_ms / MS_PER_S)
             return await never_answer(request)
--- a/standins/engine/generation.py
+++ b/standins/engine/generation.py
@@ -62,7 +62,11 @@
         start = self.next_index
         self.next_index = min(self.end_index, start + tokens)
         text = self._source.text(start, self.next_index)
-        return {'index': start, 'text': text}
+        return {
+            'index': start,
+            'text': text,
+            'tokens': self.next_index - start,
+        }
 
     def last_line(self) -> dict[str, Any]:
         """Return the line that ends the stream."""
--- a/standins/engine/messages.py
+++ b/standins/engine/messages.py
@@ -13,7 +13,7 @@
 class EngineFaults(Faults, frozen=True, kw_only=True):
     """Faults of the model engine.
 
-    :param refuse_orders: answer every order with 503, without effect.
+    :param refuse_orders: answer every order with 423, without effect.
     :param order_delay_ms: wait this long before an order is handled.
     :param lose_order_answers: next orders that take effect unanswered.
     :param late_order_ms: orders take effect this late and unanswered.
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,24 @@
+"""Fixtures of all tests."""
+
+import pytest
+
+from tests.support.cluster import Cluster
+from tests.support.processes import ProcessSet
+
+pytest_plugins = ['tests.support.steps']
+
+
+@pytest.fixture
+def processes(tmp_path):
+    """Return a set of processes that end with the test."""
+    process_set = ProcessSet(tmp_path)
+    yield process_set
+    process_set.end_all()
+
+
+@pytest.fixture
+def cluster(processes):
+    """Return a cluster whose parts are started by the test."""
+    one = Cluster(processes)
+    yield one
+    one.close()
--- /dev/null
+++ b/tests/platform/test_hosts.py
@@ -0,0 +1,33 @@
+"""The host list client against the stand-in."""
+
+import asyncio
+
+from lagoonflow.platform.hosts import HostListClient
+from lagoonflow.platform.messages.common import Unavailable
+from lagoonflow.platform.messages.hosts import Host, HostList
+from tests.support.http import request, set_faults
+
+ENTRY = {'address': '127.0.0.1', 'port': 7, 'zone': 'z', 'role': 'agent'}
+
+
+async def test_hosts_appear_and_leave_late(standin):
+    address = standin('hostlist', '--lag-ms', '300')
+    client = HostListClient(address)
+    request(address, 'PUT', '/hosts/a', ENTRY)
+    assert await client.fetch() == HostList(())
+    await asyncio.sleep(0.4)
+    live = Host('a', '127.0.0.1', 7, 'z', 'agent', 'live')
+    assert await client.fetch() == HostList((live,))
+    request(address, 'PUT', '/hosts/a', {**ENTRY, 'state': 'leaving'})
+    await asyncio.sleep(0.4)
+    assert (await client.fetch()).hosts[0].state == 'leaving'
+    request(address, 'DELETE', '/hosts/a')
+    assert len((await client.fetch()).hosts) == 1
+    await asyncio.sleep(0.4)
+    assert await client.fetch() == HostList(())
+
+
+async def test_outage_is_unavailable(standin):
+    address = standin('hostlist')
+    set_faults(address, outage=True)
+    assert isinstance(await HostListClient(address).fetch(), Unavailable)
--- /dev/null
+++ b/tests/platform/test_http.py
@@ -0,0 +1,225 @@
+"""The HTTP client never mixes answers up and leaves no socket open."""
+
+import asyncio
+
+import pytest
+
+from lagoonflow.platform.exchange import HttpAnswer, HttpFailure, HttpRequest
+from lagoonflow.platform.http import HttpClient
+
+LATE_S = 0.3
+
+
+class Peer:
+    """A server that answers with its path and counts open connections."""
+
+    def __init__(self):
+        self.open = 0
+        self.heads = []
+
+    async def handle(self, reader, writer):
+        self.open += 1
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                self.heads.append(head)
+                path = head.split()[1]
+                if path.startswith(b'/never'):
+                    await reader.read()
+                    return
+                await self.answer(path, writer)
+        finally:
+            self.open -= 1
+
+    async def answer(self, path, writer):
+        if path.startswith(b'/late'):
+            await asyncio.sleep(LATE_S)
+        writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n' % len(path))
+        writer.write(b'\r\n' + path)
+        await writer.drain()
+
+
+def get(path, timeout_ms=2000):
+    return HttpRequest('GET', path, timeout_ms=timeout_ms)
+
+
+async def settle(peer):
+    for _ in range(200):
+        if not peer.open:
+            return
+        await asyncio.sleep(0.01)
+
+
+async def test_late_answer_goes_to_nobody_else(serve):
+    peer = Peer()
+    async with serve(peer.handle) as address:
+        client = HttpClient(address, connections=1)
+        assert (await client.call(get('/first'))).body == b'/first'
+        failed = await client.call(get('/late', timeout_ms=100))
+        assert failed == HttpFailure('no answer in time', True, True)
+        await asyncio.sleep(LATE_S)
+        assert (await client.call(get('/second'))).body == b'/second'
+
+
+async def test_cancelled_call_closes_its_connection(serve):
+    peer = Peer()
+    async with serve(peer.handle) as address:
+        client = HttpClient(address, connections=1)
+        await client.call(get('/first'))
+        calling = asyncio.create_task(client.call(get('/never')))
+        await asyncio.sleep(0.1)
+        assert peer.open == 1
+        calling.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await calling
+        await settle(peer)
+        assert peer.open == 0
+        assert (await client.call(get('/next'))).body == b'/next'
+
+
+async def test_many_calls_leave_no_connection(serve):
+    peer = Peer()
+    async with serve(peer.handle) as address:
+        client = HttpClient(address, connections=8)
+        paths = [f'/{number}' for number in range(64)]
+        answers = await asyncio.gather(
+            *(client.call(get(path)) for path in paths)
+        )
+        assert [answer.body.decode() for answer in answers] == paths
+        await settle(peer)
+        assert peer.open == 0
+
+
+async def test_random_cancellations_neither_leak_nor_mix(serve):
+    peer = Peer()
+    async with serve(peer.handle) as address:
+        client = HttpClient(address, connections=4)
+
+        async def call(number):
+            path = f'/late/{number}' if number % 3 else f'/{number}'
+            timeout_ms = LATE_S * 1000 + (number % 7 - 3) * 2
+            return path, await client.call(get(path, timeout_ms))
+
+        for _ in range(4):
+            tasks = [asyncio.create_task(call(n)) for n in range(12)]
+            await asyncio.sleep(LATE_S / 3)
+            tasks[1].cancel()
+            tasks[2].cancel()
+            done = await asyncio.gather(*tasks, return_exceptions=True)
+            for one in done:
+                if isinstance(one, asyncio.CancelledError):
+                    continue
+                path, answer = one
+                assert isinstance(answer, (HttpAnswer, HttpFailure))
+                if isinstance(answer, HttpAnswer):
+                    assert answer.body.decode() == path
+        await settle(peer)
+        assert peer.open == 0
+        assert (await client.call(get('/after'))).body == b'/after'
+
+
+async def test_refused_connection_was_not_sent(serve):
+    async with serve(Peer().handle) as address:
+        pass
+    failed = await HttpClient(address).call(get('/'))
+    assert isinstance(failed, HttpFailure)
+    assert not failed.was_sent
+
+
+@pytest.mark.parametrize('method', ['GET', 'PUT', 'DELETE', 'POST'])
+async def test_no_request_is_sent_twice(serve, method):
+    heads = []
+
+    async def close_unanswered(reader, writer):
+        heads.append(await reader.readuntil(b'\r\n\r\n'))
+
+    async with serve(close_unanswered) as address:
+        client = HttpClient(address)
+        for _ in range(3):
+            failed = await client.call(HttpRequest(method, '/'))
+            assert isinstance(failed, HttpFailure)
+            assert failed.was_sent
+    assert len(heads) == 3
+
+
+CUT_ANSWERS = {
+    'empty': b'',
+    'no status': b'rubbish\r\n\r\n',
+    'in the headers': b'HTTP/1.1 200 OK\r\nx-a: b\r\n',
+    'without a length': b'HTTP/1.1 200 OK\r\nx-a: b\r\n\r\nhello',
+    'in the body': b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello',
+    'bad length': b'HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\nhello',
+    'negative length': b'HTTP/1.1 200 OK\r\ncontent-length: -4\r\n\r\nhello',
+    'in a chunk': b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nh',
+    'between chunks': (
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n'
+    ),
+    'bad chunk': b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n',
+    'before the last line': (
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0'
+    ),
+}
+
+
+@pytest.mark.parametrize('answer', CUT_ANSWERS.values(), ids=list(CUT_ANSWERS))
+async def test_cut_answer_is_a_failure(serve, answer):
+    async def handle(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(answer)
+        await writer.drain()
+
+    async with serve(handle) as address:
+        failed = await HttpClient(address).call(get('/'))
+    assert isinstance(failed, HttpFailure), failed
+    assert failed.was_sent
+
+
+async def test_long_answer_is_a_failure(serve):
+    async def handle(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n')
+        writer.write(b'x' * 99)
+        await writer.drain()
+
+    async with serve(handle) as address:
+        client = HttpClient(address)
+        failed = await client.call(HttpRequest('GET', '/', body_limit_bytes=50))
+    assert failed == HttpFailure('ValueError: answer too long', was_sent=True)
+
+
+@pytest.mark.parametrize(
+    ('method', 'target'),
+    [
+        ('GET', '/a b'),
+        ('GET', '/a\r\nX-Evil: 1'),
+        ('GET', 'a'),
+        ('GET', '/ä'),
+        ('GET X', '/'),
+    ],
+)
+async def test_malformed_request_line_is_not_sent(serve, method, target):
+    peer = Peer()
+    async with serve(peer.handle) as address:
+        failed = await HttpClient(address).call(HttpRequest(method, target))
+    assert isinstance(failed, HttpFailure)
+    assert not failed.was_sent
+    assert not peer.heads
+
+
+async def test_header_with_line_break_is_not_sent(serve):
+    peer = Peer()
+    headers = (('X-A', 'b\r\nX-Evil: 1'),)
+    async with serve(peer.handle) as address:
+        client = HttpClient(address)
+        failed = await client.call(HttpRequest('GET', '/', headers))
+    assert isinstance(failed, HttpFailure)
+    assert not failed.was_sent
+    assert not peer.heads
+
+
+async def test_target_arrives_whole(serve):
+    peer = Peer()
+    async with serve(peer.handle) as address:
+        target = '/a;b/c;d=1?e=f;g&h=%20i'
+        answer = await HttpClient(address).call(get(target))
+    assert answer.body.decode() == target.replace(';', '%3B')
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Scaffolding of the tests: processes, callers, relays, steps."""
--- /dev/null
+++ b/tests/support/cluster.py
@@ -0,0 +1,188 @@
+"""A platform of stand-ins with routers and agents on loopback."""
+
+import subprocess
+import sys
+
+from tests.support import http
+from tests.support.processes import ROOT, Process, ProcessSet
+from tests.support.program_flags import Platform, agent_flags, router_flags
+from tests.support.relay import Relay
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+CTL_TIMEOUT_S = 30
+
+LOG = 'log service'
+HOST_LIST = 'host list'
+STORE = 'weight store'
+PLATFORM = {
+    LOG: ('standins.log', ()),
+    HOST_LIST: ('standins.hostlist', ('--lag-ms', '300')),
+    STORE: ('standins.store', ('--fetch-ms', '200', '--loads-per-s', '10')),
+}
+ENGINE_FLAGS = (
+    '--memory-mb',
+    '40000',
+    '--disk-load-ms',
+    '150',
+    '--memory-load-ms',
+    '50',
+    '--report-lag-ms',
+    '300',
+    '--tokens-per-s',
+    '200',
+)
+ROUTER_MODULE = 'lagoonflow.cli.router'
+AGENT_MODULE = 'lagoonflow.cli.agent'
+CTL_MODULE = 'lagoonflow.cli.ctl'
+
+
+class Cluster:
+    """Starts the parts of a fleet and finds them by name.
+
+    Names: `log service`, `host list`, `weight store`, `engine 1`,
+    `plain service 1`, `router 1`, `agent 1`.
+
+    :param processes: where processes are started.
+    """
+
+    def __init__(self, processes: ProcessSet) -> None:
+        self.relays: dict[str, Relay] = {}
+        self.engine_flags: dict[int, tuple[str, ...]] = {}
+        self._processes = processes
+        self._by_name: dict[str, Process] = {}
+
+    def process(self, name: str) -> Process:
+        """Return the newest process of a name.
+
+        :raises KeyError: when none was started.
+        """
+        return self._by_name[name.removeprefix('the ')]
+
+    def address(self, name: str) -> str:
+        """Return the first address that a process listens on."""
+        return self.process(name).address
+
+    def start_platform(self) -> None:
+        """Start log service, host list and weight store."""
+        for name, (module, flags) in PLATFORM.items():
+            self._start(name, module, *flags)
+        self._wait(*PLATFORM)
+
+    def start_fleet(self, routers: int, agents: int) -> None:
+        """Start the platform, an engine for each agent, and the programs."""
+        self.start_platform()
+        self.start_engines(agents)
+        numbers = range(1, agents + 1)
+        for number in numbers:
+            self._start_agent(number)
+        for number in range(1, routers + 1):
+            self._start_router(number)
+        names = [f'agent {number}' for number in numbers]
+        names += [f'router {number}' for number in range(1, routers + 1)]
+        self._wait(*names)
+        for name in names:
+            self.list_host(name)
+
+    def start_engines(self, count: int) -> None:
+        """Start engines, and a plain service beside each of them."""
+        store = f'http://{self.address(STORE)}'
+        names = []
+        for number in range(1, count + 1):
+            name = f'engine {number}'
+            flags = (*ENGINE_FLAGS, *self.engine_flags.get(number, ()))
+            base = ('--name', f'engine-{number}', '--store', store)
+            self._start(name, 'standins.engine', *base, *flags)
+            self._start(f'plain service {number}', 'standins.plain')
+            names += [name, f'plain service {number}']
+        self._wait(*names)
+
+    def restart(self, name: str) -> None:
+        """Start a router or an agent again, in place of an ended one."""
+        kind, _, number = name.partition(' ')
+        starters = {'router': self._start_router, 'agent': self._start_agent}
+        starters[kind](int(number))
+        self._wait(name)
+        self.list_host(name)
+
+    def list_host(self, name: str, state: str = 'live') -> None:
+        """Put a program into the platform's list of hosts."""
+        role, _, number = name.partition(' ')
+        host, _, port = self.address(name).rpartition(':')
+        entry = {
+            'address': host,
+            'port': int(port),
+            'zone': _zone(int(number)),
+            'role': role,
+            'state': state,
+        }
+        path = f'/hosts/{_host_name(name)}'
+        http.request(self.address(HOST_LIST), 'PUT', path, entry)
+
+    def unlist_host(self, name: str) -> None:
+        """Take a program out of the platform's list of hosts."""
+        path = f'/hosts/{_host_name(name)}'
+        http.request(self.address(HOST_LIST), 'DELETE', path)
+
+    def relay_to(self, name: str) -> Relay:
+        """Return the relay before a part, and start it when needed."""
+        if name not in self.relays:
+            self.relays[name] = Relay(self.address(name))
+        return self.relays[name]
+
+    def ctl(self, *flags: str) -> subprocess.CompletedProcess:
+        """Run lagoonflowctl against the log service."""
+        return subprocess.run(
+            [sys.executable, '-m', CTL_MODULE, *flags],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=CTL_TIMEOUT_S,
+        )
+
+    def close(self) -> None:
+        """Close the relays; the processes end with their set."""
+        for relay in self.relays.values():
+            relay.close()
+
+    def _platform(self) -> Platform:
+        return Platform(
+            self._via_relay(LOG),
+            self._via_relay(HOST_LIST),
+            self._via_relay(STORE),
+        )
+
+    def _via_relay(self, name: str) -> str:
+        relay = self.relays.get(name)
+        return relay.address if relay else self.address(name)
+
+    def _start_router(self, number: int) -> None:
+        name = f'router {number}'
+        host = _host_name(name)
+        flags = router_flags(self._platform(), host, _zone(number))
+        self._start(name, ROUTER_MODULE, *flags)
+
+    def _start_agent(self, number: int) -> None:
+        name = f'agent {number}'
+        flags = agent_flags(
+            self._platform(),
+            _host_name(name),
+            _zone(number),
+            self._via_relay(f'engine {number}'),
+            {'plain': self._via_relay(f'plain service {number}')},
+        )
+        self._start(name, AGENT_MODULE, *flags)
+
+    def _start(self, name: str, module: str, *flags: str) -> None:
+        self._by_name[name] = self._processes.start(name, module, *flags)
+
+    def _wait(self, *names: str) -> None:
+        for name in names:
+            self.process(name).wait_listening()
+
+
+def _host_name(name: str) -> str:
+    return name.replace(' ', '-')
+
+
+def _zone(number: int) -> str:
+    return ZONES[(number - 1) % len(ZONES)]
