Test the scaffolding of the scenarios itself

Cause: scenarios rely on processes that start, fail on command and always end, and on relays that lose open connections while new ones work.

--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -7,6 +7,7 @@
 import json
 import time
 
+import pytest
 from pytest_bdd import given, parsers, then, when
 
 from tests.support import http
@@ -177,3 +178,10 @@
     running = processes.all
     within(limit, lambda: not any(one.is_running for one in running()))
     assert {one.popen.returncode for one in running()} <= {0, -15}
+
+
+@then(step(r'PART does not answer on (?P<path>\S+)'))
+def check_no_answer(cluster, part, path):
+    address = cluster.address(part)
+    with pytest.raises(OSError):
+        http.request(address, 'GET', path, timeout_s=0.5)
