Wire routers and agents from the slices

Cause: the slices exist; the composition root binds the ports before any order goes out, joins the roster, and connects each slice by small ports. An agent checks each attempt against its own view of the releases and waits up to 1 s for records that the router already has.

--- a/lagoonflow/wiring/agreed.py
+++ b/lagoonflow/wiring/agreed.py
@@ -1,15 +1,15 @@
 """Follows the agreed streams, from the log and from peers."""
 
+import asyncio
 import functools
 import random
-import uuid
 from collections.abc import Callable
 
+from lagoonflow.platform.messages.common import Unavailable
 from lagoonflow.releases.state import ReleaseFold
 from lagoonflow.results import Refusal
-from lagoonflow.roster.messages import RosterChange
-from lagoonflow.roster.records import encode_change
 from lagoonflow.roster.state import RosterFold
+from lagoonflow.roster.writer import RosterWriter
 from lagoonflow.streams.appender import StreamAppender
 from lagoonflow.streams.following import FollowerSettings
 from lagoonflow.streams.messages import (
@@ -27,7 +27,8 @@
 
 MS_PER_S = 1000
 CHECKPOINTS_PER_RETENTION = 5
-READ_BACK_TIMEOUT_MS = 5000
+CATCH_UP_TIMEOUT_MS = 2000
+CATCH_UP_RETRY_S = 0.5
 
 
 class AgreedStreams:
@@ -103,18 +104,55 @@
         """Return records that a peer misses."""
         return self.followers[request.stream].serve_pull(request)
 
-    async def append_change(self, change: RosterChange) -> Refusal | None:
-        """Append a roster change; return after it was read back."""
-        appended = await self.appenders[Stream.ROSTER].append(
-            encode_change(change, uuid.uuid4().hex),
+    def roster_writer(self, writer_id: str) -> RosterWriter:
+        """Return what appends this process's changes of the roster."""
+        return RosterWriter(
+            writer_id,
+            self.appenders[Stream.ROSTER],
+            self.followers[Stream.ROSTER],
+        )
+
+    async def catch_up(self) -> None:
+        """Fold all that the log, or a peer, holds at this moment.
+
+        In an outage the roster is frozen, so that any peer is current.
+        """
+        for stream in (Stream.RELEASES, Stream.ROSTER):
+            while not await self._catch_up_with_log(stream):
+                if await self._catch_up_with_peer(stream):
+                    break
+                await asyncio.sleep(CATCH_UP_RETRY_S)
+
+    async def wait_for(self, versions: Versions, timeout_ms: int) -> None:
+        """Wait until the folds are at least as far, for a bounded time."""
+        await self.followers[Stream.RELEASES].wait_for(
+            versions.releases,
+            timeout_ms,
         )
-        if isinstance(appended, Refusal):
-            return appended
         await self.followers[Stream.ROSTER].wait_for(
-            appended.first_offset + 1,
-            READ_BACK_TIMEOUT_MS,
+            versions.roster,
+            timeout_ms,
+        )
+
+    async def _catch_up_with_log(self, stream: Stream) -> bool:
+        follower = self.followers[stream]
+        answer = await self._log.read(stream, follower.fold.next_offset, 0)
+        if isinstance(answer, Unavailable):
+            return False
+        return await follower.wait_for(answer.head, CATCH_UP_TIMEOUT_MS)
+
+    async def _catch_up_with_peer(self, stream: Stream) -> bool:
+        follower = self.followers[stream]
+        request = PullRequest(
+            stream,
+            follower.fold.next_offset,
+            self.versions(),
         )
-        return None
+        reply = await self._pull_from_any(request)
+        if reply is None:
+            return False
+        follower.absorb(reply)
+        return True
 
     async def _pull_from_any(self, request: PullRequest) -> PullReply | None:
         names = self._find_peers()
--- /dev/null
+++ b/lagoonflow/wiring/gatekeeper.py
@@ -0,0 +1,75 @@
+"""The agent's own check of every attempt that a router sends."""
+
+from collections.abc import AsyncIterator, Callable
+
+from lagoonflow.calls.agent_task import AgentCalls
+from lagoonflow.calls.messages import AttemptRequest, Chunk
+from lagoonflow.keys.messages import Identity
+from lagoonflow.keys.state import check_identity
+from lagoonflow.results import Refusal, Result
+from lagoonflow.wiring.agreed import AgreedStreams
+
+CATCH_UP_TIMEOUT_MS = 1000
+NOT_A_MEMBER = Refusal(
+    Result.NOT_A_MEMBER,
+    'The router is no longer in the roster.',
+)
+KEY_MISSING = Refusal(
+    Result.KEY_MISSING,
+    'The attempt carries no key and its route is not open.',
+)
+
+
+class Gatekeeper:
+    """Checks attempts against the agent's own view of what is agreed.
+
+    A router that is behind can't let a withdrawn key through.
+    """
+
+    def __init__(self, agreed: AgreedStreams) -> None:
+        """Use the agent's folds."""
+        self._agreed = agreed
+
+    def check(self, request: AttemptRequest) -> Refusal | None:
+        """Return why an attempt is refused, or ``None``."""
+        if self._is_outdated_outsider(request):
+            return NOT_A_MEMBER
+        identity = Identity(request.organisation, request.key_id)
+        if identity == Identity() and not self._is_open(request):
+            return KEY_MISSING
+        return check_identity(self._agreed.releases, identity)
+
+    def _is_outdated_outsider(self, request: AttemptRequest) -> bool:
+        """Tell whether the router is gone and may not know it.
+
+        One that is current and still no member started while the log was
+        away: it has no token share, and may serve.
+        """
+        roster = self._agreed.roster
+        if roster.is_member(request.router, request.router_nonce):
+            return False
+        return request.versions.roster < roster.version
+
+    def _is_open(self, request: AttemptRequest) -> bool:
+        call = request.service_call
+        if call is None:
+            return False
+        route = self._agreed.releases.route_for(call.path)
+        if route is None or route.service != call.service:
+            return False
+        return route.is_open
+
+
+def serve_attempts(
+    calls: AgentCalls,
+    agreed: AgreedStreams,
+) -> Callable[[AttemptRequest], AsyncIterator[Chunk]]:
+    """Return the handler that starts attempts once this agent is current."""
+
+    async def run(request: AttemptRequest) -> AsyncIterator[Chunk]:
+        agreed.hear(request.router, request.versions)
+        await agreed.wait_for(request.versions, CATCH_UP_TIMEOUT_MS)
+        async for chunk in calls.run(request):
+            yield chunk
+
+    return run
--- /dev/null
+++ b/lagoonflow/wiring/membership.py
@@ -0,0 +1,137 @@
+"""Keeps a process in the roster and tells its parts what changes."""
+
+import asyncio
+from collections.abc import Callable
+
+from lagoonflow.roster.homes import Homes
+from lagoonflow.roster.messages import Member, Role
+from lagoonflow.roster.task import RosterTask
+from lagoonflow.streams.messages import Stream
+from lagoonflow.wiring.core import Core
+
+PART = 'roster'
+
+
+class Membership:
+    """The membership of one process.
+
+    :ivar homes: rankings of the agents.
+    """
+
+    def __init__(
+        self,
+        core: Core,
+        member: Member,
+        on_pause: Callable[[], None],
+        on_caught_up: Callable[[], None],
+    ) -> None:
+        """Prepare; :meth:`start` runs it.
+
+        :param on_pause: called after the process did not run for a while.
+        :param on_caught_up: called when it is current again.
+        """
+        self.homes = Homes(core.agreed.roster)
+        self._core = core
+        self._on_pause = on_pause
+        self._on_caught_up = on_caught_up
+        self._known: dict[str, str] = {}
+        self._gone_listeners: list[Callable[[str, str], None]] = []
+        self._catching_up: asyncio.Task[None] | None = None
+        self._task = RosterTask(
+            member,
+            core.agreed.roster,
+            core.agreed.roster_writer(f'{member.name}-{core.nonce}').append,
+            core.read_hosts,
+            self._pause,
+        )
+        self._running: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Join, and watch the host list and pauses."""
+        self._core.agreed.followers[Stream.ROSTER].listeners.append(
+            self._notice_changes,
+        )
+        self._running = asyncio.create_task(self._task.run())
+
+    def on_gone(self, listener: Callable[[str, str], None]) -> None:
+        """Have a listener told names and nonces of members that are gone."""
+        self._gone_listeners.append(listener)
+
+    def is_fit(self, name: str) -> bool:
+        """Tell whether an agent may get new work."""
+        member = self._core.agreed.roster.member(name)
+        return member is None or self._task.departures.is_fit(member)
+
+    def is_member(self) -> bool:
+        """Tell whether this process is in the roster."""
+        return self._task.is_member
+
+    def ranking(self, model: str) -> tuple[str, ...]:
+        """Return the agents by rank for a model.
+
+        In an outage of the log service the platform's list stands in for
+        a roster that this process has never read.
+        """
+        ranked = self.homes.ranking(model)
+        if ranked:
+            return tuple(member.name for member in ranked)
+        listed = self._core.directory.listed_agents()
+        return tuple(member.name for member in listed)
+
+    def store_ranking(self) -> tuple[str, ...]:
+        """Return the agents by rank for the weight store."""
+        return tuple(
+            member.name for member in self.homes.weight_store_ranking()
+        )
+
+    def agents_of(self, service: str) -> tuple[Member, ...]:
+        """Return the agents of a plain service that may get new work."""
+        agents = self._core.agreed.roster.agents_of(service)
+        return tuple(
+            agent for agent in agents if self._task.departures.is_fit(agent)
+        )
+
+    def is_leaving(self, member: Member) -> bool:
+        """Tell whether the platform is about to reclaim a host."""
+        return self._task.departures.is_leaving(member)
+
+    async def leave(self) -> None:
+        """Leave the roster."""
+        if self._running is not None:
+            self._running.cancel()
+            await asyncio.gather(self._running, return_exceptions=True)
+        refusal = await self._task.leave()
+        if refusal is not None:
+            self._core.timeline.record(
+                PART,
+                'leave_failed',
+                cause=refusal.reason,
+            )
+
+    def _pause(self) -> None:
+        self._core.timeline.record(PART, 'paused')
+        self._on_pause()
+        if self._catching_up is not None:
+            self._catching_up.cancel()
+        self._catching_up = asyncio.create_task(self._catch_up())
+
+    async def _catch_up(self) -> None:
+        await self._core.agreed.catch_up()
+        self._core.timeline.record(PART, 'caught_up')
+        self._on_caught_up()
+
+    def _notice_changes(self) -> None:
+        present = {
+            member.name: member.nonce
+            for member in self._core.agreed.roster.members
+            if member.role is Role.AGENT
+        }
+        gone = self._known.items() - present.items()
+        joined = present.items() - self._known.items()
+        self._known = present
+        for name, _ in joined:
+            self._core.timeline.record(PART, 'agent_joined', host=name)
+        for name, nonce in gone:
+            self._core.timeline.record(PART, 'agent_gone', host=name)
+            for listener in self._gone_listeners:
+                listener(name, nonce)
--- /dev/null
+++ b/lagoonflow/wiring/places.py
@@ -0,0 +1,113 @@
+"""Finds agents for the calls of a router."""
+
+import random
+
+from lagoonflow.calls.actions import Locate
+from lagoonflow.calls.events import Located, LocateFailed
+from lagoonflow.calls.spec import CallSpec, Candidate
+from lagoonflow.placement.locator import Locator
+from lagoonflow.placement.messages import Target
+from lagoonflow.results import Refusal, Result
+from lagoonflow.telemetry.timeline import TimeLine
+from lagoonflow.wiring.membership import Membership
+
+PART = 'placement'
+RETRY_AFTER_MS = 1000
+NO_SERVICE = Refusal(
+    Result.NO_RUNNER,
+    'No agent of this service is in the roster.',
+    retry_after_ms=RETRY_AFTER_MS,
+)
+
+
+class Places:
+    """Answers the calls' questions for places."""
+
+    def __init__(
+        self,
+        locator: Locator,
+        membership: Membership,
+        timeline: TimeLine,
+    ) -> None:
+        """Use the router's locator and its view of the roster."""
+        self._locator = locator
+        self._membership = membership
+        self._timeline = timeline
+        self._rng = random.Random()
+        self._sent: dict[str, tuple[str, str]] = {}
+
+    async def locate(
+        self,
+        spec: CallSpec,
+        question: Locate,
+    ) -> Located | LocateFailed:
+        """Find agents for a call."""
+        self.forget(spec.request_id)
+        if spec.service_call is not None:
+            return self._locate_service(spec, question)
+        return await self._locate_model(spec, question)
+
+    def forget(self, request_id: str) -> None:
+        """Count a call as done where it was sent to."""
+        sent = self._sent.pop(request_id, None)
+        if sent is not None:
+            self._locator.end(*sent)
+
+    def _locate_service(
+        self,
+        spec: CallSpec,
+        question: Locate,
+    ) -> Located | LocateFailed:
+        agents = [
+            agent
+            for agent in self._membership.agents_of(spec.service_call.service)
+            if agent.name not in question.stale_agents
+        ]
+        if not agents:
+            return LocateFailed(NO_SERVICE)
+        self._rng.shuffle(agents)
+        return Located(
+            tuple(Candidate(agent.name, agent.nonce) for agent in agents),
+        )
+
+    async def _locate_model(
+        self,
+        spec: CallSpec,
+        question: Locate,
+    ) -> Located | LocateFailed:
+        generation = spec.generation
+        places = await self._locator.locate(
+            Target(generation.model, generation.adapter),
+            spec.organisation,
+            question.deadline_in_ms,
+            question.stale_agents,
+        )
+        if isinstance(places, Refusal):
+            self._timeline.record(
+                PART,
+                'no_place',
+                request_id=spec.request_id,
+                model=generation.model,
+                cause=places.code.name,
+                detail=places.reason,
+            )
+            return LocateFailed(places)
+        if places:
+            best = places[0]
+            self._sent[spec.request_id] = (generation.model, best.agent)
+            self._locator.begin(generation.model, best.agent)
+            self._timeline.record(
+                PART,
+                'located',
+                request_id=spec.request_id,
+                model=generation.model,
+                host=best.agent,
+                cause=best.decision_id,
+                detail=f'ready in {best.ready_in_ms} ms',
+            )
+        return Located(
+            tuple(
+                Candidate(place.agent, wait_ms=place.ready_in_ms)
+                for place in places
+            ),
+        )
--- /dev/null
+++ b/lagoonflow/wiring/router.py
@@ -0,0 +1,265 @@
+"""Wires a router."""
+
+import asyncio
+import contextlib
+
+from lagoonflow.callers.context import FrontContext
+from lagoonflow.callers.front import build_front
+from lagoonflow.callers.requests import CallerLimits
+from lagoonflow.calls.claims_task import ClaimsTask
+from lagoonflow.calls.grpc_ports import PeerSender
+from lagoonflow.calls.router_calls import RouterCalls
+from lagoonflow.calls.router_task import RouterPorts
+from lagoonflow.cli.environment import Environment
+from lagoonflow.cli.settings import RouterSettings
+from lagoonflow.clock import boottime_ms
+from lagoonflow.placement.locator import Locator
+from lagoonflow.placement.messages import Ack
+from lagoonflow.quotas.messages import (
+    BorrowReply,
+    BorrowRequest,
+    HandOver,
+    RosterAck,
+)
+from lagoonflow.quotas.state import QuotaShares
+from lagoonflow.quotas.task import QuotaTask
+from lagoonflow.roster.messages import Member, Role
+from lagoonflow.streams.messages import Stream
+from lagoonflow.telemetry.logs import get_logger
+from lagoonflow.telemetry.metrics import RouterMetrics
+from lagoonflow.wire.http import HttpServer, bind
+from lagoonflow.wire.server import Route
+from lagoonflow.wire.services import ACK_ROSTER, BORROW, HAND_OVER
+from lagoonflow.wiring.admission import QuotaAdmission
+from lagoonflow.wiring.callrunner import CallStarter
+from lagoonflow.wiring.claims import ClaimsFold, claim_ports
+from lagoonflow.wiring.core import Core
+from lagoonflow.wiring.membership import Membership
+from lagoonflow.wiring.places import Places
+from lagoonflow.wiring.stopping import StopSignal
+from lagoonflow.wiring.tls import caller_context
+
+ROLE = Role.ROUTER.value
+SWEEP_INTERVAL_S = 10
+
+
+async def serve_router(
+    settings: RouterSettings,
+    environment: Environment,
+) -> None:
+    """Run a router until it is told to stop.
+
+    :raises OSError: when an address cannot be bound.
+    """
+    stop = StopSignal()
+    stop.install()
+    router = RouterProgram(settings, environment)
+    try:
+        await router.start()
+        await stop.wait()
+        await router.stop()
+    finally:
+        await router.close()
+
+
+class RouterProgram:
+    """One router."""
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        environment: Environment,
+    ) -> None:
+        """Wire the parts; nothing is bound yet."""
+        self._settings = settings
+        self._core = Core(settings, environment, ROLE)
+        self._claims_fold = ClaimsFold()
+        self._core.agreed.add(self._claims_fold)
+        self._metrics = RouterMetrics()
+        self._shares = QuotaShares(settings.name, self._core.nonce)
+        self._quotas = QuotaTask(self._shares, self._core.peers.send)
+        self._claims = ClaimsTask(
+            self._claims_fold.state,
+            settings.name,
+            self._core.nonce,
+            claim_ports(self._core.agreed),
+        )
+        self._membership: Membership | None = None
+        self._starter: CallStarter | None = None
+        self._context: FrontContext | None = None
+        self._front: HttpServer | None = None
+
+    async def start(self) -> None:
+        """Bind the ports, join, and serve.
+
+        :raises OSError: when an address cannot be bound.
+        """
+        listener = bind(self._settings.address)
+        peer, admin = await self._core.listen(
+            self._routes(),
+            self._metrics.registry,
+        )
+        self._wire(peer.port, admin.port)
+        self._follow()
+        await self._serve(listener)
+        self._core.is_ready = True
+        self._core.announce_address('callers', self._front.address)
+        self._core.announce_address('peers', peer)
+        self._core.announce_address('admin', admin)
+
+    async def stop(self) -> None:
+        """Take no new requests, finish the open ones, and leave."""
+        self._core.is_ready = False
+        self._core.timeline.record('program', 'stopping')
+        self._context.is_stopping = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.stop_timeout_s):
+                await self._front.stop()
+                await self._starter.drain()
+                await self._quotas.shut_down()
+                await self._membership.leave()
+
+    async def close(self) -> None:
+        """Close everything."""
+        await self._core.close()
+        get_logger('program').info('Stopped.')
+
+    def _routes(self) -> tuple[Route, ...]:
+        unary = self._core.unary
+        return (
+            unary(BORROW, self._lend),
+            unary(HAND_OVER, self._take_over),
+            unary(ACK_ROSTER, self._note_ack),
+        )
+
+    def _wire(self, peer_port: int, admin_port: int) -> None:
+        settings = self._settings
+        member = Member(
+            name=settings.name,
+            role=Role.ROUTER,
+            host=settings.peer_address.host,
+            port=peer_port,
+            zone=settings.zone,
+            nonce=self._core.nonce,
+            admin_port=admin_port,
+        )
+        self._membership = Membership(
+            self._core,
+            member,
+            self._shares.on_pause,
+            self._caught_up,
+        )
+        locator = Locator(
+            settings.name,
+            self._core.peers.send,
+            self._membership.ranking,
+            self._membership.is_fit,
+            boottime_ms,
+        )
+        locator.versions = self._core.agreed.versions
+        places = Places(locator, self._membership, self._core.timeline)
+        calls = self._build_calls(places)
+        self._membership.on_gone(calls.agent_gone)
+        self._starter = CallStarter(
+            settings.name,
+            self._core.nonce,
+            calls,
+            self._claims,
+            places.forget,
+        )
+
+    def _build_calls(self, places: Places) -> RouterCalls:
+        sender = PeerSender(self._core.connections)
+        return RouterCalls(
+            RouterPorts(
+                locate=places.locate,
+                open_stream=sender.open_stream,
+                revoke=sender.revoke,
+                cancel=sender.cancel,
+                versions=self._core.agreed.versions,
+                clock_ms=boottime_ms,
+            ),
+        )
+
+    def _follow(self) -> None:
+        followers = self._core.agreed.followers
+        followers[Stream.ROSTER].listeners.append(self._on_roster)
+        followers[Stream.RELEASES].listeners.append(self._on_releases)
+        followers[Stream.CLAIMS].listeners.append(self._claims.on_folded)
+        background = self._core.background
+        self._core.agreed.start(background)
+        background.start('quotas', self._quotas.run())
+        background.start('claims', self._claims.run())
+        background.start('idle connections', self._sweep())
+        self._membership.start()
+
+    async def _serve(self, listener: object) -> None:
+        settings = self._settings
+        self._context = FrontContext(
+            releases=self._core.agreed.releases,
+            admission=QuotaAdmission(self._quotas, boottime_ms),
+            calls=self._starter,
+            limits=CallerLimits(
+                max_body_bytes=settings.max_body_bytes,
+                max_header_bytes=settings.max_header_bytes,
+                max_waiting=settings.max_waiting,
+                default_deadline_ms=settings.default_deadline_ms,
+            ),
+            metrics=self._metrics,
+            timeline=self._core.timeline,
+        )
+        tls = caller_context(settings)
+        if tls is not None:
+            self._core.background.start('caller tls', tls.follow())
+        self._front = HttpServer(
+            build_front(self._context),
+            listener,
+            tls=tls.context if tls else None,
+            max_connections=settings.max_connections,
+        )
+        await self._front.start()
+
+    def _on_roster(self) -> None:
+        roster = self._core.agreed.roster
+        self._quotas.perform(
+            self._shares.on_roster(
+                boottime_ms(),
+                roster.memberships,
+                roster.version,
+            ),
+        )
+
+    def _on_releases(self) -> None:
+        releases = self._core.agreed.releases
+        self._core.timeline.record(
+            'releases',
+            'in_force',
+            cause=f'releases {releases.next_offset}',
+        )
+        self._quotas.perform(
+            self._shares.on_limits(
+                boottime_ms(),
+                releases.organisations(),
+                releases.next_offset,
+            ),
+        )
+
+    def _caught_up(self) -> None:
+        self._on_roster()
+        self._quotas.perform(self._shares.on_caught_up(boottime_ms()))
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            self._core.connections.close_idle()
+
+    async def _lend(self, request: BorrowRequest) -> BorrowReply:
+        return self._quotas.on_borrow_request(request)
+
+    async def _take_over(self, hand_over: HandOver) -> Ack:
+        self._quotas.on_hand_over(hand_over)
+        return Ack(self._core.agreed.versions())
+
+    async def _note_ack(self, ack: RosterAck) -> Ack:
+        self._quotas.on_ack(ack)
+        return Ack(self._core.agreed.versions())
