--- a/lagoonflow/platform/messages/listing.py
+++ b/lagoonflow/platform/messages/listing.py
@@ -11,11 +11,13 @@
     :param name: name of the adapter.
     :param version: version of the adapter.
     :param state: progress of its load.
+    :param memory_mb: memory that the adapter takes, in MB.
     """
 
     name: str
     version: str
     state: Literal['loading', 'ready', 'failed']
+    memory_mb: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagoonflow/platform/messages/orders.py
+++ b/lagoonflow/platform/messages/orders.py
@@ -46,7 +46,7 @@
 class OrderRefusal(enum.Enum):
     """Why an order had no effect."""
 
-    CONFLICT = 'conflict'
+    CONFLICT = 'old fence'
     OUT_OF_MEMORY = 'out of memory'
     NOT_SENT = 'not sent'
     REFUSED = 'refused'
@@ -56,8 +56,7 @@
 class OrderRefused:
     """The order certainly had no effect.
 
-    :param kind: what the engine objected to; CONFLICT is an old fence or a
-        replica that is not ready.
+    :param kind: what the engine objected to; CONFLICT is an old fence.
     :param reason: one sentence for a person.
     """
 
