--- /dev/null
+++ b/lagoonflow/keys/redaction.py
@@ -0,0 +1,16 @@
+"""Keeps keys out of everything that is shown or stored."""
+
+import re
+
+KEY_PATTERN = re.compile('lf_[0-9A-Za-z]{8,}')
+REDACTED = 'lf_...'
+
+
+def contains_key(text: str) -> bool:
+    """Tell whether a text contains what looks like a key."""
+    return KEY_PATTERN.search(text) is not None
+
+
+def redact(text: str) -> str:
+    """Replace what looks like a key."""
+    return KEY_PATTERN.sub(REDACTED, text)
--- a/lagoonflow/releases/changes.py
+++ b/lagoonflow/releases/changes.py
@@ -151,19 +151,21 @@
 )
 Change = Put | Withdraw
 
-PUT_TYPES: Mapping[ObjectKind, type] = {
-    ObjectKind.MODEL: PutModel,
-    ObjectKind.ADAPTER: PutAdapter,
-    ObjectKind.ORGANISATION: PutOrganisation,
-    ObjectKind.KEY: PutKey,
-    ObjectKind.ROUTE: PutRoute,
-}
-WITHDRAW_TYPES: Mapping[ObjectKind, type] = {
-    ObjectKind.MODEL: WithdrawModel,
-    ObjectKind.ADAPTER: WithdrawAdapter,
-    ObjectKind.ORGANISATION: WithdrawOrganisation,
-    ObjectKind.KEY: WithdrawKey,
-    ObjectKind.ROUTE: WithdrawRoute,
+CHANGE_TYPES: Mapping[str, Mapping[ObjectKind, type]] = {
+    PUT: {
+        ObjectKind.MODEL: PutModel,
+        ObjectKind.ADAPTER: PutAdapter,
+        ObjectKind.ORGANISATION: PutOrganisation,
+        ObjectKind.KEY: PutKey,
+        ObjectKind.ROUTE: PutRoute,
+    },
+    WITHDRAW: {
+        ObjectKind.MODEL: WithdrawModel,
+        ObjectKind.ADAPTER: WithdrawAdapter,
+        ObjectKind.ORGANISATION: WithdrawOrganisation,
+        ObjectKind.KEY: WithdrawKey,
+        ObjectKind.ROUTE: WithdrawRoute,
+    },
 }
 
 
--- /dev/null
+++ b/lagoonflow/releases/publish.py
@@ -0,0 +1,137 @@
+"""Publishes release notes so that a repeat does no harm."""
+
+import dataclasses
+
+import msgspec
+
+from lagoonflow.clock import Clock
+from lagoonflow.platform.messages.log import Appended
+from lagoonflow.releases.changes import NOTE_KIND, NoteBody
+from lagoonflow.releases.note import Note
+from lagoonflow.releases.state import (
+    NoteOutcome,
+    ReleaseFold,
+    content_digest,
+)
+from lagoonflow.results import Refusal, Result
+from lagoonflow.streams.appender import StreamAppender
+from lagoonflow.streams.envelope import Record
+from lagoonflow.streams.task import StreamFollower
+
+DERIVED_ID_CHARS = 24
+READ_TIMEOUT_MS = 15_000
+
+NOT_READ_BACK = (
+    'The note was appended at offset {offset} but not read back in time.'
+    ' Publish it again to learn what became of it.'
+)
+ID_TAKEN = (
+    'Another note has the id {note_id!r}. Choose another id, or leave it out.'
+)
+NOT_CURRENT = 'The releases in force could not be read in time.'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Published:
+    """What became of a note.
+
+    :param is_repeat: whether an earlier attempt had published it.
+    """
+
+    outcome: NoteOutcome
+    is_repeat: bool = False
+
+
+def note_record(
+    fold: ReleaseFold, note: Note, now_ms: int
+) -> Record | Published | Refusal:
+    """Return the record to append, or what became of it before.
+
+    A note without an id gets one from its changes and their bases, so that
+    a repeat after a crash finds the earlier attempt.
+    """
+    content = content_digest(note.changes)
+    if note.note_id:
+        outcome = fold.note(note.note_id)
+        if outcome is not None:
+            return _earlier(outcome, content)
+        return _record(note, note.note_id, now_ms)
+    attempt = 1
+    note_id = _derived_id(content, attempt)
+    outcome = fold.note(note_id)
+    while outcome is not None and not outcome.is_accepted:
+        # What was rejected may be acceptable by now.
+        attempt += 1
+        note_id = _derived_id(content, attempt)
+        outcome = fold.note(note_id)
+    if outcome is not None:
+        return Published(outcome, is_repeat=True)
+    return _record(note, note_id, now_ms)
+
+
+class Publisher:
+    """Publishes notes and waits for what becomes of them.
+
+    :param follower: follows the releases stream; has to run beside.
+    :param appender: appends to it; has to run beside.
+    :param wall_clock: returns the wall clock, in ms.
+    """
+
+    def __init__(
+        self,
+        follower: StreamFollower,
+        appender: StreamAppender,
+        wall_clock: Clock,
+    ) -> None:
+        self._follower = follower
+        self._appender = appender
+        self._wall_clock = wall_clock
+
+    async def publish(
+        self, note: Note, timeout_ms: int = READ_TIMEOUT_MS
+    ) -> Published | Refusal:
+        """Append a note and read it back.
+
+        :param timeout_ms: time for each of the three steps, in ms.
+        """
+        if not await self._follower.wait_until_current(timeout_ms):
+            return Refusal(Result.LOG_UNAVAILABLE, NOT_CURRENT)
+        record = note_record(self._follower.fold, note, self._wall_clock())
+        if not isinstance(record, Record):
+            return record
+        appended = await self._appender.append(record, timeout_ms)
+        if isinstance(appended, Refusal):
+            return appended
+        next_offset = appended.first_offset + 1
+        await self._follower.wait_for(next_offset, timeout_ms)
+        return self._outcome(note, record.record_id, appended)
+
+    def _outcome(
+        self, note: Note, note_id: str, appended: Appended
+    ) -> Published | Refusal:
+        outcome = self._follower.fold.note(note_id)
+        if outcome is None:
+            reason = NOT_READ_BACK.format(offset=appended.first_offset)
+            return Refusal(Result.LOG_UNAVAILABLE, reason, not_run=False)
+        # Another operator may have used the same id in the meantime.
+        earlier = _earlier(outcome, content_digest(note.changes))
+        if outcome.offset == appended.first_offset:
+            return Published(outcome)
+        return earlier
+
+
+def _earlier(outcome: NoteOutcome, content: str) -> Published | Refusal:
+    if outcome.content == content:
+        return Published(outcome, is_repeat=True)
+    reason = ID_TAKEN.format(note_id=outcome.note_id)
+    return Refusal(Result.NOTE_REJECTED, reason)
+
+
+def _derived_id(content: str, attempt: int) -> str:
+    return f'note-{content[:DERIVED_ID_CHARS]}-{attempt}'
+
+
+def _record(note: Note, note_id: str, now_ms: int) -> Record:
+    changes = tuple(msgspec.to_builtins(change) for change in note.changes)
+    body = NoteBody(changes, note.author, note.message, now_ms)
+    return Record(note_id, NOTE_KIND, body)
--- a/lagoonflow/streams/task.py
+++ b/lagoonflow/streams/task.py
@@ -1,6 +1,7 @@
 """The task that follows a stream of the log."""
 
 import asyncio
+import functools
 import random
 from collections.abc import Callable
 
@@ -28,6 +29,7 @@
 )
 from lagoonflow.streams.ports import LogClient, Pull
 from lagoonflow.streams.pulling import PeerPuller
+from lagoonflow.streams.signal import Signal
 from lagoonflow.streams.state import FoldBase
 
 LOG_LOST = 'streams: the log service does not answer'
@@ -64,12 +66,12 @@
         self._settings = settings or FollowerSettings()
         self._pull = pull
         self._appender = appender
-        self._versions = versions or self._own_versions
+        self._versions = versions or functools.partial(_own_versions, fold)
         self._clock = clock
         self._following = Following(
             fold, rng or random.Random(), self._settings, clock()
         )
-        self._changed = asyncio.Event()
+        self._signal = Signal()
         self._checkpointing: asyncio.Task[Appended | Refusal] | None = None
         self._puller = PeerPuller(self._pull_request, self.absorb)
 
@@ -78,6 +80,12 @@
         """Tell whether the last read of the log was answered."""
         return self._following.is_log_up
 
+    @property
+    def is_current(self) -> bool:
+        """Tell whether the last read of the log reached its head."""
+        reader = self._following.reader
+        return self.is_log_up and reader.is_at_head and not reader.is_bridging
+
     @property
     def is_waiting_for_checkpoint(self) -> bool:
         """Tell whether records are missing that only a checkpoint has."""
@@ -125,13 +133,18 @@
 
         :returns: false when it has not within the timeout, in ms.
         """
-        try:
-            async with asyncio.timeout(timeout_ms / MS_PER_S):
-                while self.fold.next_offset < next_offset:
-                    await self._changed.wait()
-        except TimeoutError:
-            return False
-        return True
+        return await self._signal.wait_until(
+            lambda: self.fold.next_offset >= next_offset, timeout_ms
+        )
+
+    async def wait_until_current(self, timeout_ms: int) -> bool:
+        """Wait until the head of the log has been read.
+
+        :returns: false when it has not within the timeout, in ms.
+        """
+        return await self._signal.wait_until(
+            lambda: self.is_current, timeout_ms
+        )
 
     async def _step(self) -> None:
         before = self.fold.extent
@@ -140,6 +153,7 @@
         actions = self._following.on_read(self._clock(), result)
         if was_up != self.is_log_up:
             _log_outage(self.fold.stream, result)
+        self._signal.wake()
         if self.fold.extent != before:
             self._notify()
         for action in actions:
@@ -180,14 +194,10 @@
         )
 
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._signal.wake()
         for listener in self.listeners:
             listener()
 
-    def _own_versions(self) -> Versions:
-        return versions_of({self.fold.stream: self.fold.next_offset})
-
 
 def versions_of(offsets: dict[Stream, int]) -> Versions:
     """Return the versions for the next offsets of some streams."""
@@ -197,6 +207,10 @@
     )
 
 
+def _own_versions(fold: FoldBase) -> Versions:
+    return versions_of({fold.stream: fold.next_offset})
+
+
 def _offset_of(stream: Stream, versions: Versions) -> int:
     match stream:
         case Stream.RELEASES:
