Test tasks, publishing and keys on an in-memory log with faults

Cause: lost answers, outages, expiry, races and repeats have to be shown before the processes rely on them. Found and mended on the way: a fresh log, of which nothing had expired, got a checkpoint at once.

--- a/lagoonflow/streams/following.py
+++ b/lagoonflow/streams/following.py
@@ -118,7 +118,7 @@
         if newest != self._checkpoint_offset:
             self._checkpoint_offset = newest
             self._schedule.restart(now_ms)
-        if newest < earliest:
+        if max(0, newest) < earliest:
             self._schedule.hasten(now_ms, self._settings.republish_within_ms)
 
     def _bridge(self, now_ms: int) -> tuple[FollowAction, ...]:
--- /dev/null
+++ b/tests/keys/test_state.py
@@ -0,0 +1,121 @@
+"""Authentication, withdrawal, and removal of keys from requests."""
+
+from urllib.parse import quote
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lagoonflow.calls.messages import Header
+from lagoonflow.keys.messages import Identity
+from lagoonflow.keys.state import (
+    authenticate,
+    check_identity,
+    digest,
+    new_key,
+    presented_key,
+    without_key,
+)
+from lagoonflow.results import Result
+from tests.releases.notes import folded, note, organisation, put, withdraw
+
+KEY = new_key(lambda count: bytes(range(count)))
+
+
+def fold_with_key(*more):
+    key = put('key', 'k', organisation='o', digest=KEY.digest)
+    return folded(note('1', organisation(), key), *more)
+
+
+def test_the_identity_of_a_key():
+    fold = fold_with_key()
+    identity = authenticate(fold, KEY.token)
+    assert identity == Identity('o', 'k')
+    assert check_identity(fold, identity) is None
+
+
+@pytest.mark.parametrize(
+    ('token', 'code'),
+    [
+        ('', Result.KEY_MISSING),
+        ('short', Result.KEY_UNKNOWN),
+        (KEY.token + 'x', Result.KEY_UNKNOWN),
+        (KEY.digest, Result.KEY_UNKNOWN),
+        ('\udcff' * 20, Result.KEY_UNKNOWN),
+    ],
+)
+def test_other_keys_are_refused(token, code):
+    refusal = authenticate(fold_with_key(), token)
+    assert refusal.code == code
+    assert refusal.not_run
+    assert not token or token not in str(refusal)
+
+
+def test_a_withdrawn_key_is_refused_by_routers_and_agents():
+    fold = fold_with_key(note('2', withdraw('key', 'k')))
+    assert authenticate(fold, KEY.token).code == Result.KEY_WITHDRAWN
+    refusal = check_identity(fold, Identity('o', 'k'))
+    assert refusal.code == Result.KEY_WITHDRAWN
+
+
+def test_an_identity_of_another_organisation_is_refused():
+    fold = fold_with_key()
+    assert check_identity(fold, Identity('p', 'k')).code == Result.KEY_UNKNOWN
+    assert check_identity(fold, Identity('o', '')).code == Result.KEY_UNKNOWN
+    assert check_identity(fold, Identity()) is None
+
+
+def test_a_new_key_is_random_and_not_shown():
+    assert new_key().token != new_key().token
+    assert KEY.token not in repr(KEY)
+    assert digest(KEY.token) == KEY.digest
+
+
+@pytest.mark.parametrize(
+    ('headers', 'query'),
+    [
+        ([Header('Authorization', f'Bearer {KEY.token}')], ''),
+        ([Header('authorization', f'bearer  {KEY.token} ')], ''),
+        ([Header('X-Api-Key', KEY.token)], ''),
+        ([Header('API-KEY', KEY.token)], ''),
+        ([], f'a=1&api_key={KEY.token}'),
+        ([], f'access%5Ftoken={KEY.token}'),
+        ([], f'key={quote(KEY.token[:2])}{KEY.token[2:]}'),
+    ],
+)
+def test_where_a_key_is_presented(headers, query):
+    assert presented_key(headers, query) == KEY.token
+    stripped = without_key(headers, query, KEY.token)
+    assert KEY.token not in str(stripped)
+
+
+def test_other_headers_and_parameters_are_kept():
+    headers = (Header('Accept', 'a/b'), Header('Cookie', 'x=1'))
+    stripped = without_key(headers, 'day=7&day=8&%C3%A1=x+y', KEY.token)
+    assert stripped.headers == headers[:1]
+    assert stripped.query == 'day=7&day=8&%C3%A1=x+y'
+
+
+wrapped = st.sampled_from(
+    [
+        KEY.token,
+        KEY.token.upper(),
+        f'Basic {KEY.token}',
+        quote(KEY.token, safe=''),
+        ''.join(f'%{ord(char):02x}' for char in KEY.token),
+        'harmless',
+    ]
+)
+names = st.sampled_from(['Referer', 'X-Api-Key', 'Cookie', 'x', KEY.token])
+
+
+@given(
+    st.lists(st.builds(Header, names, wrapped)),
+    st.lists(st.tuples(names, wrapped)),
+)
+def test_no_key_is_left_anywhere(headers, parameters):
+    query = '&'.join(f'{name}={text}' for name, text in parameters)
+    stripped = without_key(headers, query, KEY.token)
+    left = str(stripped).lower()
+    assert KEY.token.lower() not in left
+    assert '%6c%66' not in left
--- /dev/null
+++ b/tests/streams/test_task.py
@@ -0,0 +1,179 @@
+"""Followers and appenders on an in-memory log with faults."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from lagoonflow.platform.messages.log import Appended
+from lagoonflow.results import Refusal, Result
+from lagoonflow.streams.appender import StreamAppender
+from lagoonflow.streams.envelope import Record
+from lagoonflow.streams.following import FollowerSettings
+from lagoonflow.streams.messages import Stream, Versions
+from lagoonflow.streams.task import StreamFollower
+from tests.streams.list_fold import ListFold
+from tests.streams.memory_log import MemoryLog, record_text
+
+SETTINGS = FollowerSettings(
+    wait_ms=200,
+    bridge_after_ms=30,
+    checkpoint_interval_ms=100_000,
+    republish_within_ms=30,
+)
+WAIT_MS = 3_000
+
+
+@contextlib.asynccontextmanager
+async def running(*tasks):
+    started = [asyncio.create_task(task.run()) for task in tasks]
+    try:
+        yield
+    finally:
+        for task in started:
+            task.cancel()
+        await asyncio.gather(*started, return_exceptions=True)
+
+
+@pytest.fixture
+def log():
+    return MemoryLog()
+
+
+def build(log, **options):
+    fold = ListFold()
+    appender = StreamAppender(
+        Stream.RELEASES, log, lambda: fold.next_offset, rng=random.Random(1)
+    )
+    follower = StreamFollower(
+        fold,
+        log,
+        settings=SETTINGS,
+        appender=appender,
+        rng=random.Random(2),
+        **options,
+    )
+    return follower, appender
+
+
+async def test_a_record_is_appended_and_read_back(log):
+    follower, appender = build(log)
+    async with running(follower, appender):
+        outcome = await appender.append(Record('a', 'item', 'x'))
+        assert outcome == Appended(0)
+        assert await follower.wait_for(1, WAIT_MS)
+    assert follower.fold.items == ['x']
+
+
+async def test_concurrent_records_share_appends(log):
+    _, appender = build(log)
+    async with running(appender):
+        await asyncio.gather(
+            *(
+                appender.append(Record(str(number), 'item', 'x'))
+                for number in range(50)
+            )
+        )
+    assert len(log.records) == 50
+    assert log.append_count <= 3
+
+
+@pytest.mark.parametrize('fault', ['lose_answers', 'drop_appends', 'refusals'])
+async def test_a_faulty_append_is_stored_once(log, fault):
+    setattr(log, fault, 2)
+    follower, appender = build(log)
+    async with running(follower, appender):
+        outcome = await appender.append(Record('a', 'item', 'x'), WAIT_MS)
+        assert outcome == Appended(0)
+    assert len(log.records) == 1
+
+
+async def test_no_log_ends_in_a_truthful_refusal(log):
+    log.is_down = True
+    follower, appender = build(log)
+    async with running(follower, appender):
+        outcome = await appender.append(Record('a', 'item', 'x'), 100)
+        log.is_down = False
+        await appender.append(Record('b', 'item', 'y'), WAIT_MS)
+    assert isinstance(outcome, Refusal)
+    assert outcome.code == Result.LOG_UNAVAILABLE
+    assert outcome.not_run
+    assert len(log.records) == 1
+
+
+async def test_a_follower_goes_on_after_an_outage(log):
+    follower, _ = build(log)
+    async with running(follower):
+        log.put(record_text('a', 'one'))
+        assert await follower.wait_for(1, WAIT_MS)
+        log.is_down = True
+        log.put(record_text('b', 'two'))
+        await asyncio.sleep(0.3)
+        assert not follower.is_log_up
+        log.is_down = False
+        assert await follower.wait_for(2, WAIT_MS)
+    assert follower.fold.items == ['one', 'two']
+
+
+async def test_missing_records_are_pulled_from_a_peer(log):
+    peer, _ = build(log)
+    cut_off_log = MemoryLog()
+    cut_off_log.is_down = True
+    follower, _ = build(cut_off_log)
+
+    async def pull(request):
+        return peer.serve_pull(request)
+
+    for number in range(1200):
+        log.put(record_text(str(number), str(number)))
+    async with running(peer, follower):
+        assert await peer.wait_for(1200, WAIT_MS)
+        assert follower.behind(Versions(releases=1200), pull)
+        assert await follower.wait_for(1200, WAIT_MS)
+        assert not follower.behind(Versions(releases=1200), pull)
+    assert follower.fold.checkpoint() == peer.fold.checkpoint()
+
+
+async def test_live_processes_republish_after_everything_expired(log):
+    follower, appender = build(log)
+    async with running(follower, appender):
+        log.put(record_text('a', 'one'), record_text('b', 'two'))
+        assert await follower.wait_for(2, WAIT_MS)
+        log.is_down = True
+        log.put(record_text('lost', 'nobody read this'))
+        log.expire_to(log.head)
+        await asyncio.sleep(0.1)
+        log.is_down = False
+        starter, _ = build(log)
+        async with running(starter):
+            assert await starter.wait_for(3, WAIT_MS)
+            log.put(record_text('c', 'three'))
+            assert await starter.wait_for(log.head, WAIT_MS)
+            assert await follower.wait_for(log.head, WAIT_MS)
+    assert starter.fold.items == ['one', 'two', 'three']
+    assert follower.fold.checkpoint() == starter.fold.checkpoint()
+
+
+async def test_a_starter_without_any_state_waits_for_a_checkpoint(log):
+    log.put(record_text('a'), record_text('b'))
+    log.expire_to(1)
+    starter, appender = build(log)
+    async with running(starter, appender):
+        assert not await starter.wait_until_current(300)
+    assert starter.is_waiting_for_checkpoint
+    assert starter.fold.items == []
+    assert len(log.records) == 1
+
+
+async def test_a_checkpoint_is_appended_in_time(log):
+    fold = ListFold()
+    appender = StreamAppender(Stream.RELEASES, log, lambda: fold.next_offset)
+    settings = FollowerSettings(wait_ms=50, checkpoint_interval_ms=60)
+    follower = StreamFollower(fold, log, settings=settings, appender=appender)
+    async with running(follower, appender):
+        log.put(record_text('a', 'one'))
+        assert await follower.wait_for(3, WAIT_MS)
+    assert '"checkpoint"' in log.records[1].value
+    assert fold.wrong_checkpoint_count == 0
+    assert fold.items == ['one']
