Split homes and runner tasks into small parts; test the tasks

The ledger test drives orders that are answered, lost before or after they act, or late, with restarts of both sides, over 2 x 150 histories.

--- a/lagoonflow/placement/clock.py
+++ b/lagoonflow/clock.py
@@ -1,12 +1,14 @@
-"""The clock of the tasks."""
+"""Clocks; decision logic gets the time passed in."""
 
 import time
 from collections.abc import Callable
 
-Clock = Callable[[], int]
+MS_PER_S = 1000
 _NS_PER_MS = 1_000_000
 
+Clock = Callable[[], int]
+
 
-def boot_clock_ms() -> int:
-    """Time since boot in ms, including time spent suspended."""
+def boottime_ms() -> int:
+    """Return the time since boot, suspended time included, in ms."""
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
--- a/lagoonflow/placement/background.py
+++ b/lagoonflow/placement/background.py
@@ -2,10 +2,14 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, Self, TypeVar
 
 import structlog
 
+ResultT = TypeVar('ResultT')
+
+_log = structlog.get_logger()
+
 
 class Background:
     """Runs coroutines beside a task and ends them with it.
@@ -14,28 +18,32 @@
     """
 
     def __init__(self, prefix: str) -> None:
-        self._log = structlog.get_logger()
         self._prefix = prefix
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Start a coroutine."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_done)
-        return task
+    async def __aenter__(self) -> Self:
+        """Return itself."""
+        return self
 
-    async def close(self) -> None:
+    async def __aexit__(self, *error: object) -> None:
         """Cancel what still runs, and wait for its end."""
         tasks = tuple(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _on_done(self, task: asyncio.Task[None]) -> None:
+    def spawn(
+        self,
+        work: Coroutine[Any, Any, ResultT],
+    ) -> asyncio.Task[ResultT]:
+        """Start a coroutine."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_done)
+        return task
+
+    def _on_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
-        if task.cancelled():
-            return
-        error = task.exception()
+        error = None if task.cancelled() else task.exception()
         if error is not None:
-            self._log.error(f'{self._prefix}: work failed', exc_info=error)
+            _log.error(f'{self._prefix}: work failed', exc_info=error)
--- /dev/null
+++ b/lagoonflow/placement/context.py
@@ -0,0 +1,66 @@
+"""What the parts of a home share."""
+
+import dataclasses
+
+from lagoonflow.placement.actions import AskBid, ReplyLocate
+from lagoonflow.placement.duty import Duties
+from lagoonflow.placement.messages import BidRequest, LocateReply, Place
+from lagoonflow.placement.rounds import Round, Waiter
+from lagoonflow.placement.settings import HomeSettings, Models
+from lagoonflow.placement.table import ReplicaTable
+from lagoonflow.results import Refusal
+from lagoonflow.streams.messages import Versions
+
+
+@dataclasses.dataclass(slots=True)
+class HomeContext:
+    """Settings, views and tables of the homes of one agent.
+
+    :param models: models of the release notes in force.
+    :param versions: versions that this process has folded.
+    :param rounds: the round of bids of each model.
+    """
+
+    settings: HomeSettings
+    models: Models
+    table: ReplicaTable
+    duties: Duties
+    versions: Versions = Versions()
+    rounds: dict[str, Round] = dataclasses.field(default_factory=dict)
+    last_id: int = 0
+
+    def new_id(self) -> str:
+        """Return an id that no other home uses."""
+        self.last_id += 1
+        return f'{self.settings.name}/{self.settings.nonce}/{self.last_id}'
+
+    def reply(
+        self,
+        waiter: Waiter,
+        places: tuple[Place, ...],
+        refusal: Refusal | None = None,
+    ) -> ReplyLocate:
+        """Answer a locate request."""
+        reply = LocateReply(self.versions, places, refusal)
+        return ReplyLocate(waiter.number, reply)
+
+    def ask(self, current: Round, agent: str) -> AskBid:
+        """Ask an agent for its bid in a round."""
+        request = BidRequest(
+            current.bid_id,
+            current.model,
+            self.versions,
+            self.settings.name,
+        )
+        return AskBid(agent, request)
+
+    def withdraw(self, bid_id: str, model: str, agent: str) -> AskBid:
+        """Release the memory that an agent has reserved for a bid."""
+        request = BidRequest(
+            bid_id,
+            model,
+            self.versions,
+            self.settings.name,
+            is_withdrawal=True,
+        )
+        return AskBid(agent, request)
--- a/lagoonflow/placement/rounds.py
+++ b/lagoonflow/placement/rounds.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 
 from lagoonflow.placement.messages import Bid, Decision, LocateRequest, Tier
+from lagoonflow.results import Result
 
 _HELD = frozenset((Tier.READY, Tier.LOADING))
 
@@ -64,9 +65,36 @@
         """Whether all asked agents have answered."""
         return self.answered >= self.asked
 
-    def held(self) -> list[Bid]:
-        """Bids of agents that already hold a replica."""
-        return [bid for bid in self.bids.values() if _is_held(bid)]
+    def is_usable(self) -> bool:
+        """Whether the round need not wait for those still silent."""
+        if self.is_gathering:
+            return False
+        return any(bid.refusal is None for bid in self.bids.values())
+
+    def fits_nowhere(self) -> bool:
+        """Whether the model is larger than each of the asked runners."""
+        refusals = [bid.refusal for bid in self.bids.values()]
+        codes = {refusal.code for refusal in refusals if refusal is not None}
+        return codes == {Result.MODEL_DOES_NOT_FIT}
+
+    def unwanted(self) -> set[str]:
+        """Agents that some waiting request could not use."""
+        return {
+            agent
+            for waiter in self.waiters
+            for agent in waiter.request.stale_agents
+        }
+
+    def is_rested(self, now_ms: int) -> bool:
+        """Whether a resting round asks again."""
+        is_resting = self.state is RoundState.RESTING
+        return is_resting and now_ms >= self.resumes_at_ms
+
+    def rest_until(self, now_ms: int) -> None:
+        """Ask nobody before this time."""
+        self.rests += 1
+        self.state = RoundState.RESTING
+        self.resumes_at_ms = now_ms
 
     def best_load(self, unwanted: Collection[str] = ()) -> Bid | None:
         """Find the best bid to load a replica.
@@ -99,9 +127,5 @@
     return bid.ready_in_ms + bid.wait_ms + bid.eviction_cost_ms
 
 
-def _is_held(bid: Bid) -> bool:
-    return bid.refusal is None and bid.tier in _HELD
-
-
 def _is_load(bid: Bid) -> bool:
     return bid.refusal is None and bid.tier not in _HELD
--- a/lagoonflow/placement/task.py
+++ b/lagoonflow/placement/task.py
@@ -1,9 +1,12 @@
 """The task that owns the state of homes and of the store's permits."""
 
 import asyncio
+import contextlib
 import itertools
 from collections.abc import Iterable
 
+from lagoonflow.clock import Clock
+from lagoonflow.placement import messages
 from lagoonflow.placement.actions import (
     AskBid,
     HomeAction,
@@ -12,23 +15,11 @@
     SendDecision,
 )
 from lagoonflow.placement.background import Background
-from lagoonflow.placement.clock import Clock
 from lagoonflow.placement.home import HomeState
-from lagoonflow.placement.messages import (
-    Ack,
-    Announcement,
-    Bid,
-    Decision,
-    DecisionReply,
-    LoadFinished,
-    LocateReply,
-    LocateRequest,
-    PermitReply,
-    PermitRequest,
-)
 from lagoonflow.placement.peers import Peers
 from lagoonflow.placement.permits import StorePermits
 from lagoonflow.placement.settings import Models
+from lagoonflow.placement.waiting import WaitingReplies
 from lagoonflow.results import Refusal, Result
 from lagoonflow.streams.messages import Versions
 from lagoonflow.wire.services import ANNOUNCE, BID, DECIDE
@@ -53,61 +44,63 @@
         self._clock = clock
         self._background = Background('home')
         self._numbers = itertools.count()
-        self._locates: dict[int, asyncio.Future[LocateReply]] = {}
-        self._permit_waits: dict[str, asyncio.Future[PermitReply]] = {}
+        self._locates: WaitingReplies[int, messages.LocateReply] = (
+            WaitingReplies()
+        )
+        self._permit_replies: WaitingReplies[str, messages.PermitReply] = (
+            WaitingReplies()
+        )
 
     async def run(self) -> None:
         """Tick until cancelled."""
-        try:
+        async with self._background:
             while True:
                 await asyncio.sleep(TICK_S)
                 self._execute(self._state.on_tick(self._clock()))
                 self._grant()
-        finally:
-            await self._background.close()
 
-    async def locate(self, request: LocateRequest) -> LocateReply:
+    async def locate(
+        self, request: messages.LocateRequest
+    ) -> messages.LocateReply:
         """Answer a router that looks for a model."""
         number = next(self._numbers)
-        waiting = asyncio.get_running_loop().create_future()
-        self._locates[number] = waiting
-        self._execute(self._state.on_locate(self._clock(), number, request))
-        try:
-            return await waiting
-        finally:
-            self._locates.pop(number, None)
-
-    async def announce(self, announcement: Announcement) -> Ack:
+        with self._locates.expect(number) as reply:
+            now_ms = self._clock()
+            self._execute(self._state.on_locate(now_ms, number, request))
+            return await reply
+
+    async def announce(
+        self, announcement: messages.Announcement
+    ) -> messages.Ack:
         """Take an announcement; one without models is a probe."""
-        versions = self._state.versions
+        versions = self._state.context.versions
         if not self._state.is_caught_up:
             refusal = Refusal(Result.NOT_HOME, 'Not caught up yet.')
-            return Ack(versions, refusal)
+            return messages.Ack(versions, refusal)
         if announcement.models:
             now_ms = self._clock()
             self._execute(self._state.on_announcement(now_ms, announcement))
-        return Ack(versions)
+        return messages.Ack(versions)
 
-    async def permit(self, request: PermitRequest) -> PermitReply:
+    async def permit(
+        self, request: messages.PermitRequest
+    ) -> messages.PermitReply:
         """Grant a load, or say after a short time when to ask again."""
         permit_id = request.permit_id
-        waiting = asyncio.get_running_loop().create_future()
-        self._permit_waits[permit_id] = waiting
-        self._permits.ask(self._clock(), request)
-        self._grant()
-        try:
-            return await asyncio.wait_for(waiting, PERMIT_HOLD_S)
-        except TimeoutError:
-            return self._permits.refusal(self._clock(), permit_id)
-        finally:
-            if self._permit_waits.get(permit_id) is waiting:
-                self._permit_waits.pop(permit_id)
-
-    async def load_finished(self, message: LoadFinished) -> Ack:
+        with self._permit_replies.expect(permit_id) as reply:
+            self._permits.ask(self._clock(), request)
+            self._grant()
+            with contextlib.suppress(TimeoutError):
+                return await asyncio.wait_for(reply, PERMIT_HOLD_S)
+        return self._permits.refusal(self._clock(), permit_id)
+
+    async def load_finished(
+        self, message: messages.LoadFinished
+    ) -> messages.Ack:
         """Note that a permitted load has ended."""
         self._permits.on_finished(self._clock(), message)
         self._grant()
-        return Ack(self._state.versions)
+        return messages.Ack(self._state.context.versions)
 
     def follow(self, models: Models, versions: Versions) -> None:
         """Follow the release notes and the roster of these versions."""
@@ -121,19 +114,17 @@
 
     def caught_up(self) -> None:
         """Act as home again: the roster is current."""
-        self._state.on_caught_up(self._clock())
+        self._state.is_caught_up = True
 
     def _grant(self) -> None:
         for reply in self._permits.grants(self._clock()):
-            waiting = self._permit_waits.get(reply.permit_id)
-            if waiting is not None and not waiting.done():
-                waiting.set_result(reply)
+            self._permit_replies.reply(reply.permit_id, reply)
 
     def _execute(self, todo: Iterable[HomeAction]) -> None:
         for action in todo:
             match action:
                 case ReplyLocate(waiter=number, reply=reply):
-                    self._reply(number, reply)
+                    self._locates.reply(number, reply)
                 case AskBid():
                     self._background.spawn(self._ask_bid(action))
                 case SendDecision(decision=decision):
@@ -141,18 +132,13 @@
                 case Probe(peer=peer):
                     self._background.spawn(self._probe(peer))
 
-    def _reply(self, number: int, reply: LocateReply) -> None:
-        waiting = self._locates.get(number)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(reply)
-
     async def _ask_bid(self, action: AskBid) -> None:
         request = action.request
         reply = await self._peers.send(action.agent, BID, request)
         if request.is_withdrawal:
             return
         now_ms = self._clock()
-        if isinstance(reply, Bid):
+        if isinstance(reply, messages.Bid):
             todo = self._state.on_bid(now_ms, reply)
         else:
             todo = self._state.on_bid_failed(
@@ -160,19 +146,21 @@
             )
         self._execute(todo)
 
-    async def _send_decision(self, decision: Decision) -> None:
+    async def _send_decision(self, decision: messages.Decision) -> None:
         reply = await self._peers.send(decision.agent, DECIDE, decision)
         now_ms = self._clock()
-        if isinstance(reply, DecisionReply):
+        if isinstance(reply, messages.DecisionReply):
             todo = self._state.on_decision_reply(now_ms, reply)
         else:
             todo = self._state.on_decision_failed(now_ms, decision.decision_id)
         self._execute(todo)
 
     async def _probe(self, peer: str) -> None:
-        probe = Announcement('', '', (), (), (), self._state.versions)
+        probe = messages.Announcement(
+            '', '', (), (), (), self._state.context.versions
+        )
         reply = await self._peers.send(peer, ANNOUNCE, probe)
-        is_reachable = isinstance(reply, Ack) and reply.refusal is None
+        is_reachable = isinstance(reply, messages.Ack) and reply.refusal is None
         todo = self._state.on_probe(
             self._clock(), peer, is_reachable=is_reachable
         )
--- a/lagoonflow/runners/announcing.py
+++ b/lagoonflow/runners/announcing.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 
-from lagoonflow.placement.clock import Clock
+from lagoonflow.clock import Clock
 from lagoonflow.placement.peers import Peers
 from lagoonflow.results import Refusal
 from lagoonflow.runners.state import RunnerState
@@ -43,12 +43,10 @@
         """Announce until cancelled."""
         while True:
             await self._wait()
-            models, self._changed = self._changed, set()
+            groups = self._group(self._changed)
+            self._changed.clear()
             await asyncio.gather(
-                *(
-                    self._send(ranking, names)
-                    for ranking, names in self._group(models).items()
-                ),
+                *(self._send(homes, names) for homes, names in groups.items()),
             )
 
     async def _wait(self) -> None:
--- a/lagoonflow/runners/generation.py
+++ b/lagoonflow/runners/generation.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from lagoonflow.calls.messages import Usage
-from lagoonflow.placement.clock import Clock
+from lagoonflow.clock import Clock
 from lagoonflow.results import Refusal, Result
 from lagoonflow.runners.events import (
     AttemptEvent,
@@ -60,30 +60,31 @@
         stream = self.engine.generate(self.start, self.next_token)
         async with contextlib.aclosing(stream):
             async for event in stream:
-                match event:
-                    case Tokens():
-                        self._take(event)
-                    case Finished(usage=usage):
-                        self.usage = usage
-                        self.events.put_nowait(event)
-                        return None
-                    case StreamFailed():
-                        return event
+                if isinstance(event, StreamFailed):
+                    return event
+                self._take(event)
+                if isinstance(event, Finished):
+                    return None
         return StreamFailed('The stream has no end.', not_run=False)
 
-    def _take(self, event: Tokens) -> None:
-        if event.index != self.next_token:
-            return
-        if not self.first_token_ms:
-            self.first_token_ms = max(1, self.clock() - self.began_at_ms)
-        self.next_token += event.tokens
-        self.events.put_nowait(event)
+    def _take(self, event: Tokens | Finished) -> None:
+        match event:
+            case Finished(usage=usage):
+                self.usage = usage
+                self.events.put_nowait(event)
+            case Tokens(index=index) if index == self.next_token:
+                self.first_token_ms = self.first_token_ms or self._age_ms()
+                self.next_token += event.tokens
+                self.events.put_nowait(event)
+
+    def _age_ms(self) -> int:
+        return max(1, self.clock() - self.began_at_ms)
 
     def _end(self, *, is_whole: bool) -> StreamEnd:
         return StreamEnd(
             attempt=self.start.request.attempt,
             usage=self.usage,
             first_token_ms=self.first_token_ms,
-            took_ms=self.clock() - self.began_at_ms,
+            took_ms=self._age_ms(),
             is_whole=is_whole,
         )
--- a/lagoonflow/runners/parts.py
+++ b/lagoonflow/runners/parts.py
@@ -59,8 +59,7 @@
         """Whether the engine's listing has been seen."""
         return bool(self.reconciler.epoch)
 
-    @property
-    def is_pending(self) -> bool:
+    def has_pending(self) -> bool:
         """Whether a listing is needed to settle a change."""
         if not self.is_reconciled or len(self.replicas.orders):
             return True
--- /dev/null
+++ b/lagoonflow/runners/polling.py
@@ -0,0 +1,56 @@
+"""Polls the listing of an engine, often while changes are pending."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from lagoonflow.clock import Clock
+from lagoonflow.runners.engine_messages import Listing
+from lagoonflow.runners.events import EnginePort
+
+BUSY_POLL_S = 0.03
+IDLE_POLL_S = 5
+
+OnListing = Callable[[Listing, int], None]
+
+
+class ListingPoller:
+    """Fetches listings until cancelled.
+
+    :param on_listing: told each listing and when it was asked for.
+    :param is_pending: tells whether a change waits for a listing.
+    """
+
+    def __init__(
+        self,
+        engine: EnginePort,
+        clock: Clock,
+        on_listing: OnListing,
+        is_pending: Callable[[], bool],
+    ) -> None:
+        self._engine = engine
+        self._clock = clock
+        self._on_listing = on_listing
+        self._is_pending = is_pending
+        self._wake = asyncio.Event()
+
+    def wake(self) -> None:
+        """Fetch a listing soon."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Fetch listings until cancelled."""
+        while True:
+            asked_at_ms = self._clock()
+            listing = await self._engine.listing()
+            if listing is not None:
+                self._on_listing(listing, asked_at_ms)
+            await self._wait()
+
+    async def _wait(self) -> None:
+        self._wake.clear()
+        if self._is_pending():
+            await asyncio.sleep(BUSY_POLL_S)
+            return
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._wake.wait(), IDLE_POLL_S)
--- /dev/null
+++ b/lagoonflow/runners/store_client.py
@@ -0,0 +1,43 @@
+"""Asks the home of the weight store for permits."""
+
+from typing import Any
+
+from lagoonflow.placement.messages import (
+    LoadFinished,
+    PermitReply,
+    PermitRequest,
+)
+from lagoonflow.placement.peers import Peers
+from lagoonflow.results import Refusal, Result
+from lagoonflow.runners.messages import ReportLoad
+from lagoonflow.streams.messages import Versions
+from lagoonflow.wire.services import LOAD_FINISHED, PERMIT, Method
+
+
+class StoreClient:
+    """Talks to the home of the weight store."""
+
+    def __init__(self, agent: str, peers: Peers) -> None:
+        self._agent = agent
+        self._peers = peers
+
+    async def ask(self, request: PermitRequest) -> PermitReply | Refusal:
+        """Ask for a permit."""
+        return await self._send(PERMIT, request)
+
+    async def report(self, report: ReportLoad, versions: Versions) -> None:
+        """Tell that a load has ended."""
+        message = LoadFinished(
+            permit_id=report.permit_id,
+            agent=self._agent,
+            took_ms=report.took_ms,
+            is_loaded=report.is_loaded,
+            versions=versions,
+        )
+        await self._send(LOAD_FINISHED, message)
+
+    async def _send(self, method: Method, message: Any) -> Any:
+        ranking = self._peers.store_ranking()
+        if not ranking:
+            return Refusal(Result.NO_RUNNER, 'The roster is empty.')
+        return await self._peers.send(ranking[0], method, message)
--- /dev/null
+++ b/lagoonflow/runners/streams.py
@@ -0,0 +1,103 @@
+"""Attempts of a runner: their events and running generations."""
+
+import asyncio
+import functools
+from collections.abc import AsyncIterator, Callable
+
+from lagoonflow.calls.messages import AttemptId
+from lagoonflow.clock import Clock
+from lagoonflow.placement.background import Background
+from lagoonflow.results import Refusal, Result
+from lagoonflow.runners.events import (
+    AttemptEvent,
+    EnginePort,
+    Finished,
+    Refused,
+)
+from lagoonflow.runners.generation import Events, GenerationRun
+from lagoonflow.runners.messages import StartGeneration, StreamEnd
+
+OnEnd = Callable[[StreamEnd], None]
+
+
+class AttemptStreams:
+    """Connects waiting submitters with the generations of the engine.
+
+    :param on_end: told about the end of each generation.
+    """
+
+    def __init__(
+        self,
+        engine: EnginePort,
+        clock: Clock,
+        background: Background,
+        on_end: OnEnd,
+    ) -> None:
+        self._engine = engine
+        self._clock = clock
+        self._background = background
+        self._on_end = on_end
+        self._events: dict[AttemptId, Events] = {}
+        self._running: dict[AttemptId, asyncio.Task[StreamEnd]] = {}
+
+    def open(self, attempt: AttemptId) -> AsyncIterator[AttemptEvent]:
+        """Expect an attempt; iterate over its events."""
+        events: Events = asyncio.Queue()
+        self._events[attempt] = events
+        return _read(events)
+
+    def start(self, start: StartGeneration) -> None:
+        """Run a generation on the engine."""
+        attempt = start.request.attempt
+        events = self._events.pop(attempt, None) or asyncio.Queue()
+        run = GenerationRun(self._engine, start, events, self._clock)
+        running = self._background.spawn(run.run())
+        self._running[attempt] = running
+        running.add_done_callback(
+            functools.partial(self._on_done, attempt, events),
+        )
+
+    def stop(self, attempt: AttemptId) -> None:
+        """Cancel a generation."""
+        running = self._running.get(attempt)
+        if running is not None:
+            running.cancel()
+            self._background.spawn(self._engine.cancel(attempt))
+
+    def refuse(self, attempt: AttemptId, refusal: Refusal) -> None:
+        """End an attempt that has not started."""
+        events = self._events.pop(attempt, None)
+        if events is not None:
+            events.put_nowait(Refused(refusal))
+
+    async def wait(self) -> None:
+        """Wait for all generations to end."""
+        running = tuple(self._running.values())
+        await asyncio.gather(*running, return_exceptions=True)
+
+    def _on_done(
+        self,
+        attempt: AttemptId,
+        events: Events,
+        running: asyncio.Task[StreamEnd],
+    ) -> None:
+        """Report the end, also of a generation that never began."""
+        self._running.pop(attempt, None)
+        if running.cancelled():
+            refusal = Refusal(Result.CALLER_GONE, 'Cancelled.', not_run=False)
+            events.put_nowait(Refused(refusal))
+            self._on_end(StreamEnd(attempt, is_whole=False))
+        elif running.exception() is None:
+            self._on_end(running.result())
+        else:
+            refusal = Refusal(Result.INTERNAL, 'It failed.', not_run=False)
+            events.put_nowait(Refused(refusal))
+            self._on_end(StreamEnd(attempt, is_whole=False))
+
+
+async def _read(events: Events) -> AsyncIterator[AttemptEvent]:
+    is_over = False
+    while not is_over:
+        event = await events.get()
+        is_over = isinstance(event, Finished | Refused)
+        yield event
--- a/lagoonflow/runners/task.py
+++ b/lagoonflow/runners/task.py
@@ -4,14 +4,13 @@
 from collections.abc import AsyncIterator, Iterable
 
 from lagoonflow.calls.messages import AttemptId, AttemptRequest
+from lagoonflow.clock import Clock
 from lagoonflow.placement.background import Background
-from lagoonflow.placement.clock import Clock
 from lagoonflow.placement.messages import (
     Bid,
     BidRequest,
     Decision,
     DecisionReply,
-    LoadFinished,
     PermitReply,
     PermitRequest,
 )
@@ -19,21 +18,16 @@
 from lagoonflow.results import Refusal, Result
 from lagoonflow.runners import messages as actions
 from lagoonflow.runners.announcing import AnnouncingTask
-from lagoonflow.runners.events import (
-    AttemptEvent,
-    EnginePort,
-    Finished,
-    Refused,
-)
-from lagoonflow.runners.generation import Events, GenerationRun
+from lagoonflow.runners.engine_messages import Listing
+from lagoonflow.runners.events import AttemptEvent, EnginePort
+from lagoonflow.runners.polling import ListingPoller
 from lagoonflow.runners.settings import Releases
 from lagoonflow.runners.state import RunnerState
+from lagoonflow.runners.store_client import StoreClient
+from lagoonflow.runners.streams import AttemptStreams
 from lagoonflow.streams.messages import Versions
-from lagoonflow.wire.services import LOAD_FINISHED, PERMIT
 
 TICK_S = 0.1
-BUSY_POLL_S = 0.03
-IDLE_POLL_S = 5
 
 
 class RunnerTask:
@@ -52,51 +46,49 @@
     ) -> None:
         self._state = state
         self._engine = engine
-        self._peers = peers
         self._clock = clock
         self._background = Background('runner')
+        self._store = StoreClient(state.agent, peers)
         self._announcing = AnnouncingTask(state, peers, clock, nonce)
-        self._events: dict[AttemptId, Events] = {}
-        self._streams: dict[AttemptId, asyncio.Task[None]] = {}
-        self._poll = asyncio.Event()
+        self._streams = AttemptStreams(
+            engine, clock, self._background, self._on_end
+        )
+        self._poller = ListingPoller(
+            engine, clock, self._on_listing, state.parts.has_pending
+        )
 
     async def run(self) -> None:
         """Poll, tick and announce until cancelled."""
-        try:
-            async with asyncio.TaskGroup() as group:
-                group.create_task(self._poll_listing())
-                group.create_task(self._tick())
-                group.create_task(self._announcing.run())
-        finally:
-            await self._background.close()
-
-    async def submit(
+        async with self._background, asyncio.TaskGroup() as group:
+            group.create_task(self._poller.run())
+            group.create_task(self._announcing.run())
+            while True:
+                await asyncio.sleep(TICK_S)
+                self._execute(self._state.on_tick(self._clock()))
+
+    def submit(
         self,
         request: AttemptRequest,
     ) -> AsyncIterator[AttemptEvent]:
-        """Run an attempt; the last event is its end or a refusal."""
-        events: Events = asyncio.Queue()
-        self._events[request.attempt] = events
+        """Queue an attempt; its last event is the end or a refusal."""
+        events = self._streams.open(request.attempt)
         self._execute(self._state.on_request(self._clock(), request))
-        is_over = False
-        while not is_over:
-            event = await events.get()
-            is_over = isinstance(event, Finished | Refused)
-            yield event
+        return events
 
     def revoke(self, attempt: AttemptId) -> bool:
         """Take an attempt out of the queue; false when it isn't there."""
         is_revoked, todo = self._state.on_revoke(self._clock(), attempt)
         if is_revoked:
-            self._end(attempt, Refusal(Result.REVOKED, 'Revoked.'))
+            refusal = Refusal(Result.REVOKED, 'Revoked.')
+            self._streams.refuse(attempt, refusal)
         self._execute(todo)
         return is_revoked
 
     def cancel(self, attempt: AttemptId) -> None:
         """Stop an attempt, whether it waits or runs."""
         self._execute(self._state.on_cancel(self._clock(), attempt))
-        if attempt not in self._streams:
-            self._end(attempt, Refusal(Result.CALLER_GONE, 'Cancelled.'))
+        refusal = Refusal(Result.CALLER_GONE, 'Cancelled.')
+        self._streams.refuse(attempt, refusal)
 
     def bid(self, request: BidRequest) -> Bid:
         """Bid for a model."""
@@ -122,116 +114,50 @@
         """Hand back the queue and wait for what runs to end."""
         self._execute(self._state.stop(self._clock()))
         self._announcing.announce_all()
-        streams = tuple(self._streams.values())
-        await asyncio.gather(*streams, return_exceptions=True)
+        await self._streams.wait()
 
     def _execute(self, todo: Iterable[actions.Action]) -> None:
         for action in todo:
-            match action:
-                case actions.StartGeneration():
-                    self._start(action)
-                case actions.RefuseQueued(attempt=attempt, refusal=refusal):
-                    self._end(attempt, refusal)
-                case actions.StopGeneration(attempt=attempt):
-                    self._stop(attempt)
-                case actions.AskPermit(request=request):
-                    self._background.spawn(self._ask_permit(request))
-                case actions.ReportLoad():
-                    self._background.spawn(self._report_load(action))
-                case actions.Announce(models=models):
-                    self._announcing.announce(models)
-                case actions.PollListing():
-                    self._poll.set()
-                case _:
-                    self._background.spawn(self._order(action))
-
-    def _start(self, start: actions.StartGeneration) -> None:
-        work = self._generate(start)
-        task = self._background.spawn(work)
-        self._streams[start.request.attempt] = task
-
-    async def _generate(self, start: actions.StartGeneration) -> None:
-        attempt = start.request.attempt
-        events = self._events.pop(attempt, None) or asyncio.Queue()
-        run = GenerationRun(self._engine, start, events, self._clock)
-        end = actions.StreamEnd(attempt, is_whole=False)
-        try:
-            end = await run.run()
-        except asyncio.CancelledError:
-            refusal = Refusal(Result.CALLER_GONE, 'Cancelled.', not_run=False)
-            events.put_nowait(Refused(refusal))
-        finally:
-            self._streams.pop(attempt, None)
-            self._execute(self._state.on_stream_finished(self._clock(), end))
-
-    def _stop(self, attempt: AttemptId) -> None:
-        task = self._streams.get(attempt)
-        if task is not None:
-            task.cancel()
-        self._background.spawn(self._engine.cancel(attempt))
-
-    def _end(self, attempt: AttemptId, refusal: Refusal) -> None:
-        events = self._events.pop(attempt, None)
-        if events is not None:
-            events.put_nowait(Refused(refusal))
+            self._execute_one(action)
+
+    def _execute_one(self, action: actions.Action) -> None:
+        match action:
+            case actions.StartGeneration():
+                self._streams.start(action)
+            case actions.RefuseQueued(attempt=attempt, refusal=refusal):
+                self._streams.refuse(attempt, refusal)
+            case actions.StopGeneration(attempt=attempt):
+                self._streams.stop(attempt)
+            case actions.AskPermit(request=request):
+                self._background.spawn(self._ask_permit(request))
+            case actions.ReportLoad():
+                versions = self._state.parts.versions
+                self._background.spawn(self._store.report(action, versions))
+            case actions.Announce(models=models):
+                self._announcing.announce(models)
+            case actions.PollListing():
+                self._poller.wake()
+            case _:
+                self._background.spawn(self._order(action))
+
+    def _on_end(self, end: actions.StreamEnd) -> None:
+        todo = self._state.on_stream_finished(self._clock(), end)
+        self._execute(todo)
+
+    def _on_listing(self, listing: Listing, asked_at_ms: int) -> None:
+        now_ms = self._clock()
+        self._execute(self._state.on_listing(now_ms, listing, asked_at_ms))
 
     async def _order(self, order: actions.EngineOrder) -> None:
         answer = await self._engine.order(order)
         self._execute(self._state.on_order_answer(self._clock(), answer))
-        self._poll.set()
+        self._poller.wake()
 
     async def _ask_permit(self, request: PermitRequest) -> None:
-        reply = await self._send_to_store(PERMIT, request)
+        reply = await self._store.ask(request)
+        now_ms = self._clock()
         if isinstance(reply, PermitReply):
-            todo = self._state.on_permit(self._clock(), reply)
+            self._execute(self._state.on_permit(now_ms, reply))
         else:
             permit_id = request.permit_id
-            todo = self._state.on_permit_lost(self._clock(), permit_id)
-        self._execute(todo)
-
-    async def _report_load(self, report: actions.ReportLoad) -> None:
-        message = LoadFinished(
-            permit_id=report.permit_id,
-            agent=self._state.agent,
-            took_ms=report.took_ms,
-            is_loaded=report.is_loaded,
-            versions=self._state.parts.versions,
-        )
-        await self._send_to_store(LOAD_FINISHED, message)
-
-    async def _send_to_store(
-        self,
-        method: object,
-        message: object,
-    ) -> object:
-        ranking = self._peers.store_ranking()
-        if not ranking:
-            return Refusal(Result.NO_RUNNER, 'The roster is empty.')
-        return await self._peers.send(ranking[0], method, message)
-
-    async def _poll_listing(self) -> None:
-        while True:
-            asked_at_ms = self._clock()
-            listing = await self._engine.listing()
-            if listing is not None:
-                todo = self._state.on_listing(
-                    self._clock(), listing, asked_at_ms
-                )
-                self._execute(todo)
-            await self._wait_for_poll()
-
-    async def _wait_for_poll(self) -> None:
-        if self._state.parts.is_pending:
-            self._poll.clear()
-            await asyncio.sleep(BUSY_POLL_S)
-            return
-        try:
-            await asyncio.wait_for(self._poll.wait(), IDLE_POLL_S)
-        except TimeoutError:
-            return
-        self._poll.clear()
-
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            self._execute(self._state.on_tick(self._clock()))
+            self._execute(self._state.on_permit_lost(now_ms, permit_id))
--- a/tests/placement/test_home.py
+++ b/tests/placement/test_home.py
@@ -53,7 +53,7 @@
     fleet.locate('b')
     fleet.tick(2_000)
     fleet.held_back.add('agent-3')
-    fleet.homes['agent-1'].duties.find(fleet.now_ms, 'a')
+    fleet.homes['agent-1'].context.duties.find(fleet.now_ms, 'a')
     fleet.tick(1_001)
     fleet.locate('a')
     fleet.tick(31)
@@ -135,7 +135,7 @@
     fleet.run('agent-1', home.on_pause(fleet.now_ms))
     early = fleet.locate('a')
     assert fleet.replies[early].refusal.code is Result.NOT_HOME
-    home.on_caught_up(fleet.now_ms)
+    home.is_caught_up = True
     late = fleet.locate('a')
     agent = fleet.replies[acting].places[0].agent
     assert [one.agent for one in fleet.replies[late].places] == [agent]
--- /dev/null
+++ b/tests/runners/test_ledger.py
@@ -0,0 +1,138 @@
+"""The ledger never overcommits, whatever the engine does to orders."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lagoonflow.results import Result
+from lagoonflow.runners.engine_messages import Answer, OrderAnswer
+from lagoonflow.runners.ledger import Ledger
+from lagoonflow.runners.loads import ORDER_SETTLE_MS
+from lagoonflow.runners.messages import AdapterKey, ReplicaKey
+from tests.runners.fakes import (
+    Bench,
+    FakeEngine,
+    FakeReleases,
+    adapter_spec,
+    model_spec,
+)
+
+A = ReplicaKey('a', '1')
+B = ReplicaKey('b', '1')
+
+
+def test_claim_waits_until_the_listing_frees_memory():
+    ledger = Ledger(100)
+    ledger.adopt({A: 80})
+    ledger.claim(B, 50)
+    assert ledger.grant() == ()
+    ledger.release(A)
+    assert ledger.grant() == (B,)
+
+
+def test_offer_expires():
+    ledger = Ledger(100)
+    ledger.offer('bid', 80, expires_at_ms=10)
+    assert ledger.available_mb == 20
+    ledger.expire(10)
+    assert ledger.available_mb == 100
+
+
+def test_replicas_leave_room_to_adapters_and_kv_caches():
+    ledger = Ledger(100, kv_room_mb=20, adapter_room_mb=30)
+    assert ledger.available_mb == 50
+    assert ledger.hold(AdapterKey(A, 'x', '1'), 10) is None
+    assert ledger.available_mb == 50
+    refusal = ledger.hold(AdapterKey(A, 'y', '1'), 71)
+    assert refusal.code is Result.MODEL_DOES_NOT_FIT
+
+
+FATES = ('answer', 'lose_before', 'lose_after', 'late')
+STEPS = ('load', 'request', 'finish', 'list', 'tick', 'complete', 'fail')
+RARE = ('settle', 'engine_restart', 'agent_restart', 'release', 'deliver')
+
+
+@pytest.mark.parametrize('checks_fence', [True, False])
+@settings(max_examples=150, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(STEPS * 2 + RARE),
+            st.sampled_from('abcd'),
+            st.sampled_from(FATES),
+        ),
+        max_size=60,
+    )
+)
+def test_orders_never_overcommit_the_engine(checks_fence, steps):
+    models = {name: model_spec(memory_mb=100) for name in 'abcd'}
+    adapters = {'x': adapter_spec('a', memory_mb=20)}
+    engine = FakeEngine(250, checks_fence)
+    bench = Bench(FakeReleases(models, adapters), engine)
+    bench.auto_answer = False
+    bench.list()
+    late = []
+    for step, model, fate in steps:
+        _do(bench, step, model, late)
+        _deliver(bench, fate, late)
+        ledger = bench.state.parts.replicas.ledger
+        assert ledger.held_mb <= ledger.capacity_mb or late
+        assert engine.used_mb <= engine.capacity_mb
+        if not late:
+            assert not engine.overcommits
+
+
+def _do(bench, step, model, late):
+    match step:
+        case 'load':
+            bid_id = f'bid-{bench.now_ms}'
+            bench.bid(model, bid_id)
+            bench.decide(model, bid_id)
+        case 'request':
+            bench.request(model, adapter='x' if model == 'a' else '')
+        case 'finish' if bench.started:
+            bench.finish(bench.started[0])
+        case 'list':
+            bench.list()
+        case 'tick':
+            bench.tick(500)
+        case 'settle':
+            bench.tick(ORDER_SETTLE_MS + 1)
+            bench.list()
+        case 'complete':
+            bench.engine.complete()
+        case 'fail':
+            bench.engine.complete('failed')
+            for table in (bench.engine.replicas, bench.engine.adapters):
+                table.clear()
+        case 'engine_restart':
+            bench.engine.restart()
+        case 'agent_restart':
+            bench.orders.clear()
+            bench.started.clear()
+            bench.restart_agent()
+            bench.list()
+        case 'release':
+            bench.releases.models[model] = model_spec(
+                str(bench.now_ms), memory_mb=100
+            )
+        case 'deliver':
+            while late:
+                bench.engine.apply(late.pop(0))
+
+
+def _deliver(bench, fate, late):
+    while bench.orders:
+        order = bench.orders.pop(0)
+        lost = OrderAnswer(order.fence, Answer.LOST)
+        match fate:
+            case 'answer':
+                bench.answer(bench.engine.apply(order))
+            case 'lose_before':
+                bench.answer(lost)
+            case 'lose_after':
+                bench.engine.apply(order)
+                bench.answer(lost)
+            case 'late':
+                late.append(order)
+                bench.answer(lost)
