Log plain tracebacks; bound the time of leaving

Cause: the console renderer printed local variables in tracebacks, which may hold keys, and a router without a log service waited 10 s for its departure.

--- a/lagoonflow/telemetry/logs.py
+++ b/lagoonflow/telemetry/logs.py
@@ -39,12 +39,17 @@
     """Send all logs of this process to one stream."""
     renderer: structlog.typing.Processor = structlog.processors.JSONRenderer()
     if log_format is LogFormat.CONSOLE:
-        renderer = structlog.dev.ConsoleRenderer(colors=stream.isatty())
+        # Rich tracebacks would print local variables, keys among them.
+        renderer = structlog.dev.ConsoleRenderer(
+            colors=stream.isatty(),
+            exception_formatter=structlog.dev.plain_traceback,
+        )
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
             _add_prefix,
+            *_exception_processors(log_format),
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
@@ -64,6 +69,15 @@
     _method: str,
     event: structlog.typing.EventDict,
 ) -> structlog.typing.EventDict:
-    part = event.pop('part', 'lagoonflow')
-    event['event'] = f'{part}: {event["event"]}'
+    part = event.pop('part', '')
+    if part:
+        event['event'] = f'{part}: {event["event"]}'
     return event
+
+
+def _exception_processors(
+    log_format: LogFormat,
+) -> tuple[structlog.typing.Processor, ...]:
+    if log_format is LogFormat.CONSOLE:
+        return ()
+    return (structlog.processors.format_exc_info,)
--- a/lagoonflow/wiring/agent.py
+++ b/lagoonflow/wiring/agent.py
@@ -120,7 +120,7 @@
         )
         self._join(peer.port, admin.port)
         self._core.is_ready = True
-        self._core.announce_address('peers', peer)
+        self._core.announce_address('peer', peer)
         self._core.announce_address('admin', admin)
 
     async def stop(self) -> None:
--- a/lagoonflow/wiring/membership.py
+++ b/lagoonflow/wiring/membership.py
@@ -10,6 +10,7 @@
 from lagoonflow.wiring.core import Core
 
 PART = 'roster'
+LEAVE_TIMEOUT_S = 3
 
 
 class Membership:
@@ -100,13 +101,12 @@
         if self._running is not None:
             self._running.cancel()
             await asyncio.gather(self._running, return_exceptions=True)
-        refusal = await self._task.leave()
-        if refusal is not None:
-            self._core.timeline.record(
-                PART,
-                'leave_failed',
-                cause=refusal.reason,
-            )
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                await self._task.leave()
+        except TimeoutError:
+            # The others report this process as gone.
+            self._core.timeline.record(PART, 'leave_failed')
 
     def _pause(self) -> None:
         self._core.timeline.record(PART, 'paused')
--- a/lagoonflow/wiring/router.py
+++ b/lagoonflow/wiring/router.py
@@ -104,7 +104,7 @@
         await self._serve(listener)
         self._core.is_ready = True
         self._core.announce_address('callers', self._front.address)
-        self._core.announce_address('peers', peer)
+        self._core.announce_address('peer', peer)
         self._core.announce_address('admin', admin)
 
     async def stop(self) -> None:
