Drive calls, attempts and claims under faults

A world of one call, three agents and a network that cuts, delays and repeats runs each history to its end; no call that may run once ran twice and no refusal that said not run was wrong.

--- a/lagoonflow/calls/agent_task.py
+++ b/lagoonflow/calls/agent_task.py
@@ -18,11 +18,11 @@
 )
 from lagoonflow.calls.policy import CallPolicy
 from lagoonflow.calls.work import Work
+from lagoonflow.clock import MS_PER_S
 from lagoonflow.placement.messages import Ack
 from lagoonflow.results import Refusal, Result
 from lagoonflow.streams.messages import Versions
 
-MS_PER_S = 1000
 SWEEP_INTERVAL_MS = 1000
 DRAIN_INTERVAL_MS = 100
 
--- a/lagoonflow/calls/claim_records.py
+++ b/lagoonflow/calls/claim_records.py
@@ -102,3 +102,15 @@
 
 
 ClaimRecord = Claimed | Settled | Closed | Forgotten
+
+_KINDS = {
+    Claimed: ClaimKind.CLAIMED,
+    Settled: ClaimKind.SETTLED,
+    Closed: ClaimKind.CLOSED,
+    Forgotten: ClaimKind.FORGOTTEN,
+}
+
+
+def kind_of(record: ClaimRecord) -> ClaimKind:
+    """Return the kind under which a record is appended."""
+    return _KINDS[type(record)]
--- /dev/null
+++ b/lagoonflow/calls/claims_fold.py
@@ -0,0 +1,31 @@
+"""Claims as a fold of their stream of the log."""
+
+from typing import Any
+
+import msgspec
+
+from lagoonflow.calls.claims import ClaimsState
+from lagoonflow.results import Refusal
+from lagoonflow.streams.envelope import Envelope
+from lagoonflow.streams.messages import Stream
+from lagoonflow.streams.state import FoldBase
+
+
+class ClaimsFold(FoldBase):
+    """Folds the claims stream into a :class:`ClaimsState`."""
+
+    stream = Stream.CLAIMS
+
+    def __init__(self) -> None:
+        """Start without claims."""
+        super().__init__()
+        self.state = ClaimsState()
+
+    def _fold(self, envelope: Envelope, offset: int) -> Refusal | None:
+        return self.state.fold(envelope.kind, envelope.body, offset)
+
+    def _dump(self) -> Any:
+        return self.state.dump()
+
+    def _load(self, state: msgspec.Raw) -> None:
+        self.state.load(state)
--- a/lagoonflow/calls/claims_task.py
+++ b/lagoonflow/calls/claims_task.py
@@ -6,49 +6,34 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from lagoonflow.calls.claim_records import (
-    Claimed,
-    ClaimKey,
-    ClaimKind,
-    ClaimRecord,
-    Closed,
-    Forgotten,
-    Outcome,
-    OutcomeKind,
-    Settled,
-)
+from lagoonflow.calls import claim_records as records
+from lagoonflow.calls.claim_records import ClaimKey, Outcome, OutcomeKind
 from lagoonflow.calls.claims import Claim, ClaimsState
 from lagoonflow.calls.settling import ClaimSettler, IsMember
+from lagoonflow.clock import MS_PER_S
+from lagoonflow.platform.messages.log import Appended
 from lagoonflow.results import Refusal, Result
+from lagoonflow.streams.envelope import Record
 
-MS_PER_S = 1000
 RETRY_AFTER_MS = 2000
 LOG_TIMEOUT_MS = 2000
 SWEEP_INTERVAL_MS = 1000
-MAX_OUTCOMES = 10_000
-
-_KINDS = {
-    Claimed: ClaimKind.CLAIMED,
-    Settled: ClaimKind.SETTLED,
-    Closed: ClaimKind.CLOSED,
-    Forgotten: ClaimKind.FORGOTTEN,
-}
+MAX_UNSETTLED = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimPorts:
     """What claims need from the other parts of a process.
 
-    :param append: appends a record by kind, id and body, and returns whether
-        it is known to be stored before the timeout in ms. A record that is
-        not may still be appended later.
+    :param append: appends a record, with a timeout in ms; after a refusal
+        it may have been appended all the same.
     :param is_log_reachable: whether the log service answers at present.
     :param is_member: tells by name and nonce who is in the roster.
     :param clock_ms: monotonic time in ms.
     :param new_id: returns a unique id.
     """
 
-    append: Callable[[ClaimKind, str, ClaimRecord, int], Awaitable[bool]]
+    append: Callable[[Record, int], Awaitable[Appended | Refusal]]
     is_log_reachable: Callable[[], bool]
     is_member: IsMember
     clock_ms: Callable[[], int]
@@ -83,7 +68,7 @@
         self._ports = ports
         self._settler = ClaimSettler(name)
         self._folded = asyncio.Event()
-        self._outcomes: dict[str, Outcome] = {}
+        self._unsettled: dict[str, _Unsettled] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def claim(
@@ -93,25 +78,23 @@
 
         :param deadline_ms: when to stop waiting for that outcome.
         """
-        while True:
+        answer = None
+        while answer is None:
             found = self._state.find(key)
             if found is None:
                 answer = await self._append_claim(key, body_digest, deadline_ms)
-                if answer is not None:
-                    return answer
-            elif found.record.body_digest != body_digest:
-                return _other_body()
-            elif found.outcome is not None:
-                return found.outcome
-            elif not await self._wait_for_fold(deadline_ms):
-                return _pending()
+                continue
+            answer = _answer_of(found, body_digest)
+            if answer is None and not await self._wait_for_fold(deadline_ms):
+                answer = _pending()
+        return answer
 
     def settle(self, claim_id: str, outcome: Outcome) -> None:
         """State the outcome of a claim that was won.
 
         It is appended again until the fold shows it.
         """
-        self._outcomes[claim_id] = outcome
+        self._unsettled[claim_id] = _Unsettled(outcome)
         self._append_settled(claim_id)
 
     def on_folded(self) -> None:
@@ -131,12 +114,12 @@
         if not self._ports.is_log_reachable():
             return
         now_ms = self._ports.clock_ms()
-        for claim_id in list(self._outcomes):
+        for claim_id in list(self._unsettled):
             self._append_settled(claim_id)
         for record in self._settler.due(
             self._state, self._ports.is_member, now_ms
         ):
-            self._append_later(record)
+            self._append_later(_id_of(record, self._name), record)
 
     async def _append_claim(
         self, key: ClaimKey, body_digest: str, deadline_ms: int
@@ -147,7 +130,9 @@
         if not self._ports.is_log_reachable():
             return _no_log()
         claim_id = self._ports.new_id()
-        record = Claimed(claim_id, key, body_digest, self._name, self._nonce)
+        record = records.Claimed(
+            claim_id, key, body_digest, self._name, self._nonce
+        )
         limit_ms = self._ports.clock_ms() + LOG_TIMEOUT_MS
         holder = await self._append_and_fold(record, min(limit_ms, deadline_ms))
         if holder is not None and holder.record.claim_id != claim_id:
@@ -160,9 +145,9 @@
         return Won(claim_id)
 
     async def _append_and_fold(
-        self, record: Claimed, limit_ms: int
+        self, record: records.Claimed, limit_ms: int
     ) -> Claim | None:
-        is_stored = await self._store(record, record.claim_id, limit_ms)
+        is_stored = await self._store(record.claim_id, record, limit_ms)
         while is_stored:
             holder = self._state.find(record.key)
             if holder is not None:
@@ -179,30 +164,64 @@
         return False
 
     def _abandon(self, claim_id: str) -> None:
-        while len(self._outcomes) >= MAX_OUTCOMES:
-            self._outcomes.pop(next(iter(self._outcomes)))
-        self._outcomes[claim_id] = Outcome(OutcomeKind.NOT_RUN)
+        while len(self._unsettled) >= MAX_UNSETTLED:
+            self._unsettled.pop(next(iter(self._unsettled)))
+        outcome = Outcome(OutcomeKind.NOT_RUN)
+        self._unsettled[claim_id] = _Unsettled(outcome)
 
     def _append_settled(self, claim_id: str) -> None:
+        unsettled = self._unsettled[claim_id]
         claim = self._state.find_by_id(claim_id)
-        if claim is not None and not claim.is_final:
-            self._append_later(Settled(claim_id, self._outcomes[claim_id]))
-        elif claim is not None:
-            self._outcomes.pop(claim_id)
-
-    def _append_later(self, record: Settled | Closed | Forgotten) -> None:
+        if claim is None:
+            if unsettled.was_seen:
+                self._unsettled.pop(claim_id)
+        elif claim.is_final:
+            self._unsettled.pop(claim_id)
+        else:
+            unsettled.was_seen = True
+            settled = records.Settled(claim_id, unsettled.outcome)
+            self._append_later(f'{claim_id}/settled', settled)
+
+    def _append_later(
+        self, record_id: str, record: records.ClaimRecord
+    ) -> None:
         limit_ms = self._ports.clock_ms() + LOG_TIMEOUT_MS
-        record_id = self._ports.new_id()
-        task = asyncio.create_task(self._store(record, record_id, limit_ms))
+        task = asyncio.create_task(self._store(record_id, record, limit_ms))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _store(
-        self, record: ClaimRecord, record_id: str, limit_ms: int
+        self, record_id: str, record: records.ClaimRecord, limit_ms: int
     ) -> bool:
-        timeout_ms = limit_ms - self._ports.clock_ms()
-        kind = _KINDS[type(record)]
-        return await self._ports.append(kind, record_id, record, timeout_ms)
+        timeout_ms = max(0, limit_ms - self._ports.clock_ms())
+        kind = records.kind_of(record)
+        appended = await self._ports.append(
+            Record(record_id, kind, record), timeout_ms
+        )
+        return isinstance(appended, Appended)
+
+
+@dataclasses.dataclass(slots=True)
+class _Unsettled:
+    """An outcome that the fold doesn't show yet.
+
+    :param was_seen: whether the fold has shown the claim.
+    """
+
+    outcome: Outcome
+    was_seen: bool = False
+
+
+def _id_of(record: records.Closed | records.Forgotten, name: str) -> str:
+    if isinstance(record, records.Closed):
+        return f'{record.claim_id}/closed/{name}'
+    return f'forgotten/{record.up_to_offset}/{name}'
+
+
+def _answer_of(claim: Claim, body_digest: str) -> Outcome | Refusal | None:
+    if claim.record.body_digest != body_digest:
+        return _other_body()
+    return claim.outcome
 
 
 def _other_body() -> Refusal:
--- a/lagoonflow/calls/engine_stream.py
+++ b/lagoonflow/calls/engine_stream.py
@@ -6,10 +6,9 @@
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 
 from lagoonflow.calls.messages import Finish, Generation
+from lagoonflow.clock import MS_PER_S
 from lagoonflow.results import Refusal, Result
 
-MS_PER_S = 1000
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineText:
--- a/lagoonflow/calls/executions.py
+++ b/lagoonflow/calls/executions.py
@@ -24,9 +24,9 @@
     Work,
     WorkEvent,
 )
+from lagoonflow.clock import MS_PER_S
 from lagoonflow.results import Refusal, Result
 
-MS_PER_S = 1000
 MAX_KEPT_ANSWERS = 1024
 
 _log = structlog.get_logger()
--- a/lagoonflow/calls/phases.py
+++ b/lagoonflow/calls/phases.py
@@ -38,8 +38,8 @@
 
 _MACHINE = Machine(
     model=None,
-    states=[phase.value for phase in Phase],
-    initial=Phase.LOCATING.value,
+    states=Phase,
+    initial=Phase.LOCATING,
     auto_transitions=False,
     transitions=[
         [Step.LOCATE, [*_IN_FLIGHT, *_WITHOUT_ATTEMPT], Phase.LOCATING],
@@ -58,12 +58,12 @@
 
     def __init__(self) -> None:
         """Start in ``LOCATING``."""
-        self.state: str = Phase.LOCATING
+        self.state = Phase.LOCATING
 
     @property
     def phase(self) -> Phase:
         """The present phase."""
-        return Phase(self.state)
+        return self.state
 
     def take_step(self, step: Step) -> None:
         """Go to the phase that the step leads to.
--- a/lagoonflow/calls/router_task.py
+++ b/lagoonflow/calls/router_task.py
@@ -17,10 +17,10 @@
 )
 from lagoonflow.calls.router_call import RouterCall
 from lagoonflow.calls.spec import CallSpec
+from lagoonflow.clock import MS_PER_S
 from lagoonflow.results import Refusal, Result
 from lagoonflow.streams.messages import Versions
 
-MS_PER_S = 1000
 MAX_QUEUED_DELIVERIES = 16
 
 Locating = Awaitable[events.Located | events.LocateFailed]
--- a/lagoonflow/calls/service_work.py
+++ b/lagoonflow/calls/service_work.py
@@ -21,10 +21,9 @@
     Started,
     WorkEvent,
 )
+from lagoonflow.clock import MS_PER_S
 from lagoonflow.results import Refusal, Result
 
-MS_PER_S = 1000
-
 
 class ServiceClient(Protocol):
     """Sends one call to the plain service beside the agent."""
--- a/lagoonflow/calls/settling.py
+++ b/lagoonflow/calls/settling.py
@@ -107,5 +107,6 @@
                 times_ms.pop(claim_id)
 
     def _spread_ms(self, seed: str) -> int:
-        digest = xxhash.xxh64_intdigest(f'{seed}/{self._process_name}')
+        text = f'{seed}/{self._process_name}'
+        digest = xxhash.xxh64_intdigest(text.encode())
         return digest % max(1, self._policy.spread_ms)
--- a/lagoonflow/wire/connections.py
+++ b/lagoonflow/wire/connections.py
@@ -4,7 +4,7 @@
 
 from grpclib.config import Configuration
 
-MS_PER_S = 1000
+from lagoonflow.clock import MS_PER_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagoonflow/wire/peers.py
+++ b/lagoonflow/wire/peers.py
@@ -11,8 +11,9 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
+from lagoonflow.clock import MS_PER_S
 from lagoonflow.results import Refusal, Result
-from lagoonflow.wire.connections import MS_PER_S, ConnectionSettings
+from lagoonflow.wire.connections import ConnectionSettings
 from lagoonflow.wire.links import Endpoint, Link, LinkPool
 from lagoonflow.wire.services import Method
 
--- a/lagoonflow/wire/server.py
+++ b/lagoonflow/wire/server.py
@@ -12,8 +12,9 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
+from lagoonflow.clock import MS_PER_S
 from lagoonflow.wire.codec import MessagePackCodec
-from lagoonflow.wire.connections import MS_PER_S, ConnectionSettings
+from lagoonflow.wire.connections import ConnectionSettings
 from lagoonflow.wire.services import Method
 
 Certificate = dict[str, Any]
--- /dev/null
+++ b/tests/calls/test_router_call.py
@@ -0,0 +1,142 @@
+"""Calls under faults: whole answers once, nothing run twice."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lagoonflow.calls import actions
+from lagoonflow.results import Result
+from tests.calls.world import (
+    AGENTS,
+    DEADLINE_MS,
+    EXPECTED_TEXT,
+    GENERATION,
+    TOKENS,
+    World,
+    service_call,
+)
+
+ONCE = service_call(is_idempotent=False)
+REPEATABLE = service_call(is_idempotent=True)
+# Times of a call without faults: sent at 2 ms, queued at 4 ms, started at
+# 64 ms, answered at 144 ms.
+CUT_POINTS_MS = (0, 1, 2, 3, 4, 5, 30, 63, 64, 65, 100, 143, 144, 145, 147, 170)
+
+FAULTS = st.one_of(
+    st.tuples(st.just('cut'), st.none() | st.integers(0, 6000)),
+    st.tuples(
+        st.just('kill'),
+        st.sampled_from(AGENTS),
+        st.booleans(),
+        st.none() | st.integers(0, 3000),
+    ),
+    st.tuples(st.just('freeze'), st.sampled_from(AGENTS), st.integers(1, 6000)),
+    st.tuples(st.just('freeze_router'), st.integers(1, 6000)),
+    st.tuples(st.just('repeat_chunks')),
+)
+TIMES = st.integers(0, 300) | st.integers(0, 5000)
+HISTORIES = st.lists(
+    st.tuples(TIMES, FAULTS).map(lambda pair: (pair[0], *pair[1])), max_size=6
+)
+
+
+def is_finished(world):
+    return isinstance(world.last, actions.DeliverFinish)
+
+
+@pytest.mark.parametrize('work', [GENERATION, ONCE, REPEATABLE])
+def test_call_without_faults_is_answered_once(work):
+    world = World(work).run()
+    assert is_finished(world)
+    assert len(world.executions) == 1
+    world.check(is_repeatable=False)
+
+
+@pytest.mark.guarantee_10
+@pytest.mark.guarantee_09
+@pytest.mark.parametrize('at_ms', CUT_POINTS_MS)
+@pytest.mark.parametrize(
+    'fault',
+    [
+        ('cut',),
+        ('cut', 0),
+        ('cut', 1000),
+        ('cut', 5000),
+        ('kill', 'agent-1', True),
+        ('kill', 'agent-1', False),
+        ('kill', 'agent-1', True, 100),
+        ('kill', 'agent-1', False, 100),
+        ('freeze', 'agent-1', 500),
+        ('freeze', 'agent-1', 3000),
+        ('freeze', 'agent-1', 100_000),
+        ('freeze_router', 1000),
+        ('freeze_router', 10_000),
+    ],
+    ids=str,
+)
+def test_call_that_may_run_once_at_each_cut_point(fault, at_ms):
+    world = World(ONCE, [(at_ms, *fault)]).run()
+    world.check(is_repeatable=False)
+
+
+@pytest.mark.guarantee_10
+@given(HISTORIES)
+@settings(max_examples=400, deadline=None)
+def test_call_that_may_run_once_under_mixed_faults(faults):
+    World(ONCE, faults).run().check(is_repeatable=False)
+
+
+@pytest.mark.guarantee_08
+@given(HISTORIES)
+@settings(max_examples=300, deadline=None)
+def test_generation_under_mixed_faults(faults):
+    World(GENERATION, faults).run().check(is_repeatable=True)
+
+
+@given(HISTORIES)
+@settings(max_examples=100, deadline=None)
+def test_repeatable_service_call_under_mixed_faults(faults):
+    World(REPEATABLE, faults).run().check(is_repeatable=True)
+
+
+@pytest.mark.parametrize('work', [GENERATION, ONCE])
+@pytest.mark.parametrize('at_ms', CUT_POINTS_MS)
+def test_silent_stream_is_resumed(work, at_ms):
+    world = World(work, [(at_ms, 'cut', None)]).run()
+    assert is_finished(world)
+    assert len(world.executions) == 1
+
+
+@pytest.mark.parametrize('is_reset', [True, False])
+@pytest.mark.parametrize('at_ms', [5, 100, 400, 660])
+def test_generation_goes_on_elsewhere_when_its_agent_dies(at_ms, is_reset):
+    world = World(GENERATION, [(at_ms, 'kill', 'agent-1', is_reset)]).run()
+    assert is_finished(world)
+    assert world.text == EXPECTED_TEXT
+    assert world.last.finish.usage.completion_tokens == TOKENS
+
+
+def test_agent_that_dies_under_a_call_leaves_its_outcome_unknown():
+    world = World(ONCE, [(100, 'kill', 'agent-1', True)]).run()
+    assert world.refusal.code is Result.OUTCOME_UNKNOWN
+    assert not world.refusal.not_run
+
+
+def test_waiting_call_is_revoked_before_its_deadline():
+    world = World(ONCE, [(0, 'freeze', 'agent-1', DEADLINE_MS - 300)]).run()
+    assert world.refusal.not_run
+    assert not world.executions
+
+
+def test_caller_that_leaves_cancels_the_attempt():
+    world = World(GENERATION)
+    world.at(200, lambda: world.tell(actions_of_leaving()))
+    world.run()
+    assert world.call.is_ended
+    assert not world.refusal
+
+
+def actions_of_leaving():
+    from lagoonflow.calls.events import CallerGone
+
+    return CallerGone()
