--- /dev/null
+++ b/lagoonflow/cli/arguments.py
@@ -0,0 +1,55 @@
+"""Argument types of the programs' settings, with their checks."""
+
+from typing import Annotated
+from urllib.parse import urlsplit
+
+import cyclopts
+from cyclopts import Parameter
+
+from lagoonflow.cli.types import parse_address, parse_host, parse_name
+from lagoonflow.wire.address import Address
+
+ANY_PORT = ':0'
+URL_HINT = 'is not an http URL, such as http://127.0.0.1:9000'
+
+
+def parse_listen_address(text: str) -> Address:
+    """Parse HOST:PORT, where port 0 lets the system choose one.
+
+    :raises ValueError: with a message for the operator.
+    """
+    if text.endswith(ANY_PORT):
+        host = text.removesuffix(ANY_PORT).strip('[]')
+        return Address(parse_host(host), 0)
+    return parse_address(text)
+
+
+def _convert_address(_type: object, tokens: list[cyclopts.Token]) -> Address:
+    return parse_listen_address(tokens[0].value)
+
+
+def _check_name(_type: object, name: str) -> None:
+    parse_name(name)
+
+
+def _check_url(_type: object, url: str) -> None:
+    if not url:
+        return
+    parts = urlsplit(url)
+    if parts.scheme not in {'http', 'https'} or not parts.hostname:
+        raise ValueError(f'{url!r} {URL_HINT}')
+
+
+def _check_positive(_type: object, number: float) -> None:
+    if not number > 0:
+        raise ValueError(f'{number} has to be above 0')
+
+
+AddressArgument = Annotated[
+    Address,
+    Parameter(converter=_convert_address, n_tokens=1, accepts_keys=False),
+]
+NameArgument = Annotated[str, Parameter(validator=_check_name)]
+UrlArgument = Annotated[str, Parameter(validator=_check_url)]
+PositiveInt = Annotated[int, Parameter(validator=_check_positive)]
+PositiveFloat = Annotated[float, Parameter(validator=_check_positive)]
--- /dev/null
+++ b/lagoonflow/placement/task.py
@@ -0,0 +1,167 @@
+"""The task that owns the state of homes and of the store's permits."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Iterable
+
+from lagoonflow.clock import Clock
+from lagoonflow.placement import messages
+from lagoonflow.placement.actions import (
+    AskBid,
+    HomeAction,
+    Probe,
+    ReplyLocate,
+    SendDecision,
+)
+from lagoonflow.placement.background import Background
+from lagoonflow.placement.home import HomeState
+from lagoonflow.placement.peers import Peers
+from lagoonflow.placement.permits import StorePermits
+from lagoonflow.placement.settings import Models
+from lagoonflow.placement.waiting import WaitingReplies
+from lagoonflow.results import Refusal, Result
+from lagoonflow.streams.messages import Versions
+from lagoonflow.wire.services import ANNOUNCE, BID, DECIDE
+
+TICK_S = 0.01
+PERMIT_HOLD_S = 1
+
+
+class HomeTask:
+    """Executes the actions of a home and answers its requests."""
+
+    def __init__(
+        self,
+        state: HomeState,
+        permits: StorePermits,
+        peers: Peers,
+        clock: Clock,
+    ) -> None:
+        self._state = state
+        self._permits = permits
+        self._peers = peers
+        self._clock = clock
+        self._background = Background('home')
+        self._numbers = itertools.count()
+        self._locates: WaitingReplies[int, messages.LocateReply] = (
+            WaitingReplies()
+        )
+        self._permit_replies: WaitingReplies[str, messages.PermitReply] = (
+            WaitingReplies()
+        )
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        async with self._background:
+            while True:
+                await asyncio.sleep(TICK_S)
+                self._execute(self._state.on_tick(self._clock()))
+                self._grant()
+
+    async def locate(
+        self, request: messages.LocateRequest
+    ) -> messages.LocateReply:
+        """Answer a router that looks for a model."""
+        number = next(self._numbers)
+        with self._locates.expect(number) as reply:
+            now_ms = self._clock()
+            self._execute(self._state.on_locate(now_ms, number, request))
+            return await reply
+
+    async def announce(
+        self, announcement: messages.Announcement
+    ) -> messages.Ack:
+        """Take an announcement; one without models is a probe."""
+        versions = self._state.context.versions
+        if not self._state.is_caught_up:
+            refusal = Refusal(Result.NOT_HOME, 'Not caught up yet.')
+            return messages.Ack(versions, refusal)
+        if announcement.models:
+            now_ms = self._clock()
+            self._execute(self._state.on_announcement(now_ms, announcement))
+        return messages.Ack(versions)
+
+    async def permit(
+        self, request: messages.PermitRequest
+    ) -> messages.PermitReply:
+        """Grant a load, or say after a short time when to ask again."""
+        permit_id = request.permit_id
+        with self._permit_replies.expect(permit_id) as reply:
+            self._permits.ask(self._clock(), request)
+            self._grant()
+            with contextlib.suppress(TimeoutError):
+                return await asyncio.wait_for(reply, PERMIT_HOLD_S)
+        return self._permits.refusal(self._clock(), permit_id)
+
+    async def load_finished(
+        self, message: messages.LoadFinished
+    ) -> messages.Ack:
+        """Note that a permitted load has ended."""
+        self._permits.on_finished(self._clock(), message)
+        self._grant()
+        return messages.Ack(self._state.context.versions)
+
+    def follow(self, models: Models, versions: Versions) -> None:
+        """Follow the release notes and the roster of these versions."""
+        self._state.on_versions(models, versions)
+        self._permits.versions = versions
+
+    def pause(self) -> None:
+        """Drop all authority: the process has not run for a while."""
+        self._execute(self._state.on_pause(self._clock()))
+        self._permits.reset()
+
+    def caught_up(self) -> None:
+        """Act as home again: the roster is current."""
+        self._state.is_caught_up = True
+
+    def _grant(self) -> None:
+        for reply in self._permits.grants(self._clock()):
+            self._permit_replies.reply(reply.permit_id, reply)
+
+    def _execute(self, todo: Iterable[HomeAction]) -> None:
+        for action in todo:
+            match action:
+                case ReplyLocate(waiter=number, reply=reply):
+                    self._locates.reply(number, reply)
+                case AskBid():
+                    self._background.spawn(self._ask_bid(action))
+                case SendDecision(decision=decision):
+                    self._background.spawn(self._send_decision(decision))
+                case Probe(peer=peer):
+                    self._background.spawn(self._probe(peer))
+
+    async def _ask_bid(self, action: AskBid) -> None:
+        request = action.request
+        reply = await self._peers.send(action.agent, BID, request)
+        if request.is_withdrawal:
+            return
+        now_ms = self._clock()
+        if isinstance(reply, messages.Bid):
+            todo = self._state.on_bid(now_ms, reply)
+        else:
+            todo = self._state.on_bid_failed(
+                now_ms, request.bid_id, action.agent
+            )
+        self._execute(todo)
+
+    async def _send_decision(self, decision: messages.Decision) -> None:
+        reply = await self._peers.send(decision.agent, DECIDE, decision)
+        now_ms = self._clock()
+        if isinstance(reply, messages.DecisionReply):
+            todo = self._state.on_decision_reply(now_ms, reply)
+        else:
+            todo = self._state.on_decision_failed(now_ms, decision.decision_id)
+        self._execute(todo)
+
+    async def _probe(self, peer: str) -> None:
+        probe = messages.Announcement(
+            '', '', (), (), (), self._state.context.versions
+        )
+        reply = await self._peers.send(peer, ANNOUNCE, probe)
+        is_reachable = isinstance(reply, messages.Ack) and reply.refusal is None
+        todo = self._state.on_probe(
+            self._clock(), peer, is_reachable=is_reachable
+        )
+        self._execute(todo)
--- /dev/null
+++ b/lagoonflow/runners/task.py
@@ -0,0 +1,163 @@
+"""The task that owns a runner's state and the client of its engine."""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterable
+
+from lagoonflow.calls.messages import AttemptId, AttemptRequest
+from lagoonflow.clock import Clock
+from lagoonflow.placement.background import Background
+from lagoonflow.placement.messages import (
+    Bid,
+    BidRequest,
+    Decision,
+    DecisionReply,
+    PermitReply,
+    PermitRequest,
+)
+from lagoonflow.placement.peers import Peers
+from lagoonflow.results import Refusal, Result
+from lagoonflow.runners import messages as actions
+from lagoonflow.runners.announcing import AnnouncingTask
+from lagoonflow.runners.engine_messages import Listing
+from lagoonflow.runners.events import AttemptEvent, EnginePort
+from lagoonflow.runners.polling import ListingPoller
+from lagoonflow.runners.settings import Releases
+from lagoonflow.runners.state import RunnerState
+from lagoonflow.runners.store_client import StoreClient
+from lagoonflow.runners.streams import AttemptStreams
+from lagoonflow.streams.messages import Versions
+
+TICK_S = 0.1
+
+
+class RunnerTask:
+    """Executes the actions of a runner's state.
+
+    :param nonce: tells a restarted agent from its predecessor.
+    """
+
+    def __init__(
+        self,
+        state: RunnerState,
+        engine: EnginePort,
+        peers: Peers,
+        clock: Clock,
+        nonce: str,
+    ) -> None:
+        self._state = state
+        self._engine = engine
+        self._clock = clock
+        self._background = Background('runner')
+        self._store = StoreClient(state.agent, peers)
+        self._announcing = AnnouncingTask(state, peers, clock, nonce)
+        self._streams = AttemptStreams(
+            engine, clock, self._background, self._on_end
+        )
+        self._poller = ListingPoller(
+            engine, clock, self._on_listing, state.parts.has_pending
+        )
+
+    async def run(self) -> None:
+        """Poll, tick and announce until cancelled."""
+        async with self._background, asyncio.TaskGroup() as group:
+            group.create_task(self._poller.run())
+            group.create_task(self._announcing.run())
+            while True:
+                await asyncio.sleep(TICK_S)
+                self._execute(self._state.on_tick(self._clock()))
+
+    def submit(
+        self,
+        request: AttemptRequest,
+    ) -> AsyncIterator[AttemptEvent]:
+        """Queue an attempt; its last event is the end or a refusal."""
+        events = self._streams.open(request.attempt)
+        self._execute(self._state.on_request(self._clock(), request))
+        return events
+
+    def revoke(self, attempt: AttemptId) -> bool:
+        """Take an attempt out of the queue; false when it isn't there."""
+        is_revoked, todo = self._state.on_revoke(self._clock(), attempt)
+        if is_revoked:
+            refusal = Refusal(Result.REVOKED, 'Revoked.')
+            self._streams.refuse(attempt, refusal)
+        self._execute(todo)
+        return is_revoked
+
+    def cancel(self, attempt: AttemptId) -> None:
+        """Stop an attempt, whether it waits or runs."""
+        self._execute(self._state.on_cancel(self._clock(), attempt))
+        refusal = Refusal(Result.CALLER_GONE, 'Cancelled.')
+        self._streams.refuse(attempt, refusal)
+
+    def bid(self, request: BidRequest) -> Bid:
+        """Bid for a model."""
+        return self._state.on_bid_request(self._clock(), request)
+
+    def decide(self, decision: Decision) -> DecisionReply:
+        """Execute a decision, at most once."""
+        reply, todo = self._state.on_decision(self._clock(), decision)
+        self._execute(todo)
+        return reply
+
+    def follow(self, releases: Releases, versions: Versions) -> None:
+        """Follow the release notes and the roster of these versions."""
+        todo = self._state.on_release(self._clock(), releases, versions)
+        self._execute(todo)
+        self._announcing.announce_all()
+
+    def pause(self) -> None:
+        """Drop all bids: the process has not run for a while."""
+        self._execute(self._state.on_pause(self._clock()))
+
+    async def drain(self) -> None:
+        """Hand back the queue and wait for what runs to end."""
+        self._execute(self._state.stop(self._clock()))
+        self._announcing.announce_all()
+        await self._streams.wait()
+
+    def _execute(self, todo: Iterable[actions.Action]) -> None:
+        for action in todo:
+            self._execute_one(action)
+
+    def _execute_one(self, action: actions.Action) -> None:
+        match action:
+            case actions.StartGeneration():
+                self._streams.start(action)
+            case actions.RefuseQueued(attempt=attempt, refusal=refusal):
+                self._streams.refuse(attempt, refusal)
+            case actions.StopGeneration(attempt=attempt):
+                self._streams.stop(attempt)
+            case actions.AskPermit(request=request):
+                self._background.spawn(self._ask_permit(request))
+            case actions.ReportLoad():
+                versions = self._state.parts.versions
+                self._background.spawn(self._store.report(action, versions))
+            case actions.Announce(models=models):
+                self._announcing.announce(models)
+            case actions.PollListing():
+                self._poller.wake()
+            case _:
+                self._background.spawn(self._order(action))
+
+    def _on_end(self, end: actions.StreamEnd) -> None:
+        todo = self._state.on_stream_finished(self._clock(), end)
+        self._execute(todo)
+
+    def _on_listing(self, listing: Listing, asked_at_ms: int) -> None:
+        now_ms = self._clock()
+        self._execute(self._state.on_listing(now_ms, listing, asked_at_ms))
+
+    async def _order(self, order: actions.EngineOrder) -> None:
+        answer = await self._engine.order(order)
+        self._execute(self._state.on_order_answer(self._clock(), answer))
+        self._poller.wake()
+
+    async def _ask_permit(self, request: PermitRequest) -> None:
+        reply = await self._store.ask(request)
+        now_ms = self._clock()
+        if isinstance(reply, PermitReply):
+            self._execute(self._state.on_permit(now_ms, reply))
+        else:
+            permit_id = request.permit_id
+            self._execute(self._state.on_permit_lost(now_ms, permit_id))
--- /dev/null
+++ b/lagoonflow/wiring/agreed.py
@@ -0,0 +1,165 @@
+"""Follows the agreed streams, from the log and from peers."""
+
+import asyncio
+import functools
+import random
+from collections.abc import Callable
+
+from lagoonflow.platform.messages.common import Unavailable
+from lagoonflow.releases.state import ReleaseFold
+from lagoonflow.results import Refusal
+from lagoonflow.roster.state import RosterFold
+from lagoonflow.roster.writer import RosterWriter
+from lagoonflow.streams.appender import StreamAppender
+from lagoonflow.streams.following import FollowerSettings
+from lagoonflow.streams.messages import (
+    PullReply,
+    PullRequest,
+    Stream,
+    Versions,
+)
+from lagoonflow.streams.ports import LogClient
+from lagoonflow.streams.state import FoldBase
+from lagoonflow.streams.task import StreamFollower
+from lagoonflow.wire.peers import Peers
+from lagoonflow.wire.services import PULL
+from lagoonflow.wiring.background import Background
+
+MS_PER_S = 1000
+CHECKPOINTS_PER_RETENTION = 5
+CATCH_UP_TIMEOUT_MS = 2000
+CATCH_UP_RETRY_S = 0.5
+
+
+class AgreedStreams:
+    """The folds of one process with the tasks that keep them current.
+
+    :ivar releases: release notes in force.
+    :ivar roster: members.
+    """
+
+    def __init__(
+        self,
+        log: LogClient,
+        peers: Peers,
+        find_peers: Callable[[], tuple[str, ...]],
+        retention_s: int,
+        roster: RosterFold,
+    ) -> None:
+        """Prepare; nothing is read before :meth:`start`."""
+        self.releases = ReleaseFold()
+        self.roster = roster
+        self._log = log
+        self._peers = peers
+        self._find_peers = find_peers
+        self._rng = random.Random()
+        self._settings = FollowerSettings(
+            checkpoint_interval_ms=retention_s
+            * MS_PER_S
+            // CHECKPOINTS_PER_RETENTION,
+        )
+        self.followers: dict[Stream, StreamFollower] = {}
+        self.appenders: dict[Stream, StreamAppender] = {}
+        self.add(self.releases)
+        self.add(self.roster)
+
+    def add(self, fold: FoldBase) -> None:
+        """Follow one more stream."""
+        appender = StreamAppender(
+            fold.stream,
+            self._log,
+            lambda: fold.next_offset,
+        )
+        self.appenders[fold.stream] = appender
+        self.followers[fold.stream] = StreamFollower(
+            fold,
+            self._log,
+            settings=self._settings,
+            pull=self._pull_from_any,
+            appender=appender,
+            versions=self.versions,
+        )
+
+    def start(self, background: Background) -> None:
+        """Run the tasks."""
+        for stream, follower in self.followers.items():
+            background.start(f'follow {stream}', follower.run())
+        for stream, appender in self.appenders.items():
+            background.start(f'append {stream}', appender.run())
+
+    def versions(self) -> Versions:
+        """Return how far this process has folded the streams."""
+        return Versions(
+            self.releases.next_offset,
+            self.roster.next_offset,
+        )
+
+    def hear(self, sender: str, versions: Versions) -> None:
+        """Pull what is missing when the sender of a message is ahead."""
+        pull = functools.partial(self._pull, sender)
+        for stream in (Stream.RELEASES, Stream.ROSTER):
+            self.followers[stream].behind(versions, pull)
+
+    async def serve_pull(self, request: PullRequest) -> PullReply:
+        """Return records that a peer misses."""
+        return self.followers[request.stream].serve_pull(request)
+
+    def roster_writer(self, writer_id: str) -> RosterWriter:
+        """Return what appends this process's changes of the roster."""
+        return RosterWriter(
+            writer_id,
+            self.appenders[Stream.ROSTER],
+            self.followers[Stream.ROSTER],
+        )
+
+    async def catch_up(self) -> None:
+        """Fold all that the log, or a peer, holds at this moment.
+
+        In an outage the roster is frozen, so that any peer is current.
+        """
+        for stream in (Stream.RELEASES, Stream.ROSTER):
+            while not await self._catch_up_with_log(stream):
+                if await self._catch_up_with_peer(stream):
+                    break
+                await asyncio.sleep(CATCH_UP_RETRY_S)
+
+    async def wait_for(self, versions: Versions, timeout_ms: int) -> None:
+        """Wait until the folds are at least as far, for a bounded time."""
+        await self.followers[Stream.RELEASES].wait_for(
+            versions.releases,
+            timeout_ms,
+        )
+        await self.followers[Stream.ROSTER].wait_for(
+            versions.roster,
+            timeout_ms,
+        )
+
+    async def _catch_up_with_log(self, stream: Stream) -> bool:
+        follower = self.followers[stream]
+        answer = await self._log.read(stream, follower.fold.next_offset, 0)
+        if isinstance(answer, Unavailable):
+            return False
+        return await follower.wait_for(answer.head, CATCH_UP_TIMEOUT_MS)
+
+    async def _catch_up_with_peer(self, stream: Stream) -> bool:
+        follower = self.followers[stream]
+        request = PullRequest(
+            stream,
+            follower.fold.next_offset,
+            self.versions(),
+        )
+        reply = await self._pull_from_any(request)
+        if reply is None:
+            return False
+        follower.absorb(reply)
+        return True
+
+    async def _pull_from_any(self, request: PullRequest) -> PullReply | None:
+        names = self._find_peers()
+        if not names:
+            return None
+        return await self._pull(self._rng.choice(names), request)
+
+    async def _pull(self, peer: str, request: PullRequest) -> PullReply | None:
+        reply = await self._peers.send(peer, PULL, request)
+        return None if isinstance(reply, Refusal) else reply
