Stop cleanly: cancellable waits, no spinning quota loop

Cause: asyncio.wait_for on Python 3.11 swallows a cancellation that meets a finished inner wait, so that closing hung; the quota task set its own wake-up on every round and never yielded; a router without organisations failed on max() of one number when it left. Ruled out: the log service (it was up). Before: SIGTERM never ended a router or an agent within 6 s.

--- a/lagoonflow/quotas/shares.py
+++ b/lagoonflow/quotas/shares.py
@@ -108,7 +108,7 @@
         times_ms = [
             account.bucket.lent_until_ms for account in self._accounts.values()
         ]
-        return max(now_ms, *times_ms)
+        return max((now_ms, *times_ms))
 
     def _serve(
         self, now_ms: float, accounts: Iterable[Account]
--- a/lagoonflow/quotas/task.py
+++ b/lagoonflow/quotas/task.py
@@ -113,8 +113,8 @@
     async def run(self) -> None:
         """Do what becomes due, until cancelled."""
         while True:
-            self._changed.clear()
             self.perform(self.shares.poll(self.clock_ms()))
+            self._changed.clear()
             await self._sleep()
 
     def perform(self, actions: Iterable[Action]) -> None:
@@ -181,6 +181,7 @@
         left_ms = _IDLE_INTERVAL_MS if wake_ms is None else wake_ms - now_ms
         timeout_s = min(max(left_ms, 0), _IDLE_INTERVAL_MS) / MS_PER_S
         try:
-            await asyncio.wait_for(self._changed.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
         except TimeoutError:
             return
--- a/lagoonflow/runners/polling.py
+++ b/lagoonflow/runners/polling.py
@@ -53,4 +53,5 @@
             await asyncio.sleep(BUSY_POLL_S)
             return
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._wake.wait(), IDLE_POLL_S)
+            async with asyncio.timeout(IDLE_POLL_S):
+                await self._wake.wait()
--- a/lagoonflow/wiring/agent.py
+++ b/lagoonflow/wiring/agent.py
@@ -53,6 +53,9 @@
         await agent.start()
         await stop.wait()
         await agent.stop()
+    except Exception:
+        get_logger('program').error('Program failed.', exc_info=True)
+        raise
     finally:
         await agent.close()
 
--- a/lagoonflow/wiring/router.py
+++ b/lagoonflow/wiring/router.py
@@ -6,6 +6,7 @@
 from lagoonflow.callers.context import FrontContext
 from lagoonflow.callers.front import build_front
 from lagoonflow.callers.requests import CallerLimits
+from lagoonflow.calls.claims_fold import ClaimsFold
 from lagoonflow.calls.claims_task import ClaimsTask
 from lagoonflow.calls.grpc_ports import PeerSender
 from lagoonflow.calls.router_calls import RouterCalls
@@ -32,7 +33,7 @@
 from lagoonflow.wire.services import ACK_ROSTER, BORROW, HAND_OVER
 from lagoonflow.wiring.admission import QuotaAdmission
 from lagoonflow.wiring.callrunner import CallStarter
-from lagoonflow.wiring.claims import ClaimsFold, claim_ports
+from lagoonflow.wiring.claims import claim_ports
 from lagoonflow.wiring.core import Core
 from lagoonflow.wiring.membership import Membership
 from lagoonflow.wiring.places import Places
@@ -58,6 +59,9 @@
         await router.start()
         await stop.wait()
         await router.stop()
+    except Exception:
+        get_logger('program').error('Program failed.', exc_info=True)
+        raise
     finally:
         await router.close()
 
