Check keys at the agent in the runner's order of arguments; note refusals once

Cause: the composition root passed organisation and key id swapped, so that every generation ended as KEY_WITHDRAWN; refusals of running calls were noted by the meter and by the endpoint. Ruled out: the release fold (plain services accepted the same key).

--- a/lagoonflow/callers/endpoint.py
+++ b/lagoonflow/callers/endpoint.py
@@ -23,13 +23,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Exchange:
-    """One HTTP request on its way through an endpoint."""
+    """One HTTP request on its way through an endpoint.
+
+    :param is_running: whether its call has been admitted and started.
+    :param is_streaming: whether its answer goes on after the endpoint.
+    """
 
     request: Request
     request_id: str
     arrived_ms: float
     identity: Identity = Identity()
     deadline_ms: float = 0
+    is_running: bool = False
     is_streaming: bool = False
 
 
@@ -114,9 +119,11 @@
         return None
 
     def _refuse(self, exchange: Exchange, refusal: Refusal) -> Response:
-        self.context.note_refusal(
-            refusal,
-            exchange.request_id,
-            exchange.identity,
-        )
+        # What a running call ends with is noted where it is measured.
+        if not exchange.is_running:
+            self.context.note_refusal(
+                refusal,
+                exchange.request_id,
+                exchange.identity,
+            )
         return error_response(refusal, exchange.request_id)
--- a/lagoonflow/callers/generations.py
+++ b/lagoonflow/callers/generations.py
@@ -165,6 +165,7 @@
         body: GenerationBody,
         admitted: AdmittedCall,
     ) -> Response | Refusal:
+        exchange.is_running = True
         parts = self.context.run(admitted.call, admitted.charge)
         encoder = AnswerEncoder(
             exchange.request_id,
--- a/lagoonflow/callers/plain.py
+++ b/lagoonflow/callers/plain.py
@@ -123,6 +123,7 @@
         exchange: Exchange,
         admitted: AdmittedCall,
     ) -> Response | Refusal:
+        exchange.is_running = True
         parts = self.context.run(admitted.call, admitted.charge)
         if admitted.call.service_call.is_idempotent:
             return await unless_gone(exchange.request, _collect(parts))
--- a/lagoonflow/wiring/agent.py
+++ b/lagoonflow/wiring/agent.py
@@ -178,7 +178,7 @@
             settings.service: ServiceWork(PlainServicePort(client), limits),
         }
 
-    def _is_key_live(self, organisation: str, key_id: str) -> bool:
+    def _is_key_live(self, key_id: str, organisation: str) -> bool:
         key = self._core.agreed.releases.key(key_id)
         if key is None or key.is_withdrawn:
             return False
