Record decisions, orders and starts in the agent's time line

Cause: the time line showed a request only at its router. Homes and runners let an observer see each action before it is carried out; the composition root turns actions into events and metrics.

--- a/benchmarks/storm/arrivals.py
+++ b/benchmarks/storm/arrivals.py
@@ -78,9 +78,7 @@
 def organisations(phases: Phases) -> list[Organisation]:
     """Return the organisations; their rates leave headroom in the storm."""
     rate = phases.storm_per_s * MEAN_COST_TOKENS * RATE_HEADROOM
-    burst_tokens = (
-        phases.burst_models * phases.burst_repeats * MEAN_COST_TOKENS
-    )
+    burst_tokens = phases.burst_models * phases.burst_repeats * MEAN_COST_TOKENS
     return [
         Organisation(
             f'org-{index}',
--- a/benchmarks/storm/load.py
+++ b/benchmarks/storm/load.py
@@ -91,7 +91,10 @@
                 '/v1/chat/completions',
                 (
                     ('content-type', 'application/json'),
-                    ('authorization', f'Bearer {self._keys[arrival.organisation]}'),
+                    (
+                        'authorization',
+                        f'Bearer {self._keys[arrival.organisation]}',
+                    ),
                     ('lagoonflow-deadline-ms', str(arrival.deadline_ms)),
                 ),
                 msgspec.json.encode(body),
--- a/benchmarks/storm/outcomes.py
+++ b/benchmarks/storm/outcomes.py
@@ -98,9 +98,7 @@
     for outcome, is_in_rate in zip(outcomes, in_rate, strict=True):
         name = outcome.arrival.organisation
         offered[name] = offered.get(name, 0) + is_in_rate
-        served[name] = served.get(name, 0) + (
-            outcome.is_in_time and is_in_rate
-        )
+        served[name] = served.get(name, 0) + (outcome.is_in_time and is_in_rate)
     return {name: served[name] / max(1, offered[name]) for name in offered}
 
 
--- a/lagoonflow/cli/settings.py
+++ b/lagoonflow/cli/settings.py
@@ -229,6 +229,10 @@
         PositiveInt,
         Parameter(help='Loads at once at full speed of the weight store.'),
     ] = 4
+    store_sharers: Annotated[
+        PositiveInt,
+        Parameter(help='Agents that share its rate when no home answers.'),
+    ] = 8
 
     def check(self) -> None:
         """Check what no single flag shows.
--- a/lagoonflow/placement/task.py
+++ b/lagoonflow/placement/task.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import itertools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from lagoonflow.clock import Clock
 from lagoonflow.placement import messages
@@ -37,7 +37,13 @@
         permits: StorePermits,
         peers: Peers,
         clock: Clock,
+        observe: Callable[[HomeAction], None] | None = None,
     ) -> None:
+        """Prepare; ``run`` has to be started too.
+
+        :param observe: sees each action before it is carried out.
+        """
+        self._observe = observe
         self._state = state
         self._permits = permits
         self._peers = peers
@@ -123,6 +129,8 @@
 
     def _execute(self, todo: Iterable[HomeAction]) -> None:
         for action in todo:
+            if self._observe is not None:
+                self._observe(action)
             match action:
                 case ReplyLocate(waiter=number, reply=reply):
                     self._locates.reply(number, reply)
--- a/lagoonflow/runners/task.py
+++ b/lagoonflow/runners/task.py
@@ -1,7 +1,7 @@
 """The task that owns a runner's state and the client of its engine."""
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 
 from lagoonflow.calls.messages import AttemptId, AttemptRequest
 from lagoonflow.clock import Clock
@@ -34,6 +34,7 @@
     """Executes the actions of a runner's state.
 
     :param nonce: tells a restarted agent from its predecessor.
+    :param observe: sees each action before it is carried out.
     """
 
     def __init__(
@@ -43,7 +44,9 @@
         peers: Peers,
         clock: Clock,
         nonce: str,
+        observe: Callable[[actions.Action], None] | None = None,
     ) -> None:
+        self._observe = observe
         self._state = state
         self._engine = engine
         self._clock = clock
@@ -121,6 +124,8 @@
             self._execute_one(action)
 
     def _execute_one(self, action: actions.Action) -> None:
+        if self._observe is not None:
+            self._observe(action)
         match action:
             case actions.StartGeneration():
                 self._streams.start(action)
--- a/lagoonflow/wiring/agent.py
+++ b/lagoonflow/wiring/agent.py
@@ -2,40 +2,27 @@
 
 import asyncio
 import contextlib
-from typing import Any
 
 from lagoonflow.calls.agent_task import AgentCalls, AgentPorts
-from lagoonflow.calls.service_port import PlainServicePort
-from lagoonflow.calls.service_work import ServiceLimits, ServiceWork
 from lagoonflow.cli.environment import Environment
 from lagoonflow.cli.settings import AgentSettings
 from lagoonflow.clock import boottime_ms
-from lagoonflow.placement.home import HomeState
 from lagoonflow.placement.peers import Peers as RankedPeers
-from lagoonflow.placement.permits import StorePermits, StoreSettings
-from lagoonflow.placement.settings import HomeSettings
-from lagoonflow.placement.task import HomeTask
-from lagoonflow.platform.engine import EngineClient
-from lagoonflow.platform.plain import PlainClient
 from lagoonflow.roster.messages import Member, Role
-from lagoonflow.runners.engine_port import ClientPort
-from lagoonflow.runners.settings import RunnerSettings
-from lagoonflow.runners.state import RunnerState
-from lagoonflow.runners.task import RunnerTask
 from lagoonflow.runners.work import GenerationWork
 from lagoonflow.streams.messages import Stream
 from lagoonflow.telemetry.logs import get_logger
 from lagoonflow.telemetry.metrics import AgentMetrics
-from lagoonflow.wire import services
 from lagoonflow.wire.server import Route
-from lagoonflow.wiring.core import Core, server_of
-from lagoonflow.wiring.gatekeeper import Gatekeeper, serve_attempts
+from lagoonflow.wiring import agent_parts as parts
+from lagoonflow.wiring.agent_events import AgentEvents
+from lagoonflow.wiring.core import Core
+from lagoonflow.wiring.gatekeeper import Gatekeeper
 from lagoonflow.wiring.membership import Membership
 from lagoonflow.wiring.stopping import StopSignal
 
 ROLE = Role.AGENT.value
 SWEEP_INTERVAL_S = 10
-LEAVING_INTERVAL_S = 0.5
 
 
 async def serve_agent(
@@ -73,41 +60,15 @@
         self._core = Core(settings, environment, ROLE)
         self._metrics = AgentMetrics()
         self._membership: Membership | None = None
-        self._runner_state = self._build_runner_state()
-        ranked = RankedPeers(
+        peers = RankedPeers(
             self._core.peers.send,
             self._rank,
             self._rank_for_store,
         )
-        self._home_state = HomeState(
-            HomeSettings(settings.name, self._core.nonce),
-            self._core.agreed.releases,
-            self._rank,
-        )
-        self._home = HomeTask(
-            self._home_state,
-            StorePermits(
-                StoreSettings(
-                    settings.store_loads_per_s,
-                    settings.store_parallel,
-                ),
-            ),
-            ranked,
-            boottime_ms,
-        )
-        self._runner = self._build_runner(ranked)
-        self._calls = AgentCalls(
-            self._core.nonce,
-            AgentPorts(
-                admit=Gatekeeper(self._core.agreed).check,
-                versions=self._core.agreed.versions,
-                clock_ms=boottime_ms,
-                generations=GenerationWork(self._runner)
-                if self._runner
-                else None,
-                services=self._build_services(),
-            ),
-        )
+        events = AgentEvents(self._core.timeline, self._metrics)
+        self._home = parts.build_home(settings, self._core, peers, events)
+        self._runner = parts.build_runner(settings, self._core, peers, events)
+        self._calls = AgentCalls(self._core.nonce, self._build_ports())
 
     async def start(self) -> None:
         """Bind the ports, join, and serve.
@@ -142,68 +103,24 @@
         await self._core.close()
         get_logger('program').info('Stopped.')
 
-    def _build_runner_state(self) -> RunnerState:
-        settings = self._settings
-        agreed = self._core.agreed
-        return RunnerState(
-            RunnerSettings(
-                settings.name,
-                max_running=settings.max_running,
-                store_share_per_s=settings.store_loads_per_s / 8,
-            ),
-            agreed.releases,
-            self._is_key_live,
-        )
-
-    def _build_runner(self, ranked: RankedPeers) -> RunnerTask | None:
-        if not self._settings.engine_url:
-            return None
-        client = EngineClient(server_of(self._settings.engine_url))
-        prefix = f'{self._settings.name}/{self._core.nonce}'
-        return RunnerTask(
-            self._runner_state,
-            ClientPort(client, prefix),
-            ranked,
-            boottime_ms,
-            self._core.nonce,
+    def _build_ports(self) -> AgentPorts:
+        runner = self._runner
+        return AgentPorts(
+            admit=Gatekeeper(self._core.agreed).check,
+            versions=self._core.agreed.versions,
+            clock_ms=boottime_ms,
+            generations=GenerationWork(runner) if runner else None,
+            services=parts.build_services(self._settings),
         )
 
-    def _build_services(self) -> dict[str, ServiceWork]:
-        settings = self._settings
-        if not settings.service:
-            return {}
-        client = PlainClient(server_of(settings.service_url))
-        limits = ServiceLimits(max_running=settings.max_running)
-        return {
-            settings.service: ServiceWork(PlainServicePort(client), limits),
-        }
-
-    def _is_key_live(self, key_id: str, organisation: str) -> bool:
-        key = self._core.agreed.releases.key(key_id)
-        if key is None or key.is_withdrawn:
-            return False
-        return key.spec.organisation == organisation
-
     def _routes(self) -> tuple[Route, ...]:
-        unary = self._core.unary
-        calls = (
-            Route(
-                services.RUN,
-                serve_attempts(self._calls, self._core.agreed),
-            ),
-            unary(services.REVOKE, self._calls.revoke),
-            unary(services.CANCEL, self._calls.cancel),
-        )
+        routes = parts.call_routes(self._core, self._calls)
         if self._runner is None:
-            return calls
+            return routes
         return (
-            *calls,
-            unary(services.LOCATE, self._home.locate),
-            unary(services.ANNOUNCE, self._home.announce),
-            unary(services.PERMIT, self._home.permit),
-            unary(services.LOAD_FINISHED, self._home.load_finished),
-            unary(services.BID, self._bid),
-            unary(services.DECIDE, self._decide),
+            *routes,
+            *parts.home_routes(self._core, self._home),
+            *parts.runner_routes(self._core, self._runner),
         )
 
     def _join(self, peer_port: int, admin_port: int) -> None:
@@ -228,6 +145,10 @@
         followers = self._core.agreed.followers
         for stream in (Stream.ROSTER, Stream.RELEASES):
             followers[stream].listeners.append(self._follow)
+        self._start_tasks()
+        self._membership.start()
+
+    def _start_tasks(self) -> None:
         background = self._core.background
         self._core.agreed.start(background)
         background.start('calls', self._calls.sweep_forever())
@@ -235,18 +156,12 @@
         if self._runner is not None:
             background.start('home', self._home.run())
             background.start('runner', self._runner.run())
-        self._membership.start()
 
     def _follow(self) -> None:
         agreed = self._core.agreed
         self._home.follow(agreed.releases, agreed.versions())
         if self._runner is not None:
             self._runner.follow(agreed.releases, agreed.versions())
-        self._core.timeline.record(
-            'releases',
-            'in_force',
-            cause=f'releases {agreed.releases.next_offset}',
-        )
 
     def _pause(self) -> None:
         self._home.pause()
@@ -263,9 +178,3 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._core.connections.close_idle()
-
-    async def _bid(self, request: Any) -> Any:
-        return self._runner.bid(request)
-
-    async def _decide(self, decision: Any) -> Any:
-        return self._runner.decide(decision)
--- /dev/null
+++ b/lagoonflow/wiring/agent_parts.py
@@ -0,0 +1,133 @@
+"""Builds the parts of an agent from its settings."""
+
+from lagoonflow.calls.agent_task import AgentCalls
+from lagoonflow.calls.service_port import PlainServicePort
+from lagoonflow.calls.service_work import ServiceLimits, ServiceWork
+from lagoonflow.cli.settings import AgentSettings
+from lagoonflow.clock import boottime_ms
+from lagoonflow.placement.home import HomeState
+from lagoonflow.placement.messages import (
+    Bid,
+    BidRequest,
+    Decision,
+    DecisionReply,
+)
+from lagoonflow.placement.peers import Peers as RankedPeers
+from lagoonflow.placement.permits import StorePermits, StoreSettings
+from lagoonflow.placement.settings import HomeSettings
+from lagoonflow.placement.task import HomeTask
+from lagoonflow.platform.engine import EngineClient
+from lagoonflow.platform.plain import PlainClient
+from lagoonflow.runners.engine_port import ClientPort
+from lagoonflow.runners.settings import RunnerSettings
+from lagoonflow.runners.state import RunnerState
+from lagoonflow.runners.task import RunnerTask
+from lagoonflow.wire import services
+from lagoonflow.wire.server import Route
+from lagoonflow.wiring.agent_events import AgentEvents
+from lagoonflow.wiring.core import Core, server_of
+from lagoonflow.wiring.gatekeeper import serve_attempts
+
+
+def build_home(
+    settings: AgentSettings,
+    core: Core,
+    peers: RankedPeers,
+    events: AgentEvents,
+) -> HomeTask:
+    """Build the home of models and of the weight store."""
+    state = HomeState(
+        HomeSettings(settings.name, core.nonce),
+        core.agreed.releases,
+        peers.ranking,
+    )
+    store = StoreSettings(settings.store_loads_per_s, settings.store_parallel)
+    return HomeTask(
+        state,
+        StorePermits(store),
+        peers,
+        boottime_ms,
+        events.on_home_action,
+    )
+
+
+def build_runner(
+    settings: AgentSettings,
+    core: Core,
+    peers: RankedPeers,
+    events: AgentEvents,
+) -> RunnerTask | None:
+    """Build the runner, when there is an engine beside the agent."""
+    if not settings.engine_url:
+        return None
+    releases = core.agreed.releases
+
+    def is_key_live(key_id: str, organisation: str) -> bool:
+        key = releases.key(key_id)
+        if key is None or key.is_withdrawn:
+            return False
+        return key.spec.organisation == organisation
+
+    state = RunnerState(
+        RunnerSettings(
+            settings.name,
+            max_running=settings.max_running,
+            store_share_per_s=settings.store_loads_per_s
+            / settings.store_sharers,
+        ),
+        releases,
+        is_key_live,
+    )
+    client = EngineClient(server_of(settings.engine_url))
+    port = ClientPort(client, f'{settings.name}/{core.nonce}')
+    return RunnerTask(
+        state,
+        port,
+        peers,
+        boottime_ms,
+        core.nonce,
+        events.on_runner_action,
+    )
+
+
+def build_services(settings: AgentSettings) -> dict[str, ServiceWork]:
+    """Build what runs calls of the plain service, if there is one."""
+    if not settings.service:
+        return {}
+    client = PlainClient(server_of(settings.service_url))
+    limits = ServiceLimits(max_running=settings.max_running)
+    return {settings.service: ServiceWork(PlainServicePort(client), limits)}
+
+
+def call_routes(core: Core, calls: AgentCalls) -> tuple[Route, ...]:
+    """Return what every agent serves."""
+    return (
+        Route(services.RUN, serve_attempts(calls, core.agreed)),
+        core.unary(services.REVOKE, calls.revoke),
+        core.unary(services.CANCEL, calls.cancel),
+    )
+
+
+def home_routes(core: Core, home: HomeTask) -> tuple[Route, ...]:
+    """Return what an agent serves as a home."""
+    return (
+        core.unary(services.LOCATE, home.locate),
+        core.unary(services.ANNOUNCE, home.announce),
+        core.unary(services.PERMIT, home.permit),
+        core.unary(services.LOAD_FINISHED, home.load_finished),
+    )
+
+
+def runner_routes(core: Core, runner: RunnerTask) -> tuple[Route, ...]:
+    """Return what an agent with an engine serves to homes."""
+
+    async def bid(request: BidRequest) -> Bid:
+        return runner.bid(request)
+
+    async def decide(decision: Decision) -> DecisionReply:
+        return runner.decide(decision)
+
+    return (
+        core.unary(services.BID, bid),
+        core.unary(services.DECIDE, decide),
+    )
--- a/lagoonflow/wiring/callrunner.py
+++ b/lagoonflow/wiring/callrunner.py
@@ -96,15 +96,14 @@
         )
         match claim:
             case Won(claim_id=claim_id):
-                claimed = self._start_claimed(call, claim_id)
-                async with contextlib.aclosing(claimed.answer()) as parts:
-                    async for delivery in parts:
-                        yield delivery
+                parts = self._start_claimed(call, claim_id).answer()
             case Outcome():
-                for delivery in _repeat(claim):
-                    yield delivery
+                parts = _repeat(claim)
             case Refusal():
-                yield Refuse(claim)
+                parts = _only(Refuse(claim))
+        async with contextlib.aclosing(parts) as deliveries:
+            async for delivery in deliveries:
+                yield delivery
 
     def _start_claimed(self, call: Call, claim_id: str) -> ClaimedCall:
         claimed = ClaimedCall(
@@ -148,15 +147,18 @@
     return hashed.hexdigest()
 
 
-def _repeat(outcome: Outcome) -> tuple[Delivery, ...]:
+async def _only(delivery: Delivery) -> AsyncIterator[Delivery]:
+    yield delivery
+
+
+async def _repeat(outcome: Outcome) -> AsyncIterator[Delivery]:
     if outcome.kind is OutcomeKind.NOT_RUN:
-        return (Refuse(NOT_RUN_OUTCOME),)
-    if outcome.kind is OutcomeKind.UNKNOWN:
-        return (Refuse(UNKNOWN_OUTCOME),)
-    if outcome.is_body_omitted:
-        return (Refuse(NOT_KEPT),)
-    return (
-        DeliverAnswer(ServiceAnswer(outcome.status, outcome.headers)),
-        DeliverBody(outcome.body),
-        DeliverFinish(Finish('repeated')),
-    )
+        yield Refuse(NOT_RUN_OUTCOME)
+    elif outcome.kind is OutcomeKind.UNKNOWN:
+        yield Refuse(UNKNOWN_OUTCOME)
+    elif outcome.is_body_omitted:
+        yield Refuse(NOT_KEPT)
+    else:
+        yield DeliverAnswer(ServiceAnswer(outcome.status, outcome.headers))
+        yield DeliverBody(outcome.body)
+        yield DeliverFinish(Finish('repeated'))
--- a/lagoonflow/wiring/membership.py
+++ b/lagoonflow/wiring/membership.py
@@ -49,9 +49,8 @@
 
     def start(self) -> None:
         """Join, and watch the host list and pauses."""
-        self._core.agreed.followers[Stream.ROSTER].listeners.append(
-            self._notice_changes,
-        )
+        follower = self._core.agreed.followers[Stream.ROSTER]
+        follower.listeners.append(self._notice_changes)
         self._running = asyncio.create_task(self._task.run())
 
     def on_gone(self, listener: Callable[[str, str], None]) -> None:
