--- /dev/null
+++ b/benchmarks/storm/fleet.py
@@ -0,0 +1,244 @@
+"""Starts the processes of one run."""
+
+import dataclasses
+import hashlib
+import json
+import subprocess
+import sys
+import time
+
+from benchmarks.storm.arrivals import Organisation, adapters_of
+from benchmarks.storm.deployments import Deployment
+from benchmarks.storm.world import (
+    engine_flags,
+    local_checkpoints,
+    store_flags,
+)
+from tests.support import http
+from tests.support.processes import ROOT, Process, ProcessSet
+from tests.support.program_flags import (
+    Backends,
+    Place,
+    Platform,
+    agent_flags,
+    router_flags,
+)
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+READY_TIMEOUT_S = 30
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fleet:
+    """Addresses of a running fleet."""
+
+    engines: list[str]
+    store: str
+    routers: list[str]
+    admins: list[str]
+    agents: list[Process]
+
+
+def keys_of(limits: list[Organisation]) -> dict[str, str]:
+    """Return one key for each organisation."""
+    return {one.name: f'lf_{one.name}_benchmark_key' for one in limits}
+
+
+def release_note(deployment: Deployment, limits: list[Organisation]) -> str:
+    """Return the release note of a run."""
+    changes = []
+    for one in limits:
+        token = keys_of(limits)[one.name]
+        changes.append(
+            {
+                'put': 'organisation',
+                'name': one.name,
+                'base': 0,
+                'rate_tokens_per_s': one.rate_tokens_per_s,
+                'burst_tokens': one.burst_tokens,
+            }
+        )
+        changes.append(
+            {
+                'put': 'key',
+                'name': f'{one.name}-key',
+                'base': 0,
+                'organisation': one.name,
+                'digest': hashlib.sha256(token.encode()).hexdigest(),
+            }
+        )
+    for number in range(deployment.models):
+        model = f'model-{number}'
+        changes.append(
+            {
+                'put': 'model',
+                'name': model,
+                'base': 0,
+                'version': 'v1',
+                'checkpoint': f'{model}-v1',
+                'memory_mb': deployment.model_memory_mb,
+                'max_replicas': 3,
+            }
+        )
+        changes.extend(
+            {
+                'put': 'adapter',
+                'name': adapter,
+                'base': 0,
+                'model': model,
+                'version': 'v1',
+                'checkpoint': f'{adapter}-v1',
+                'memory_mb': deployment.adapter_memory_mb,
+            }
+            for adapter in adapters_of(deployment, model)
+        )
+    note = {'note': {'author': 'benchmark'}, 'changes': changes}
+    return json.dumps(note)
+
+
+class FleetStarter:
+    """Starts stand-ins, and then the programs if they are wanted."""
+
+    def __init__(self, processes: ProcessSet, deployment: Deployment) -> None:
+        self._processes = processes
+        self._deployment = deployment
+
+    def start_engines(self, seed: int, fencing: str) -> Fleet:
+        """Start the weight store and the engines."""
+        store = self._start(
+            'store',
+            'standins.store',
+            *store_flags(self._deployment),
+        )
+        store.wait_listening()
+        checkpoints = local_checkpoints(self._deployment, seed)
+        engines = [
+            self._start(
+                f'engine {number}',
+                'standins.engine',
+                '--name',
+                f'engine-{number}',
+                *engine_flags(
+                    self._deployment,
+                    local,
+                    f'http://{store.address}',
+                    fencing,
+                ),
+            )
+            for number, local in enumerate(checkpoints, 1)
+        ]
+        for engine in engines:
+            engine.wait_listening()
+        addresses = [engine.address for engine in engines]
+        return Fleet(addresses, store.address, [], [], [])
+
+    def start_programs(self, fleet: Fleet, limits: list[Organisation]) -> Fleet:
+        """Start lagoonflow in front of the engines."""
+        log = self._start('log', 'standins.log')
+        hosts = self._start('hosts', 'standins.hostlist', '--lag-ms', '300')
+        log.wait_listening()
+        hosts.wait_listening()
+        platform = Platform(log.address, hosts.address)
+        deployment = self._deployment
+        agents = []
+        for number, engine in enumerate(fleet.engines, 1):
+            plain = self._start(f'plain {number}', 'standins.plain')
+            plain.wait_listening()
+            place = Place('agent', number, ZONES[number % 3])
+            backends = Backends(
+                engine,
+                'bookings',
+                plain.address,
+                deployment.engine_memory_mb,
+                True,
+            )
+            agents.append(
+                self._start(
+                    f'agent {number}',
+                    'lagoonflow.cli.agent',
+                    *agent_flags(platform, place, backends),
+                    f'--store-loads-per-s={deployment.store_loads_per_s}',
+                    f'--store-parallel={deployment.store_parallel}',
+                    f'--store-sharers={deployment.engines}',
+                    f'--max-running={deployment.batch_size}',
+                ),
+            )
+        routers = [
+            self._start(
+                f'router {number}',
+                'lagoonflow.cli.router',
+                *router_flags(
+                    platform, Place('router', number, ZONES[number % 3])
+                ),
+            )
+            for number in range(1, deployment.routers + 1)
+        ]
+        for process in (*agents, *routers):
+            process.wait_listening(('peer', 'admin'))
+        self._list(hosts.address, agents, 'agent')
+        self._list(hosts.address, routers, 'router')
+        self._publish(log.address, release_note(deployment, limits))
+        admins = [one.addresses['admin'] for one in (*agents, *routers)]
+        _wait_until_current(admins, len(admins))
+        return dataclasses.replace(
+            fleet,
+            routers=[one.addresses['callers'] for one in routers],
+            admins=admins,
+            agents=agents,
+        )
+
+    def _publish(self, log: str, note: str) -> None:
+        path = self._processes.log_dir / 'note.yaml'
+        path.write_text(note)
+        published = subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'lagoonflow.cli.ctl',
+                'release',
+                'publish',
+                str(path),
+                f'--log-url=http://{log}',
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=READY_TIMEOUT_S,
+        )
+        if published.returncode:
+            raise RuntimeError(published.stdout + published.stderr)
+
+    def _list(self, hosts: str, programs: list[Process], role: str) -> None:
+        for number, process in enumerate(programs, 1):
+            host, _, port = process.addresses['peer'].rpartition(':')
+            entry = {
+                'address': host,
+                'port': int(port),
+                'zone': ZONES[number % 3],
+                'role': role,
+                'state': 'live',
+            }
+            http.request(hosts, 'PUT', f'/hosts/{role}-{number}', entry)
+
+    def _start(self, name: str, module: str, *flags: str) -> Process:
+        return self._processes.start(name, module, *flags)
+
+
+def _wait_until_current(admins: list[str], members: int) -> None:
+    deadline_s = time.monotonic() + READY_TIMEOUT_S
+    while time.monotonic() < deadline_s:
+        statuses = [
+            http.request(one, 'GET', '/status').json() for one in admins
+        ]
+        if all(_is_current(status, members) for status in statuses):
+            return
+        time.sleep(0.2)
+    raise RuntimeError(f'the fleet is not current: {statuses}')
+
+
+def _is_current(status: dict, members: int) -> bool:
+    streams = status['streams']
+    return (
+        streams['roster']['next_offset'] >= members
+        and streams['releases']['next_offset'] >= 1
+    )
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -124,7 +124,7 @@
     """
 
     def __init__(self, log_dir: pathlib.Path) -> None:
-        self._log_dir = log_dir
+        self.log_dir = log_dir
         self._started: list[Process] = []
 
     def start(
@@ -136,8 +136,8 @@
     ) -> Process:
         """Start `python -m MODULE` without waiting for its address."""
         stem = f'{len(self._started):02d}-{name.replace(" ", "-")}'
-        out_path = self._log_dir / f'{stem}.out'
-        err_path = self._log_dir / f'{stem}.err'
+        out_path = self.log_dir / f'{stem}.out'
+        err_path = self.log_dir / f'{stem}.err'
         with out_path.open('wb') as out, err_path.open('wb') as err:
             popen = subprocess.Popen(
                 [sys.executable, '-m', module, *map(str, flags)],
