Add lagoonflowctl: notes, keys, codes, status and time line

Cause: operators drive the fleet only by release notes, and need to see what is in force, which process is behind and what happened where. Declarations return commands as data classes; what they do stands apart. Keys are taken out of all messages on standard error. Figures of a real fleet are not measured yet.

--- /dev/null
+++ b/lagoonflow/cli/complaints.py
@@ -0,0 +1,22 @@
+"""Prints refusals and chooses the exit status for them."""
+
+from lagoonflow.cli.environment import Environment
+from lagoonflow.cli.exits import ExitStatus
+from lagoonflow.results import Refusal, Result
+
+
+def complain(
+    refusal: Refusal, environment: Environment, hint: str = ''
+) -> ExitStatus:
+    """Print a refusal and return the exit status for it."""
+    code = refusal.code
+    environment.complain(f'{refusal.reason} (code {code.value} {code.name})')
+    if hint:
+        environment.complain(hint)
+    match code:
+        case Result.LOG_UNAVAILABLE:
+            return ExitStatus.LOG_UNAVAILABLE
+        case Result.NOTE_REJECTED:
+            return ExitStatus.NOTE_REJECTED
+        case _:
+            return ExitStatus.ERROR
--- a/lagoonflow/cli/environment.py
+++ b/lagoonflow/cli/environment.py
@@ -6,6 +6,8 @@
 from collections.abc import Mapping
 from typing import TextIO
 
+from lagoonflow.keys.redaction import redact
+
 ENVIRONMENT_PREFIX = 'LAGOONFLOW_'
 
 
@@ -28,6 +30,6 @@
         self.stdout.write(f'{text}\n')
 
     def complain(self, text: str) -> None:
-        """Print a line about what went wrong."""
-        self.stderr.write(f'{text}\n')
+        """Print a line about what went wrong, without keys."""
+        self.stderr.write(f'{redact(text)}\n')
         self.stderr.flush()
--- /dev/null
+++ b/lagoonflow/cli/explaining.py
@@ -0,0 +1,34 @@
+"""Explains result codes to operators."""
+
+from lagoonflow.cli.environment import Environment
+from lagoonflow.cli.exits import ExitStatus
+from lagoonflow.results import Result
+from lagoonflow.results_text import explanation, results_table
+
+NO_SUCH_CODE = 'There is no result code {code!r}.'
+CODE_HINT = 'List all codes with: lagoonflowctl explain'
+
+
+def explain(code: str, environment: Environment) -> ExitStatus:
+    """Print what a code means, or the table of all codes."""
+    if not code:
+        environment.print(results_table().rstrip())
+        return ExitStatus.SUCCESS
+    result = _find(code)
+    if result is None:
+        environment.complain(NO_SUCH_CODE.format(code=code))
+        environment.complain(CODE_HINT)
+        return ExitStatus.USAGE
+    found = explanation(result)
+    environment.print(f'{result.value} {result.name}')
+    environment.print(f'Meaning: {found.meaning}')
+    environment.print(f'What to do: {found.remedy}')
+    return ExitStatus.SUCCESS
+
+
+def _find(code: str) -> Result | None:
+    name = code.strip().upper().replace('-', '_')
+    for result in Result:
+        if name in {result.name, str(result.value)}:
+            return result
+    return None
--- /dev/null
+++ b/lagoonflow/cli/fleet_commands.py
@@ -0,0 +1,249 @@
+"""What ``lagoonflowctl status`` and ``lagoonflowctl timeline`` do."""
+
+import asyncio
+import dataclasses
+import datetime
+from collections.abc import Iterable
+from typing import Generic, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from lagoonflow.cli import commands
+from lagoonflow.cli.environment import Environment
+from lagoonflow.cli.exits import ExitStatus
+from lagoonflow.cli.output import print_json, print_table, printable
+from lagoonflow.cli.reading import read_stream
+from lagoonflow.platform.exchange import HttpAnswer, HttpRequest
+from lagoonflow.platform.http import HttpClient
+from lagoonflow.results import Refusal
+from lagoonflow.roster.state import RosterFold
+from lagoonflow.streams.messages import Stream
+from lagoonflow.telemetry.admin import ProcessStatus
+from lagoonflow.telemetry.timeline import Event
+from lagoonflow.wire.address import Address
+
+OK = 200
+MS_PER_S = 1000
+
+NO_ANSWER = 'No answer from {name} at {address}: {reason}.'
+PARTIAL = 'The answer is partial: {missing} of {count} processes are missing.'
+NO_PROCESSES = 'No processes are known. Name them with --process HOST:PORT.'
+ROSTER_UNKNOWN = '{reason} Only processes given by --process are asked.'
+CLOCKS = 'Events are in the order of the clocks of their hosts.'
+
+STATUS_HEAD = (
+    'PROCESS',
+    'ROLE',
+    'ZONE',
+    'READY',
+    'RELEASES',
+    'ROSTER',
+    'REJECTED',
+    'BEHIND',
+)
+EVENT_HEAD = (
+    'TIME',
+    'PROCESS',
+    'PART',
+    'EVENT',
+    'REQUEST',
+    'MODEL',
+    'HOST',
+    'CAUSE',
+    'DETAIL',
+)
+
+AnswerT = TypeVar('AnswerT')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Process:
+    name: str
+    address: Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Missing:
+    process: _Process
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answers(Generic[AnswerT]):
+    found: tuple[AnswerT, ...]
+    missing: tuple[_Missing, ...]
+
+
+async def show_status(
+    command: commands.ShowStatus, environment: Environment
+) -> ExitStatus:
+    """Show all processes, their versions and who is behind."""
+    processes = await _find_processes(command.fleet, environment)
+    answers = await _ask_all(
+        processes, '/status', ProcessStatus, command.fleet.timeout_ms
+    )
+    if command.as_json:
+        for status in answers.found:
+            print_json(environment, status)
+    else:
+        print_table(environment, STATUS_HEAD, _status_rows(answers.found))
+    return _conclude(answers, environment)
+
+
+async def show_time_line(
+    command: commands.ShowTimeLine, environment: Environment
+) -> ExitStatus:
+    """Merge the time lines of all processes."""
+    processes = await _find_processes(command.fleet, environment)
+    query = urlencode(
+        {
+            'request': command.request,
+            'model': command.model,
+            'host': command.host,
+            'since_ms': command.since_ms,
+        }
+    )
+    answers = await _ask_all(
+        processes,
+        f'/timeline?{query}',
+        tuple[Event, ...],
+        command.fleet.timeout_ms,
+    )
+    events = [event for answer in answers.found for event in answer]
+    events.sort(key=lambda event: event.at_ms)
+    if command.as_json:
+        for event in events:
+            print_json(environment, event)
+    else:
+        print_table(environment, EVENT_HEAD, map(_event_row, events))
+        environment.complain(CLOCKS)
+    return _conclude(answers, environment)
+
+
+async def _find_processes(
+    fleet: commands.Fleet, environment: Environment
+) -> tuple[_Process, ...]:
+    named = {
+        address: _Process(str(address), address) for address in fleet.processes
+    }
+    if not fleet.log:
+        return tuple(named.values())
+    roster = await read_stream(RosterFold(), fleet.log, fleet.timeout_ms)
+    if isinstance(roster, Refusal):
+        environment.complain(ROSTER_UNKNOWN.format(reason=roster.reason))
+        return tuple(named.values())
+    for member in roster.members:
+        address = Address(member.host, member.admin_port)
+        named[address] = _Process(member.name, address)
+    return tuple(named.values())
+
+
+async def _ask_all(
+    processes: Iterable[_Process],
+    target: str,
+    answer_type: type[AnswerT],
+    timeout_ms: int,
+) -> _Answers[AnswerT]:
+    answers = await asyncio.gather(
+        *(
+            _ask(process, target, answer_type, timeout_ms)
+            for process in processes
+        )
+    )
+    found = [one for one in answers if not isinstance(one, _Missing)]
+    missing = [one for one in answers if isinstance(one, _Missing)]
+    return _Answers(tuple(found), tuple(missing))
+
+
+async def _ask(
+    process: _Process, target: str, answer_type: type[AnswerT], timeout_ms: int
+) -> AnswerT | _Missing:
+    client = HttpClient(str(process.address))
+    try:
+        answer = await client.call(
+            HttpRequest('GET', target, timeout_ms=timeout_ms),
+        )
+    finally:
+        await client.aclose()
+    if not isinstance(answer, HttpAnswer):
+        return _Missing(process, answer.reason)
+    if answer.status != OK:
+        return _Missing(process, f'status {answer.status}')
+    try:
+        return msgspec.json.decode(answer.body, type=answer_type)
+    except msgspec.MsgspecError as error:
+        return _Missing(process, str(error))
+
+
+def _conclude(answers: _Answers, environment: Environment) -> ExitStatus:
+    for one in answers.missing:
+        text = NO_ANSWER.format(
+            name=one.process.name,
+            address=one.process.address,
+            reason=one.reason,
+        )
+        environment.complain(printable(text))
+    missing = len(answers.missing)
+    count = missing + len(answers.found)
+    if missing:
+        environment.complain(PARTIAL.format(missing=missing, count=count))
+        return ExitStatus.PARTIAL_ANSWER
+    if not count:
+        environment.complain(NO_PROCESSES)
+        return ExitStatus.PARTIAL_ANSWER
+    return ExitStatus.SUCCESS
+
+
+def _status_rows(
+    statuses: tuple[ProcessStatus, ...],
+) -> list[list[object]]:
+    newest = {
+        stream: max(_offset(status, stream) for status in statuses)
+        for stream in (Stream.RELEASES, Stream.ROSTER)
+        if statuses
+    }
+    return [
+        _status_row(status, newest)
+        for status in sorted(statuses, key=lambda status: status.process)
+    ]
+
+
+def _status_row(
+    status: ProcessStatus, newest: dict[Stream, int]
+) -> list[object]:
+    behind = [
+        f'{stream.value} by {offset - _offset(status, stream)}'
+        for stream, offset in newest.items()
+        if _offset(status, stream) < offset
+    ]
+    return [
+        status.process,
+        status.role,
+        status.zone,
+        'yes' if status.is_ready else f'no: {status.reason}',
+        _offset(status, Stream.RELEASES),
+        _offset(status, Stream.ROSTER),
+        sum(stream.rejected for stream in status.streams.values()),
+        ', '.join(behind) or '-',
+    ]
+
+
+def _offset(status: ProcessStatus, stream: Stream) -> int:
+    followed = status.streams.get(stream.value)
+    return followed.next_offset if followed else 0
+
+
+def _event_row(event: Event) -> list[object]:
+    at = datetime.datetime.fromtimestamp(event.at_ms / MS_PER_S, datetime.UTC)
+    return [
+        at.strftime('%H:%M:%S.%f')[:-3],
+        event.process,
+        event.part,
+        event.event,
+        event.request_id,
+        event.model,
+        event.host,
+        event.cause,
+        event.detail,
+    ]
--- /dev/null
+++ b/lagoonflow/cli/note_commands.py
@@ -0,0 +1,166 @@
+"""What lagoonflowctl does with a note file."""
+
+import dataclasses
+import pathlib
+
+from lagoonflow.cli import commands
+from lagoonflow.cli.complaints import complain
+from lagoonflow.cli.environment import Environment
+from lagoonflow.cli.exits import ExitStatus
+from lagoonflow.cli.output import printable
+from lagoonflow.cli.reading import open_session, read_stream
+from lagoonflow.clock import wall_clock_ms
+from lagoonflow.releases.catalogue import ObjectProblem
+from lagoonflow.releases.note import Note, parse_note
+from lagoonflow.releases.plan import PlanAction, PlannedChange, make_plan
+from lagoonflow.releases.publish import Published, Publisher
+from lagoonflow.releases.state import ReleaseFold
+from lagoonflow.releases.yaml_source import Mistake
+from lagoonflow.results import Refusal, Result
+
+VALID = '{path}: the note is valid, {count} changes.'
+UNREADABLE = '{path}: the file can not be read: {reason}.'
+MISTAKE_COUNT = '{path}: {count} mistakes, code {code}. Nothing was published.'
+WOULD_BE_REJECTED = 'The note would be rejected:'
+WOULD_BE_ACCEPTED = 'The note would be accepted.'
+ACCEPTED = 'accepted: note {note_id} at offset {offset}'
+REJECTED = 'rejected: note {note_id} at offset {offset}, code {code}'
+REPEATED = 'An earlier attempt had published this note already.'
+REJECTED_HINT = (
+    'Nothing of the note is in force. Compare its bases with'
+    ' lagoonflowctl release show, mend it and publish it again.'
+)
+MAYBE_PUBLISHED = (
+    'The note may have been published. Publish it again to learn what became'
+    ' of it; a repeat does no harm.'
+)
+NOT_PUBLISHED = 'The note was not published.'
+
+
+def validate(
+    command: commands.ValidateNote, environment: Environment
+) -> ExitStatus:
+    """Check a note file."""
+    note = _read_note(command.path, environment)
+    if isinstance(note, ExitStatus):
+        return note
+    count = len(note.changes)
+    environment.print(VALID.format(path=command.path, count=count))
+    return ExitStatus.SUCCESS
+
+
+async def plan(
+    command: commands.PlanNote, environment: Environment
+) -> ExitStatus:
+    """Show what a note would change."""
+    note = _read_note(command.path, environment)
+    if isinstance(note, ExitStatus):
+        return note
+    fold = await read_stream(ReleaseFold(), command.log, command.timeout_ms)
+    if isinstance(fold, Refusal):
+        return complain(fold, environment)
+    planned = make_plan(fold.catalogue, note.changes)
+    for change in planned.changes:
+        _print_planned(change, environment)
+    if planned.problems:
+        environment.print(WOULD_BE_REJECTED)
+        _print_problems(planned.problems, environment)
+        return ExitStatus.NOTE_REJECTED
+    environment.print(WOULD_BE_ACCEPTED)
+    actions = {one.action for one in planned.changes}
+    if actions == {PlanAction.KEEP}:
+        return ExitStatus.SUCCESS
+    return ExitStatus.CHANGES_PENDING
+
+
+async def publish(
+    command: commands.PublishNote, environment: Environment
+) -> ExitStatus:
+    """Publish a note and report what became of it."""
+    note = _read_note(command.path, environment)
+    if isinstance(note, ExitStatus):
+        return note
+    if not note.author:
+        note = dataclasses.replace(note, author=command.author)
+    async with open_session(ReleaseFold(), command.log) as session:
+        refusal = await session.wait_until_current(command.timeout_ms)
+        if refusal is not None:
+            return complain(refusal, environment, NOT_PUBLISHED)
+        publisher = Publisher(session.follower, session.appender, wall_clock_ms)
+        result = await publisher.publish(note, command.timeout_ms)
+    match result:
+        case Refusal(not_run=not_run):
+            hint = NOT_PUBLISHED if not_run else MAYBE_PUBLISHED
+            return complain(result, environment, hint)
+        case Published():
+            return _report(result, environment)
+
+
+def _read_note(
+    path: pathlib.Path, environment: Environment
+) -> Note | ExitStatus:
+    try:
+        raw = path.read_bytes()
+    except OSError as error:
+        reason = error.strerror or type(error).__name__
+        environment.complain(UNREADABLE.format(path=path, reason=reason))
+        return ExitStatus.NOTE_MALFORMED
+    note = parse_note(raw)
+    if isinstance(note, Note):
+        return note
+    for mistake in note:
+        environment.complain(_describe(path, mistake))
+    text = MISTAKE_COUNT.format(
+        path=path, count=len(note), code=Result.NOTE_MALFORMED.value
+    )
+    environment.complain(text)
+    return ExitStatus.NOTE_MALFORMED
+
+
+def _describe(path: pathlib.Path, mistake: Mistake) -> str:
+    place = f'{path}:{mistake.line}' if mistake.line else str(path)
+    inner = f' {mistake.path}:' if mistake.path else ''
+    text = f'{place}:{inner} {mistake.reason} {mistake.hint}'
+    return printable(text.rstrip())
+
+
+def _print_planned(change: PlannedChange, environment: Environment) -> None:
+    environment.print(
+        f'{change.action} {change.kind} {change.name}'
+        f' (version {change.version})',
+    )
+    if change.action is PlanAction.WITHDRAW:
+        return
+    for field in change.fields:
+        before = '' if field.before is None else f'{field.before!r} -> '
+        environment.print(f'    {field.name}: {before}{field.after!r}')
+
+
+def _print_problems(
+    problems: tuple[ObjectProblem, ...], environment: Environment
+) -> None:
+    for problem in problems:
+        environment.print(f'  {problem.kind} {problem.name}: {problem.reason}')
+
+
+def _report(published: Published, environment: Environment) -> ExitStatus:
+    outcome = published.outcome
+    if published.is_repeat:
+        environment.print(REPEATED)
+    text = ACCEPTED if outcome.is_accepted else REJECTED
+    environment.print(
+        text.format(
+            note_id=outcome.note_id,
+            offset=outcome.offset,
+            code=Result.NOTE_REJECTED.value,
+        ),
+    )
+    for changed in outcome.versions:
+        environment.print(
+            f'  {changed.kind} {changed.name}: version {changed.version}',
+        )
+    _print_problems(outcome.problems, environment)
+    if outcome.is_accepted:
+        return ExitStatus.SUCCESS
+    environment.print(REJECTED_HINT)
+    return ExitStatus.NOTE_REJECTED
--- /dev/null
+++ b/lagoonflow/cli/release_commands.py
@@ -0,0 +1,116 @@
+"""What ``lagoonflowctl release`` and ``lagoonflowctl key`` do."""
+
+import dataclasses
+
+import msgspec
+
+from lagoonflow.cli import commands
+from lagoonflow.cli.complaints import complain
+from lagoonflow.cli.environment import Environment
+from lagoonflow.cli.exits import ExitStatus
+from lagoonflow.cli.output import print_json, print_table
+from lagoonflow.cli.reading import read_stream
+from lagoonflow.keys.state import new_key
+from lagoonflow.releases.messages import ObjectKind
+from lagoonflow.releases.note import note_schema
+from lagoonflow.releases.state import NoteOutcome, ReleaseFold
+from lagoonflow.results import Refusal
+
+KEY_ONCE = 'This key is shown only once. Hand it to the caller over a safe way.'
+KEY_IN_NOTE = 'Put this digest into a release note:'
+
+SHOW_HEAD = ('KIND', 'NAME', 'VERSION', 'STATE', 'FIELDS')
+HISTORY_HEAD = ('OFFSET', 'NOTE', 'AUTHOR', 'OUTCOME', 'OBJECTS', 'MESSAGE')
+
+
+async def show(
+    command: commands.ShowReleases, environment: Environment
+) -> ExitStatus:
+    """Show the objects in force."""
+    fold = await read_stream(ReleaseFold(), command.log, command.timeout_ms)
+    if isinstance(fold, Refusal):
+        return complain(fold, environment)
+    kinds = tuple(ObjectKind) if command.kind is None else (command.kind,)
+    rows = [row for kind in kinds for row in _object_rows(fold, kind)]
+    if not command.as_json:
+        print_table(environment, SHOW_HEAD, map(_as_cells, rows))
+        return ExitStatus.SUCCESS
+    for row in rows:
+        print_json(environment, row)
+    return ExitStatus.SUCCESS
+
+
+async def history(
+    command: commands.ShowHistory, environment: Environment
+) -> ExitStatus:
+    """Show the last notes."""
+    fold = await read_stream(ReleaseFold(), command.log, command.timeout_ms)
+    if isinstance(fold, Refusal):
+        return complain(fold, environment)
+    if command.as_json:
+        for outcome in fold.outcomes:
+            print_json(environment, outcome)
+        return ExitStatus.SUCCESS
+    rows = map(_history_row, fold.outcomes)
+    print_table(environment, HISTORY_HEAD, rows)
+    return ExitStatus.SUCCESS
+
+
+def show_schema(environment: Environment) -> ExitStatus:
+    """Print the JSON schema of note files."""
+    encoded = msgspec.json.encode(note_schema())
+    environment.print(msgspec.json.format(encoded).decode())
+    return ExitStatus.SUCCESS
+
+
+def make_key(environment: Environment) -> ExitStatus:
+    """Make a key and print it once."""
+    key = new_key()
+    environment.complain(KEY_ONCE)
+    environment.print(f'key: {key.token}')
+    environment.complain(KEY_IN_NOTE)
+    environment.print(f'digest: {key.digest}')
+    return ExitStatus.SUCCESS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ObjectRow:
+    kind: ObjectKind
+    name: str
+    version: int
+    is_withdrawn: bool
+    spec: dict[str, object]
+
+
+def _object_rows(fold: ReleaseFold, kind: ObjectKind) -> list[_ObjectRow]:
+    stored = fold.catalogue.all_of(kind)
+    return [
+        _ObjectRow(
+            kind,
+            name,
+            stored[name].version,
+            stored[name].is_withdrawn,
+            msgspec.to_builtins(stored[name].spec),
+        )
+        for name in sorted(stored)
+    ]
+
+
+def _as_cells(row: _ObjectRow) -> tuple[object, ...]:
+    state = 'withdrawn' if row.is_withdrawn else 'in force'
+    fields = ' '.join(f'{name}={text}' for name, text in row.spec.items())
+    return (row.kind.value, row.name, row.version, state, fields)
+
+
+def _history_row(outcome: NoteOutcome) -> list[object]:
+    changed = outcome.versions or outcome.problems
+    names = ' '.join(f'{one.kind}:{one.name}' for one in changed)
+    state = 'accepted' if outcome.is_accepted else 'rejected'
+    return [
+        outcome.offset,
+        outcome.note_id,
+        outcome.author,
+        state,
+        names,
+        outcome.message,
+    ]
--- /dev/null
+++ b/lagoonflow/results_text.py
@@ -0,0 +1,236 @@
+"""Explanations of the result codes, for operators and callers."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from lagoonflow.results import Result
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explanation:
+    """What a result code means, and what to do about it."""
+
+    meaning: str
+    remedy: str
+
+
+TABLE_HEAD = """# Result codes
+
+Each answer that is no success carries one of these codes. A refusal says
+whether the request has run. This page is printed by `lagoonflowctl explain`.
+
+| code | name | meaning | what to do |
+|---|---|---|---|
+"""
+
+_REQUEST_CODES: Mapping[Result, Explanation] = {
+    Result.OK: Explanation('The request was served.', 'Nothing.'),
+    Result.MALFORMED_BODY: Explanation(
+        'The body of the request is not valid.',
+        'Mend the field that the message names.',
+    ),
+    Result.BODY_TOO_LARGE: Explanation(
+        'The body of the request is larger than the router accepts.',
+        'Send less, or raise --max-body-bytes.',
+    ),
+    Result.HEADERS_TOO_LARGE: Explanation(
+        'The headers of the request are larger than the router accepts.',
+        'Send fewer headers, or raise --max-header-bytes.',
+    ),
+    Result.UNKNOWN_ROUTE: Explanation(
+        'No route in force matches the path.',
+        'Check the path, or publish a route.',
+    ),
+    Result.UNKNOWN_MODEL: Explanation(
+        'No model or adapter in force has this name.',
+        'Check the name with lagoonflowctl release show model.',
+    ),
+    Result.PROMPT_TOO_LONG: Explanation(
+        'Prompt and wanted answer together are longer than allowed.',
+        'Shorten the prompt or lower max_tokens.',
+    ),
+    Result.MALFORMED_HEADER: Explanation(
+        'A header of the request is not valid.',
+        'Mend the header that the message names.',
+    ),
+    Result.METHOD_NOT_ALLOWED: Explanation(
+        'The path exists but does not take this HTTP method.',
+        'Use the method that the message names.',
+    ),
+    Result.KEY_REUSED_WITH_OTHER_BODY: Explanation(
+        'The Idempotency-Key was used before with another body.',
+        'Use a new Idempotency-Key for a new request.',
+    ),
+}
+_CALLER_CODES: Mapping[Result, Explanation] = {
+    Result.KEY_MISSING: Explanation(
+        'The request carries no key and the route is not open.',
+        'Send the key as a bearer token.',
+    ),
+    Result.KEY_UNKNOWN: Explanation(
+        'No release note in force gives this key.',
+        'Check the key, or publish its digest.',
+    ),
+    Result.KEY_WITHDRAWN: Explanation(
+        'A release note has withdrawn the key for good.',
+        'Make a new key with lagoonflowctl key new.',
+    ),
+    Result.NOT_ALLOWED: Explanation(
+        'The organisation may not make this request.',
+        'Ask the operator.',
+    ),
+    Result.RATE_EXCEEDED: Explanation(
+        'The organisation has used up its tokens.',
+        'Come back after Retry-After, or raise the rate by a release note.',
+    ),
+    Result.LARGER_THAN_BURST: Explanation(
+        'The request costs more tokens than the organisation may save up.',
+        'Lower max_tokens, or raise the burst by a release note.',
+    ),
+    Result.TOO_MANY_WAITING: Explanation(
+        'Too many requests wait already.',
+        'Come back after Retry-After.',
+    ),
+    Result.TOO_MANY_CONNECTIONS: Explanation(
+        'The router has as many connections as it accepts.',
+        'Use another router, or raise --max-connections.',
+    ),
+}
+_PLACE_CODES: Mapping[Result, Explanation] = {
+    Result.DEADLINE_UNREACHABLE: Explanation(
+        'The request can not be served before its deadline.',
+        'Come back after Retry-After, or allow more time.',
+    ),
+    Result.NO_RUNNER: Explanation(
+        'No backend server can take the request.',
+        'Check the backend servers with lagoonflowctl status.',
+    ),
+    Result.MODEL_DOES_NOT_FIT: Explanation(
+        'No backend server has memory for the model at present.',
+        'Come back after Retry-After, or check memory_mb of the model.',
+    ),
+    Result.LOAD_FAILED: Explanation(
+        'The model could not be loaded.',
+        'Check the checkpoint in the weight store and the engine.',
+    ),
+    Result.SHUTTING_DOWN: Explanation(
+        'The process is stopping and takes no new work.',
+        'Send the request again; another process serves it.',
+    ),
+    Result.CLAIM_LOG_UNAVAILABLE: Explanation(
+        'A call that runs at most once needs the log service, which is away.',
+        'Come back after Retry-After with the same Idempotency-Key.',
+    ),
+    Result.CLAIM_PENDING: Explanation(
+        'Another request with the same Idempotency-Key is still running.',
+        'Come back after Retry-After with the same Idempotency-Key.',
+    ),
+}
+_FAILURE_CODES: Mapping[Result, Explanation] = {
+    Result.BACKEND_UNREACHABLE: Explanation(
+        'The backend server could not be reached.',
+        'Send the request again; check the backend server.',
+    ),
+    Result.BACKEND_FAILED: Explanation(
+        'The backend server answered with an error.',
+        'Check the logs of the backend server.',
+    ),
+    Result.OUTCOME_UNKNOWN: Explanation(
+        'The call may have run, and it must not be repeated unasked.',
+        'Look up whether it took effect before sending it again.',
+    ),
+    Result.STREAM_BROKEN: Explanation(
+        'The answer broke off and could not be continued.',
+        'Send the request again.',
+    ),
+    Result.CALLER_GONE: Explanation(
+        'The caller closed its connection before the answer ended.',
+        'Nothing, unless callers give up too early.',
+    ),
+    Result.INTERNAL: Explanation(
+        'The program met a fault of its own.',
+        'Report it with the log lines of the request.',
+    ),
+}
+_PEER_CODES: Mapping[Result, Explanation] = {
+    Result.STALE_VIEW: Explanation(
+        'The sender has read less of the agreed streams than the receiver.',
+        'Nothing: the sender pulls the missing records and tries again.',
+    ),
+    Result.NOT_HOME: Explanation(
+        'The agent is not the home of the model.',
+        'Nothing: the sender asks the home.',
+    ),
+    Result.STALE_LOCATION: Explanation(
+        'The model is no longer where the router looked for it.',
+        'Nothing: the router asks the home.',
+    ),
+    Result.NOT_A_MEMBER: Explanation(
+        'The sender is not in the roster.',
+        'Nothing, when it joins again; else check the log service.',
+    ),
+    Result.DECISION_REPEATED: Explanation(
+        'The decision has been executed before.',
+        'Nothing: a decision is executed once.',
+    ),
+    Result.RESERVATION_LOST: Explanation(
+        'The reserved memory has been released.',
+        'Nothing: the home asks for new bids.',
+    ),
+    Result.MALFORMED_MESSAGE: Explanation(
+        'A message between the programs is not valid.',
+        'Check that all programs have compatible versions.',
+    ),
+    Result.VERSION_GAP: Explanation(
+        'Records between the known and the sent ones are missing.',
+        'Nothing: the process pulls them from a peer or from the log.',
+    ),
+    Result.REVOKED: Explanation(
+        'The attempt was revoked before it started.',
+        'Nothing: the router has sent the request elsewhere.',
+    ),
+}
+_OPERATOR_CODES: Mapping[Result, Explanation] = {
+    Result.NOTE_MALFORMED: Explanation(
+        'The release note is not valid.',
+        'Mend the mistakes that lagoonflowctl release validate names.',
+    ),
+    Result.NOTE_REJECTED: Explanation(
+        'The release note does not fit what is in force.',
+        'Compare its bases with lagoonflowctl release show.',
+    ),
+    Result.SETTING_INVALID: Explanation(
+        'A flag or environment variable is not valid.',
+        'Mend the setting that the message names.',
+    ),
+    Result.LOG_UNAVAILABLE: Explanation(
+        'The log service did not answer in time.',
+        'Repeat the command when the log service is back; it does no harm.',
+    ),
+    Result.RECORD_REJECTED: Explanation(
+        'A record of an agreed stream is not valid and was passed over.',
+        'Find out who appended it; lagoonflowctl status counts them.',
+    ),
+}
+EXPLANATIONS: Mapping[Result, Explanation] = {
+    **_REQUEST_CODES,
+    **_CALLER_CODES,
+    **_PLACE_CODES,
+    **_FAILURE_CODES,
+    **_PEER_CODES,
+    **_OPERATOR_CODES,
+}
+
+
+def explanation(result: Result) -> Explanation:
+    """Return the explanation of a result code."""
+    return EXPLANATIONS[result]
+
+
+def results_table() -> str:
+    """Return docs/RESULTS.md."""
+    rows = [
+        f'| {result.value} | {result.name} | {found.meaning} | {found.remedy} |'
+        for result, found in EXPLANATIONS.items()
+    ]
+    return ''.join((TABLE_HEAD, '\n'.join(rows), '\n'))
--- a/lagoonflow/wire/address.py
+++ b/lagoonflow/wire/address.py
@@ -1,6 +1,7 @@
 """Addresses of processes and services."""
 
 import dataclasses
+from urllib.parse import urlsplit
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,3 +25,8 @@
     def url(self) -> str:
         """Return the address as the base of HTTP URLs."""
         return f'http://{self}'
+
+
+def server_of(url: str) -> str:
+    """Return the HOST:PORT part of a URL."""
+    return urlsplit(url).netloc
