--- a/lagoonflow/platform/exchange.py
+++ b/lagoonflow/platform/exchange.py
@@ -12,6 +12,9 @@
 DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024
 JSON_HEADERS: Headers = (('Content-Type', 'application/json'),)
 
+# RecursionError: the input is nested too deeply.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
+
 BodyT = TypeVar('BodyT')
 
 
@@ -88,7 +91,7 @@
     """Decode and validate a JSON body."""
     try:
         return msgspec.json.decode(body, type=body_type)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return HttpFailure(f'malformed answer: {error}', was_sent=True)
 
 
--- a/lagoonflow/platform/generation.py
+++ b/lagoonflow/platform/generation.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from lagoonflow.platform.exchange import HttpFailure, HttpRequest
+from lagoonflow.platform.exchange import DECODE_ERRORS, HttpFailure, HttpRequest
 from lagoonflow.platform.http import HttpClient, HttpStream
 from lagoonflow.platform.messages.generation import (
     Chunk,
@@ -125,7 +125,7 @@
 def _decode_line(line: bytes) -> GenerationEvent:
     try:
         decoded = _decoder.decode(line)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return GenerationFailed(GenerationFailure.BROKEN, str(error))
     if not decoded.done:
         return _decode_chunk(decoded)
--- a/lagoonflow/wire/codec.py
+++ b/lagoonflow/wire/codec.py
@@ -7,6 +7,16 @@
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError
 
+# RecursionError: the input is nested too deeply.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
+ENCODE_ERRORS = (
+    msgspec.MsgspecError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    UnicodeEncodeError,
+)
+
 
 class MessagePackCodec(CodecBase):
     """Encodes data classes as MessagePack; unknown fields are ignored."""
@@ -16,11 +26,15 @@
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Encode one message.
 
-        :raises GRPCError: when the message is of another type.
+        :raises GRPCError: when the message is of another type, or holds
+            what has no encoding.
         """
         if not isinstance(message, message_type):
             raise GRPCError(Status.INTERNAL, 'message of another type')
-        return msgspec.msgpack.encode(message)
+        try:
+            return msgspec.msgpack.encode(message)
+        except ENCODE_ERRORS as error:
+            raise GRPCError(Status.INTERNAL, str(error)) from error
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """Decode and validate one message.
@@ -29,5 +43,5 @@
         """
         try:
             return msgspec.msgpack.decode(data, type=message_type)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        except DECODE_ERRORS as error:
             raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
