--- /dev/null
+++ b/lagoonflow/calls/claims_task.py
@@ -0,0 +1,256 @@
+"""Claims calls that may run at most once, and settles their outcomes."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from lagoonflow.calls import claim_records as records
+from lagoonflow.calls.claim_records import ClaimKey, Outcome, OutcomeKind
+from lagoonflow.calls.claims import Claim, ClaimsState
+from lagoonflow.calls.settling import ClaimSettler, IsMember
+from lagoonflow.clock import MS_PER_S
+from lagoonflow.platform.messages.log import Appended
+from lagoonflow.results import Refusal, Result
+from lagoonflow.streams.envelope import Record
+
+RETRY_AFTER_MS = 2000
+LOG_TIMEOUT_MS = 2000
+SWEEP_INTERVAL_MS = 1000
+MAX_UNSETTLED = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimPorts:
+    """What claims need from the other parts of a process.
+
+    :param append: appends a record, with a timeout in ms; after a refusal
+        it may have been appended all the same.
+    :param is_log_reachable: whether the log service answers at present.
+    :param is_member: tells by name and nonce who is in the roster.
+    :param clock_ms: monotonic time in ms.
+    :param new_id: returns a unique id.
+    """
+
+    append: Callable[[Record, int], Awaitable[Appended | Refusal]]
+    is_log_reachable: Callable[[], bool]
+    is_member: IsMember
+    clock_ms: Callable[[], int]
+    new_id: Callable[[], str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Won:
+    """The call is to be run, and its outcome to be settled."""
+
+    claim_id: str
+
+
+class ClaimsTask:
+    """Claims of one process.
+
+    :param state: the fold of the claims stream; :meth:`on_folded` has to be
+        called after each record.
+    """
+
+    def __init__(
+        self, state: ClaimsState, name: str, nonce: str, ports: ClaimPorts
+    ) -> None:
+        """Start without claims of this process.
+
+        :param name: name of the process, as in the roster.
+        :param nonce: identifies this process.
+        """
+        self._state = state
+        self._name = name
+        self._nonce = nonce
+        self._ports = ports
+        self._settler = ClaimSettler(name)
+        self._folded = asyncio.Event()
+        self._unsettled: dict[str, _Unsettled] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def claim(
+        self, key: ClaimKey, body_digest: str, deadline_ms: int
+    ) -> Won | Outcome | Refusal:
+        """Claim a call, or return the outcome of the claim that was first.
+
+        :param deadline_ms: when to stop waiting for that outcome.
+        """
+        answer = None
+        while answer is None:
+            found = self._state.find(key)
+            if found is None:
+                answer = await self._append_claim(key, body_digest, deadline_ms)
+                continue
+            answer = _answer_of(found, body_digest)
+            if answer is None and not await self._wait_for_fold(deadline_ms):
+                answer = _pending()
+        return answer
+
+    def settle(self, claim_id: str, outcome: Outcome) -> None:
+        """State the outcome of a claim that was won.
+
+        It is appended again until the fold shows it.
+        """
+        self._unsettled[claim_id] = _Unsettled(outcome)
+        self._append_settled(claim_id)
+
+    def on_folded(self) -> None:
+        """Go on with what waits for records."""
+        folded = self._folded
+        self._folded = asyncio.Event()
+        folded.set()
+
+    async def run(self) -> None:
+        """Settle what is due, for this process and for dead ones."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_MS / MS_PER_S)
+            self.sweep()
+
+    def sweep(self) -> None:
+        """Append the records that are due now."""
+        if not self._ports.is_log_reachable():
+            return
+        now_ms = self._ports.clock_ms()
+        for claim_id in list(self._unsettled):
+            self._append_settled(claim_id)
+        for record in self._settler.due(
+            self._state, self._ports.is_member, now_ms
+        ):
+            self._append_later(_id_of(record, self._name), record)
+
+    async def _append_claim(
+        self, key: ClaimKey, body_digest: str, deadline_ms: int
+    ) -> Won | Refusal | None:
+        """Append a claim; return ``None`` when another one was first."""
+        if self._state.is_full:
+            return _full()
+        if not self._ports.is_log_reachable():
+            return _no_log()
+        claim_id = self._ports.new_id()
+        record = records.Claimed(
+            claim_id, key, body_digest, self._name, self._nonce
+        )
+        limit_ms = self._ports.clock_ms() + LOG_TIMEOUT_MS
+        holder = await self._append_and_fold(record, min(limit_ms, deadline_ms))
+        if holder is not None and holder.record.claim_id != claim_id:
+            return None
+        is_late = self._ports.clock_ms() > limit_ms
+        if holder is None or holder.outcome is not None or is_late:
+            # The record may come to light later: its call must not run then.
+            self._abandon(claim_id)
+            return _no_log()
+        return Won(claim_id)
+
+    async def _append_and_fold(
+        self, record: records.Claimed, limit_ms: int
+    ) -> Claim | None:
+        is_stored = await self._store(record.claim_id, record, limit_ms)
+        while is_stored:
+            holder = self._state.find(record.key)
+            if holder is not None:
+                return holder
+            if not await self._wait_for_fold(limit_ms):
+                break
+        return None
+
+    async def _wait_for_fold(self, limit_ms: int) -> bool:
+        left_ms = limit_ms - self._ports.clock_ms()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0, left_ms) / MS_PER_S):
+                return await self._folded.wait()
+        return False
+
+    def _abandon(self, claim_id: str) -> None:
+        while len(self._unsettled) >= MAX_UNSETTLED:
+            self._unsettled.pop(next(iter(self._unsettled)))
+        outcome = Outcome(OutcomeKind.NOT_RUN)
+        self._unsettled[claim_id] = _Unsettled(outcome)
+
+    def _append_settled(self, claim_id: str) -> None:
+        unsettled = self._unsettled[claim_id]
+        claim = self._state.find_by_id(claim_id)
+        if claim is None:
+            if unsettled.was_seen:
+                self._unsettled.pop(claim_id)
+        elif claim.is_final:
+            self._unsettled.pop(claim_id)
+        else:
+            unsettled.was_seen = True
+            settled = records.Settled(claim_id, unsettled.outcome)
+            self._append_later(f'{claim_id}/settled', settled)
+
+    def _append_later(
+        self, record_id: str, record: records.ClaimRecord
+    ) -> None:
+        limit_ms = self._ports.clock_ms() + LOG_TIMEOUT_MS
+        task = asyncio.create_task(self._store(record_id, record, limit_ms))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _store(
+        self, record_id: str, record: records.ClaimRecord, limit_ms: int
+    ) -> bool:
+        timeout_ms = max(0, limit_ms - self._ports.clock_ms())
+        kind = records.kind_of(record)
+        appended = await self._ports.append(
+            Record(record_id, kind, record), timeout_ms
+        )
+        return isinstance(appended, Appended)
+
+
+@dataclasses.dataclass(slots=True)
+class _Unsettled:
+    """An outcome that the fold doesn't show yet.
+
+    :param was_seen: whether the fold has shown the claim.
+    """
+
+    outcome: Outcome
+    was_seen: bool = False
+
+
+def _id_of(record: records.Closed | records.Forgotten, name: str) -> str:
+    if isinstance(record, records.Closed):
+        return f'{record.claim_id}/closed/{name}'
+    return f'forgotten/{record.up_to_offset}/{name}'
+
+
+def _answer_of(claim: Claim, body_digest: str) -> Outcome | Refusal | None:
+    if claim.record.body_digest != body_digest:
+        return _other_body()
+    return claim.outcome
+
+
+def _other_body() -> Refusal:
+    return Refusal(
+        Result.KEY_REUSED_WITH_OTHER_BODY,
+        'the idempotency key was used for another request',
+    )
+
+
+def _pending() -> Refusal:
+    return Refusal(
+        Result.CLAIM_PENDING,
+        'the first call with this idempotency key has no outcome yet',
+        not_run=False,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+def _no_log() -> Refusal:
+    return Refusal(
+        Result.CLAIM_LOG_UNAVAILABLE,
+        'the call could not be claimed and was not run',
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+def _full() -> Refusal:
+    return Refusal(
+        Result.TOO_MANY_WAITING,
+        'too many idempotency keys are in use',
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/lagoonflow/wiring/agent.py
@@ -0,0 +1,180 @@
+"""Wires an agent."""
+
+import asyncio
+import contextlib
+
+from lagoonflow.calls.agent_task import AgentCalls, AgentPorts
+from lagoonflow.cli.environment import Environment
+from lagoonflow.cli.settings import AgentSettings
+from lagoonflow.clock import boottime_ms
+from lagoonflow.placement.peers import Peers as RankedPeers
+from lagoonflow.roster.messages import Member, Role
+from lagoonflow.runners.work import GenerationWork
+from lagoonflow.streams.messages import Stream
+from lagoonflow.telemetry.logs import get_logger
+from lagoonflow.telemetry.metrics import AgentMetrics
+from lagoonflow.wire.server import Route
+from lagoonflow.wiring import agent_parts as parts
+from lagoonflow.wiring.agent_events import AgentEvents
+from lagoonflow.wiring.core import Core
+from lagoonflow.wiring.gatekeeper import Gatekeeper
+from lagoonflow.wiring.membership import Membership
+from lagoonflow.wiring.stopping import StopSignal
+
+ROLE = Role.AGENT.value
+SWEEP_INTERVAL_S = 10
+
+
+async def serve_agent(
+    settings: AgentSettings,
+    environment: Environment,
+) -> None:
+    """Run an agent until it is told to stop.
+
+    :raises OSError: when an address cannot be bound.
+    """
+    stop = StopSignal()
+    stop.install()
+    agent = AgentProgram(settings, environment)
+    try:
+        await agent.start()
+        await stop.wait()
+        await agent.stop()
+    except Exception:
+        get_logger('program').error('Program failed.', exc_info=True)
+        raise
+    finally:
+        await agent.close()
+
+
+class AgentProgram:
+    """One agent."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        environment: Environment,
+    ) -> None:
+        """Wire the parts; nothing is bound yet."""
+        self._settings = settings
+        self._core = Core(settings, environment, ROLE)
+        self._metrics = AgentMetrics()
+        self._membership: Membership | None = None
+        peers = RankedPeers(
+            self._core.peers.send,
+            self._rank,
+            self._rank_for_store,
+        )
+        events = AgentEvents(self._core.timeline, self._metrics)
+        self._home = parts.build_home(settings, self._core, peers, events)
+        self._runner = parts.build_runner(settings, self._core, peers, events)
+        self._calls = AgentCalls(self._core.nonce, self._build_ports())
+
+    async def start(self) -> None:
+        """Bind the ports, join, and serve.
+
+        The port is bound before the first order, so that a second agent
+        on this host ends before it can order the same engine.
+
+        :raises OSError: when an address cannot be bound.
+        """
+        peer, admin = await self._core.listen(
+            self._routes(),
+            self._metrics.registry,
+        )
+        self._join(peer.port, admin.port)
+        self._core.is_ready = True
+        self._core.announce_address('peer', peer)
+        self._core.announce_address('admin', admin)
+
+    async def stop(self) -> None:
+        """Take no new work, hand back the queue, finish, and leave."""
+        self._core.is_ready = False
+        self._core.timeline.record('program', 'stopping')
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.stop_timeout_s):
+                await self._calls.drain()
+                if self._runner is not None:
+                    await self._runner.drain()
+                await self._membership.leave()
+
+    async def close(self) -> None:
+        """Close everything."""
+        await self._core.close()
+        get_logger('program').info('Stopped.')
+
+    def _build_ports(self) -> AgentPorts:
+        runner = self._runner
+        return AgentPorts(
+            admit=Gatekeeper(self._core.agreed).check,
+            versions=self._core.agreed.versions,
+            clock_ms=boottime_ms,
+            generations=GenerationWork(runner) if runner else None,
+            services=parts.build_services(self._settings),
+        )
+
+    def _routes(self) -> tuple[Route, ...]:
+        routes = parts.call_routes(self._core, self._calls)
+        if self._runner is None:
+            return routes
+        return (
+            *routes,
+            *parts.home_routes(self._core, self._home),
+            *parts.runner_routes(self._core, self._runner),
+        )
+
+    def _join(self, peer_port: int, admin_port: int) -> None:
+        settings = self._settings
+        member = Member(
+            name=settings.name,
+            role=Role.AGENT,
+            host=settings.peer_address.host,
+            port=peer_port,
+            zone=settings.zone,
+            nonce=self._core.nonce,
+            admin_port=admin_port,
+            services=(settings.service,) if settings.service else (),
+            has_engine=self._runner is not None,
+        )
+        self._membership = Membership(
+            self._core,
+            member,
+            self._pause,
+            self._home.caught_up,
+        )
+        followers = self._core.agreed.followers
+        for stream in (Stream.ROSTER, Stream.RELEASES):
+            followers[stream].listeners.append(self._follow)
+        self._start_tasks()
+        self._membership.start()
+
+    def _start_tasks(self) -> None:
+        background = self._core.background
+        self._core.agreed.start(background)
+        background.start('calls', self._calls.sweep_forever())
+        background.start('idle connections', self._sweep())
+        if self._runner is not None:
+            background.start('home', self._home.run())
+            background.start('runner', self._runner.run())
+
+    def _follow(self) -> None:
+        agreed = self._core.agreed
+        self._home.follow(agreed.releases, agreed.versions())
+        if self._runner is not None:
+            self._runner.follow(agreed.releases, agreed.versions())
+
+    def _pause(self) -> None:
+        self._home.pause()
+        if self._runner is not None:
+            self._runner.pause()
+
+    def _rank(self, model: str) -> tuple[str, ...]:
+        return self._membership.ranking(model) if self._membership else ()
+
+    def _rank_for_store(self) -> tuple[str, ...]:
+        return self._membership.store_ranking() if self._membership else ()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            self._core.connections.close_idle()
--- /dev/null
+++ b/lagoonflow/wiring/claims.py
@@ -0,0 +1,20 @@
+"""Connects claims to their stream of the log."""
+
+import uuid
+
+from lagoonflow.calls.claims_task import ClaimPorts
+from lagoonflow.clock import boottime_ms
+from lagoonflow.streams.messages import Stream
+from lagoonflow.wiring.agreed import AgreedStreams
+
+
+def claim_ports(agreed: AgreedStreams) -> ClaimPorts:
+    """Return what claims need; the claims stream has to be followed."""
+    follower = agreed.followers[Stream.CLAIMS]
+    return ClaimPorts(
+        append=agreed.appenders[Stream.CLAIMS].append,
+        is_log_reachable=lambda: follower.is_log_up,
+        is_member=agreed.roster.is_member,
+        clock_ms=boottime_ms,
+        new_id=lambda: uuid.uuid4().hex,
+    )
