--- a/benchmarks/storm/baselines.py
+++ b/benchmarks/storm/baselines.py
@@ -120,18 +120,27 @@
         bucket = self._buckets[arrival.organisation]
         if not bucket.take(arrival.cost_tokens):
             return Answer(None, 0, False, 'RATE_EXCEEDED')
-        engine = self._choose(arrival.model)
-        try:
-            async with asyncio.timeout(arrival.deadline_ms / 1000):
-                await self._ensure(engine, arrival)
-        except TimeoutError:
-            bucket.refund(arrival.cost_tokens)
-            self._chosen.pop(arrival.model, None)
-            return Answer(None, 0, False, 'DEADLINE_UNREACHABLE')
-        self._used[id(engine), arrival.model] = time.monotonic()
-        answer = await self._generate(engine, arrival, begun_s)
+        deadline_s = begun_s + arrival.deadline_ms / 1000
+        answer = Answer(None, 0, False, 'DEADLINE_UNREACHABLE')
+        while time.monotonic() < deadline_s:
+            engine = self._choose(arrival.model)
+            try:
+                async with asyncio.timeout(deadline_s - time.monotonic()):
+                    await self._ensure(engine, arrival)
+            except TimeoutError:
+                self._chosen.pop(arrival.model, None)
+                break
+            self._used[id(engine), arrival.model] = time.monotonic()
+            answer = await self._generate(engine, arrival, begun_s)
+            # The replica may have been evicted by another router.
+            if answer.code != 'BACKEND_FAILED':
+                break
+            await self._refresh(engine)
+            answer = Answer(None, 0, False, 'DEADLINE_UNREACHABLE')
         used = len(arrival.prompt.encode()) // 4 + arrival.max_tokens
-        bucket.refund(arrival.cost_tokens - used)
+        bucket.refund(
+            arrival.cost_tokens - (used if answer.is_whole else 0),
+        )
         return answer
 
     def _choose(self, model: str) -> EngineView:
--- a/lagoonflow/cli/ctl.py
+++ b/lagoonflow/cli/ctl.py
@@ -13,6 +13,7 @@
 from lagoonflow.cli.environment import Environment
 from lagoonflow.cli.exits import ExitStatus
 from lagoonflow.cli.explaining import explain
+from lagoonflow.telemetry.logs import LogFormat, LogLevel, configure_logs
 
 HELP_HINT = 'Try {program} --help.'
 
@@ -33,6 +34,7 @@
         return ExitStatus.USAGE
     if command is None:
         return ExitStatus.SUCCESS
+    configure_logs(environment.stderr, LogFormat.CONSOLE, LogLevel.WARNING)
     try:
         return asyncio.run(_run(command, environment))
     except KeyboardInterrupt:
--- a/lagoonflow/streams/task.py
+++ b/lagoonflow/streams/task.py
@@ -72,6 +72,7 @@
             fold, rng or random.Random(), self._settings, clock()
         )
         self._signal = Signal()
+        self._has_outage = False
         self._checkpointing: asyncio.Task[Appended | Refusal] | None = None
         self._puller = PeerPuller(self._pull_request, self.absorb)
 
@@ -148,11 +149,9 @@
 
     async def _step(self) -> None:
         before = self.fold.extent
-        was_up = self.is_log_up
         result = await self._read()
         actions = self._following.on_read(self._clock(), result)
-        if was_up != self.is_log_up:
-            _log_outage(self.fold.stream, result)
+        self._note_outage(result)
         self._signal.wake()
         if self.fold.extent != before:
             self._notify()
@@ -219,11 +218,3 @@
             return versions.roster
         case _:
             return 0
-
-
-def _log_outage(stream: Stream, result: ReadResult) -> None:
-    match result:
-        case Unavailable(reason):
-            logger.warning(LOG_LOST, stream=stream.value, reason=reason)
-        case _:
-            logger.info(LOG_BACK, stream=stream.value)
--- a/standins/engine/app.py
+++ b/standins/engine/app.py
@@ -15,6 +15,7 @@
 
 from standins.engine.cache import PrefixCache
 from standins.engine.generation import Batch, Sequence, show_load
+from standins.engine.idle import IdleMeter
 from standins.engine.loading import Loader
 from standins.engine.memory import Memory
 from standins.engine.messages import (
@@ -50,6 +51,7 @@
         self._orders = OrderBook(settings.fencing, self._memory, self._loader)
         self._cache = PrefixCache(settings.cache_blocks, settings.report_lag_ms)
         self._batch = Batch(settings, self._cache)
+        self._idle = IdleMeter(self._memory, self._batch)
         self._executions: Counter[str] = Counter()
         self._refused: Counter[str] = Counter()
         self._late_orders: set[asyncio.Task[None]] = set()
@@ -67,6 +69,7 @@
         return build_app(routes, self._switch, self._show_counts)
 
     async def _take_order(self, request: Request) -> Response:
+        self._idle.start()
         order = await read_body(request, Order)
         faults = self._switch.now
         if faults.refuse_orders:
@@ -158,6 +161,7 @@
     def _show_counts(self) -> dict[str, Any]:
         return {
             'executions': dict(self._executions),
+            'idle_replica_ms': self._idle.idle_replica_ms,
             'loads': dict(self._loader.loads),
             'most_replicas': dict(self._memory.most_replicas),
             'repeated_loads': self._memory.repeated_loads,
