--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -191,3 +191,22 @@
     address = cluster.address(part, path)
     with pytest.raises(OSError):
         http.request(address, 'GET', path, timeout_s=0.5)
+
+
+@when(
+    step(r'a caller with the key (?P<key>\S+) asks PART for a completion'),
+    target_fixture='caller_answer',
+)
+def ask_for_completion(cluster, key, part):
+    body = {'model': 'm', 'prompt': 'p', 'max_tokens': 4}
+    address = cluster.address(part, '/v1/completions')
+    return http.complete(address, key, body)
+
+
+@then(
+    parsers.re(r'the caller is refused with (?P<name>\w+) and nothing has run$')
+)
+def check_refusal(caller_answer, name):
+    assert caller_answer.error.get('name') == name, caller_answer
+    assert caller_answer.error.get('not_run') is True
+    assert caller_answer.text == ''
