--- a/lagoonflow/streams/task.py
+++ b/lagoonflow/streams/task.py
@@ -192,6 +192,15 @@
             self.fold.stream, self.fold.next_offset, self._versions()
         )
 
+    def _note_outage(self, result: ReadResult) -> None:
+        stream = self.fold.stream.value
+        is_outage = isinstance(result, Unavailable)
+        if is_outage and not self._has_outage:
+            logger.warning(LOG_LOST, stream=stream, reason=result.reason)
+        elif self._has_outage and not is_outage:
+            logger.info(LOG_BACK, stream=stream)
+        self._has_outage = is_outage
+
     def _notify(self) -> None:
         self._signal.wake()
         for listener in self.listeners:
