--- a/lagoonflow/streams/task.py
+++ b/lagoonflow/streams/task.py
@@ -5,8 +5,6 @@
 import random
 from collections.abc import Callable
 
-import structlog
-
 from lagoonflow.clock import MS_PER_S, Clock, boottime_ms
 from lagoonflow.platform.messages.common import Unavailable
 from lagoonflow.platform.messages.log import Appended, ReadResult
@@ -27,16 +25,12 @@
     Stream,
     Versions,
 )
+from lagoonflow.streams.outages import OutageLog
 from lagoonflow.streams.ports import LogClient, Pull
 from lagoonflow.streams.pulling import PeerPuller
 from lagoonflow.streams.signal import Signal
 from lagoonflow.streams.state import FoldBase
 
-LOG_LOST = 'streams: the log service does not answer'
-LOG_BACK = 'streams: the log service answers again'
-
-logger = structlog.get_logger()
-
 
 class StreamFollower:
     """Keeps a fold up to date from the log and from peers.
@@ -72,7 +66,7 @@
             fold, rng or random.Random(), self._settings, clock()
         )
         self._signal = Signal()
-        self._has_outage = False
+        self._outages = OutageLog(fold.stream)
         self._checkpointing: asyncio.Task[Appended | Refusal] | None = None
         self._puller = PeerPuller(self._pull_request, self.absorb)
 
@@ -151,7 +145,7 @@
         before = self.fold.extent
         result = await self._read()
         actions = self._following.on_read(self._clock(), result)
-        self._note_outage(result)
+        self._outages.note(result)
         self._signal.wake()
         if self.fold.extent != before:
             self._notify()
@@ -192,15 +186,6 @@
             self.fold.stream, self.fold.next_offset, self._versions()
         )
 
-    def _note_outage(self, result: ReadResult) -> None:
-        stream = self.fold.stream.value
-        is_outage = isinstance(result, Unavailable)
-        if is_outage and not self._has_outage:
-            logger.warning(LOG_LOST, stream=stream, reason=result.reason)
-        elif self._has_outage and not is_outage:
-            logger.info(LOG_BACK, stream=stream)
-        self._has_outage = is_outage
-
     def _notify(self) -> None:
         self._signal.wake()
         for listener in self.listeners:
