--- a/lagoonflow/cli/ctl.py
+++ b/lagoonflow/cli/ctl.py
@@ -13,6 +13,7 @@
 from lagoonflow.cli.environment import Environment
 from lagoonflow.cli.exits import ExitStatus
 from lagoonflow.cli.explaining import explain
+from lagoonflow.telemetry.logs import LogFormat, LogLevel, configure_logs
 
 HELP_HINT = 'Try {program} --help.'
 
@@ -24,6 +25,7 @@
     """Run one command."""
     environment = environment or Environment()
     tokens = sys.argv[1:] if arguments is None else arguments
+    configure_logs(environment.stderr, LogFormat.CONSOLE, LogLevel.ERROR)
     app = build_app(environment.variables)
     try:
         command = app(tokens, print_error=False, exit_on_error=False)
--- a/lagoonflow/streams/task.py
+++ b/lagoonflow/streams/task.py
@@ -5,8 +5,6 @@
 import random
 from collections.abc import Callable
 
-import structlog
-
 from lagoonflow.clock import MS_PER_S, Clock, boottime_ms
 from lagoonflow.platform.messages.common import Unavailable
 from lagoonflow.platform.messages.log import Appended, ReadResult
@@ -27,16 +25,12 @@
     Stream,
     Versions,
 )
+from lagoonflow.streams.outages import OutageLog
 from lagoonflow.streams.ports import LogClient, Pull
 from lagoonflow.streams.pulling import PeerPuller
 from lagoonflow.streams.signal import Signal
 from lagoonflow.streams.state import FoldBase
 
-LOG_LOST = 'streams: the log service does not answer'
-LOG_BACK = 'streams: the log service answers again'
-
-logger = structlog.get_logger()
-
 
 class StreamFollower:
     """Keeps a fold up to date from the log and from peers.
@@ -72,6 +66,7 @@
             fold, rng or random.Random(), self._settings, clock()
         )
         self._signal = Signal()
+        self._outages = OutageLog(fold.stream)
         self._checkpointing: asyncio.Task[Appended | Refusal] | None = None
         self._puller = PeerPuller(self._pull_request, self.absorb)
 
@@ -148,11 +143,9 @@
 
     async def _step(self) -> None:
         before = self.fold.extent
-        was_up = self.is_log_up
         result = await self._read()
         actions = self._following.on_read(self._clock(), result)
-        if was_up != self.is_log_up:
-            _log_outage(self.fold.stream, result)
+        self._outages.note(result)
         self._signal.wake()
         if self.fold.extent != before:
             self._notify()
@@ -219,11 +212,3 @@
             return versions.roster
         case _:
             return 0
-
-
-def _log_outage(stream: Stream, result: ReadResult) -> None:
-    match result:
-        case Unavailable(reason):
-            logger.warning(LOG_LOST, stream=stream.value, reason=reason)
-        case _:
-            logger.info(LOG_BACK, stream=stream.value)
