--- a/lagoonflow/cli/ctl.py
+++ b/lagoonflow/cli/ctl.py
@@ -35,6 +35,7 @@
         return ExitStatus.USAGE
     if command is None:
         return ExitStatus.SUCCESS
+    configure_logs(environment.stderr, LogFormat.CONSOLE, LogLevel.WARNING)
     try:
         return asyncio.run(_run(command, environment))
     except KeyboardInterrupt:
