--- a/lagoonflow/cli/ctl.py
+++ b/lagoonflow/cli/ctl.py
@@ -25,6 +25,7 @@
     """Run one command."""
     environment = environment or Environment()
     tokens = sys.argv[1:] if arguments is None else arguments
+    configure_logs(environment.stderr, LogFormat.CONSOLE, LogLevel.ERROR)
     app = build_app(environment.variables)
     try:
         command = app(tokens, print_error=False, exit_on_error=False)
--- a/lagoonflow/streams/outages.py
+++ b/lagoonflow/streams/outages.py
@@ -1,4 +1,4 @@
-"""Logs when a stream of the log service is lost and found again."""
+"""Logs when the log service is lost, and when it is back."""
 
 import structlog
 
@@ -13,18 +13,23 @@
 
 
 class OutageLog:
-    """Logs the begin and the end of each outage once."""
+    """Logs each outage once, however many reads fail.
+
+    :param stream: stream that is read.
+    """
 
     def __init__(self, stream: Stream) -> None:
-        """Start without an outage."""
-        self._stream = stream.value
-        self._has_outage = False
+        self._stream = stream
+        self._is_lost = False
 
     def note(self, result: ReadResult) -> None:
         """Take the answer to a read."""
-        is_outage = isinstance(result, Unavailable)
-        if is_outage and not self._has_outage:
-            logger.warning(LOG_LOST, stream=self._stream, reason=result.reason)
-        elif self._has_outage and not is_outage:
-            logger.info(LOG_BACK, stream=self._stream)
-        self._has_outage = is_outage
+        is_lost = isinstance(result, Unavailable)
+        if is_lost == self._is_lost:
+            return
+        self._is_lost = is_lost
+        match result:
+            case Unavailable(reason):
+                logger.warning(LOG_LOST, stream=self._stream, reason=reason)
+            case _:
+                logger.info(LOG_BACK, stream=self._stream)
