--- /dev/null
+++ b/tests/quotas/test_conservation.py
@@ -0,0 +1,129 @@
+"""No window admits more than rate x window + burst, whatever happens."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lagoonflow.quotas import account, shares
+from lagoonflow.quotas.bucket import Bucket
+from lagoonflow.quotas.gate import ShareGate
+from lagoonflow.releases.messages import OrganisationSpec
+from tests.quotas.fleet import Faults, Fleet, drain, random_history
+
+TOLERANCE_TOKENS = 1e-6
+MUTANT_HISTORIES = 600
+
+
+@settings(max_examples=100, deadline=None)
+@given(
+    seed=st.integers(0, 2**32),
+    loss=st.sampled_from([0, 0.1, 0.5]),
+    slow=st.sampled_from([0, 0.2, 0.8]),
+    stale_ms=st.sampled_from([0, 300, 1500, 6000]),
+)
+def test_no_window_exceeds_the_limits(seed, loss, slow, stale_ms) -> None:
+    faults = Faults(loss=loss, slow=slow, stale_ms=stale_ms)
+    assert random_history(seed, faults).excess_tokens <= TOLERANCE_TOKENS
+
+
+class RefundsBelowCap(Bucket):
+    """Refunds whatever fits below the cap now."""
+
+    def refund(self, charge_id: int, amount_tokens: float) -> float:
+        super().refund(charge_id, 0)
+        refund_tokens = max(min(amount_tokens, self.headroom_tokens), 0)
+        self.absorb(refund_tokens)
+        return refund_tokens
+
+
+class RefundsByHeadroomAlone(Bucket):
+    """Does not lower the headroom of the other charges."""
+
+    def refund(self, charge_id: int, amount_tokens: float) -> float:
+        refund_tokens = super().refund(charge_id, amount_tokens)
+        self._headroom.lower(-refund_tokens)
+        return refund_tokens
+
+
+class LendsWithoutPlace(Bucket):
+    """Gives up the place of lent tokens at once."""
+
+    def lend(self, amount_tokens: float, until_ms: float) -> None:
+        self.balance_tokens -= amount_tokens
+
+
+class KeepsOverCap(Bucket):
+    """Does not clip the balance when the cap shrinks."""
+
+    def set_share(self, rate_tokens_per_s: float, cap_tokens: float) -> None:
+        self.rate_tokens_per_s = rate_tokens_per_s
+        self.cap_tokens = cap_tokens
+
+
+class OpenGate(ShareGate):
+    """Lets a joiner accrue at once."""
+
+    def share(self, now_ms: float) -> float:
+        is_member = self._joined_version is not None
+        return self.share_of_peer if is_member else 0
+
+
+def random_histories():
+    return (random_history(seed) for seed in range(MUTANT_HISTORIES))
+
+
+def slow_replies():
+    """Lenders accrue again while what they lent is on its way."""
+    faults = Faults(loss=0, duplication=0, slow=0, fast_ms=(49, 49))
+    fleet = full_fleet(3, OrganisationSpec(600, 60), faults)
+    fleet.take(fleet.routers[0], 57, 57, 0, wait_ms=99)
+    fleet.run_until(fleet.now_ms + 97)
+    drain(fleet)
+    fleet.run_until(fleet.now_ms + 500)
+    yield fleet
+
+
+def two_refunds():
+    """Two refunds claim the same headroom."""
+    fleet = full_fleet(1, OrganisationSpec(6, 60), Faults())
+    for _ in range(2):
+        fleet.take(fleet.routers[0], 30, 0, 6000)
+    for _ in range(2):
+        fleet.run_until(fleet.now_ms + 5000)
+        drain(fleet)
+    yield fleet
+
+
+def full_fleet(count: int, limits: OrganisationSpec, faults: Faults) -> Fleet:
+    fleet = Fleet(random.Random(0), faults)
+    fleet.set_limits(limits)
+    for number in range(count):
+        fleet.join(f'router-{number}')
+    fleet.run_until(60000)
+    return fleet
+
+
+MUTANTS = [
+    (account, 'Bucket', RefundsBelowCap, random_histories),
+    (account, 'Bucket', RefundsByHeadroomAlone, two_refunds),
+    (account, 'Bucket', LendsWithoutPlace, slow_replies),
+    (account, 'Bucket', KeepsOverCap, random_histories),
+    (shares, 'ShareGate', OpenGate, random_histories),
+]
+
+
+@pytest.mark.parametrize('histories', [slow_replies, two_refunds])
+def test_directed_histories_stay_within_the_limits(histories) -> None:
+    for fleet in histories():
+        assert fleet.excess_tokens <= TOLERANCE_TOKENS
+
+
+@pytest.mark.parametrize(('module', 'name', 'mutant', 'histories'), MUTANTS)
+def test_check_fails_without_the_rule(
+    module, name, mutant, histories, monkeypatch
+) -> None:
+    monkeypatch.setattr(module, name, mutant)
+    excesses = (fleet.excess_tokens for fleet in histories())
+    assert any(excess > TOLERANCE_TOKENS for excess in excesses)
