--- a/lagoonflow/quotas/account.py
+++ b/lagoonflow/quotas/account.py
@@ -126,7 +126,7 @@
             request.borrow_id,
             lent_tokens,
             self.borrowing.versions,
-            left_tokens=self.bucket.balance_tokens,
+            left_tokens=max(spare_tokens - lent_tokens, 0),
             is_short=bool(self.queue),
         )
 
--- a/lagoonflow/quotas/messages.py
+++ b/lagoonflow/quotas/messages.py
@@ -20,7 +20,7 @@
 class BorrowReply:
     """What the peer has deducted from its own share; may be 0.
 
-    :param left_tokens: balance of the peer after lending.
+    :param left_tokens: what the peer could have lent beyond that.
     :param is_short: whether requests wait for tokens at the peer itself.
     """
 
