Share observed load speeds; refuse only on learnt times

Cause, from a trace of the storm: (1) an agent that had never loaded from the store predicted 1 ms/MB, four times too slow, and refused requests that were in time; each agent had to learn alone. (2) The home barred agents that routers had called stale, also those that merely had unloaded the model, and so loaded from the store what lay on a disk. (3) The store's home took the load of a large model for a slow store and halved the parallelism.

Change: announcements carry observed speeds, bid requests their median; a refusal rests only on learnt times less their usual error; stale agents are not barred from loads; permits compare ms per MB. LoadRate, Announcement.load_rates, BidRequest.load_rates and LoadFinished.memory_mb are new, with defaults.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -373,6 +373,7 @@
                         action.took_ms,
                         action.is_loaded,
                         Versions(),
+                        action.memory_mb,
                     )
                     self.permits.on_finished(self.clock.now_ms, message)
                 case actions.Announce(models=models):
--- a/lagoonflow/placement/context.py
+++ b/lagoonflow/placement/context.py
@@ -1,10 +1,18 @@
 """What the parts of a home share."""
 
 import dataclasses
+import statistics
 
 from lagoonflow.placement.actions import AskBid, ReplyLocate
 from lagoonflow.placement.duty import Duties
-from lagoonflow.placement.messages import BidRequest, LocateReply, Place
+from lagoonflow.placement.messages import (
+    Announcement,
+    BidRequest,
+    LoadRate,
+    LocateReply,
+    Place,
+    Tier,
+)
 from lagoonflow.placement.rounds import Round, Waiter
 from lagoonflow.placement.settings import HomeSettings, Models
 from lagoonflow.placement.table import ReplicaTable
@@ -28,6 +36,24 @@
     versions: Versions = Versions()
     rounds: dict[str, Round] = dataclasses.field(default_factory=dict)
     last_id: int = 0
+    rates: dict[tuple[Tier, str], float] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    def learn_rates(self, announcement: Announcement) -> None:
+        """Note the speeds of loads that an agent has observed."""
+        for rate in announcement.load_rates:
+            self.rates[rate.tier, announcement.agent] = rate.ms_per_mb
+
+    def load_rates(self) -> tuple[LoadRate, ...]:
+        """Median speed of loads by tier."""
+        by_tier: dict[Tier, list[float]] = {}
+        for key, ms_per_mb in self.rates.items():
+            by_tier.setdefault(key[0], []).append(ms_per_mb)
+        return tuple(
+            LoadRate(tier, statistics.median(speeds))
+            for tier, speeds in by_tier.items()
+        )
 
     def new_id(self) -> str:
         """Return an id that no other home uses."""
@@ -51,6 +77,7 @@
             current.model,
             self.versions,
             self.settings.name,
+            load_rates=self.load_rates(),
         )
         return AskBid(agent, request)
 
--- a/lagoonflow/placement/deciding.py
+++ b/lagoonflow/placement/deciding.py
@@ -40,7 +40,7 @@
         spec = self._context.models.model(current.model)
         if spec is None or not self.has_room(now_ms, current.model):
             return None
-        bid = current.best_load(current.unwanted())
+        bid = current.best_load()
         if bid is None or not _pays(current, bid):
             return None
         return self._send(current, bid, spec)
--- a/lagoonflow/placement/home.py
+++ b/lagoonflow/placement/home.py
@@ -75,6 +75,7 @@
     ) -> tuple[HomeAction, ...]:
         """Note what an agent holds, and relieve it if it has to be."""
         self.context.table.apply(now_ms, announcement)
+        self.context.learn_rates(announcement)
         self.context.duties.mark(now_ms, announcement.agent, is_reachable=True)
         return tuple(
             action
--- a/lagoonflow/placement/messages.py
+++ b/lagoonflow/placement/messages.py
@@ -1,22 +1,12 @@
 """Messages between routers, homes and agents about places of models."""
 
 import dataclasses
-import enum
 
+from lagoonflow.placement.tiers import LoadRate, Tier
 from lagoonflow.results import Refusal
 from lagoonflow.streams.messages import Versions
 
 
-class Tier(enum.StrEnum):
-    """Where the nearest copy of a checkpoint lies."""
-
-    READY = 'ready'
-    LOADING = 'loading'
-    MEMORY = 'memory'
-    DISK = 'disk'
-    REMOTE = 'remote'
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
     """What a request needs on a runner; adapter is empty for none."""
@@ -68,6 +58,7 @@
 class BidRequest:
     """Asks an agent how soon it can have a model ready.
 
+    :param load_rates: what other agents have observed.
     :param is_withdrawal: the bid of this id was not taken; release it.
     """
 
@@ -76,6 +67,7 @@
     versions: Versions
     home: str = ''
     is_withdrawal: bool = False
+    load_rates: tuple[LoadRate, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,6 +140,7 @@
 
     :param models: models this announcement is complete for.
     :param under_pressure: models whose predicted wait is too long.
+    :param load_rates: speeds of loads that the agent has observed.
     """
 
     agent: str
@@ -157,6 +150,7 @@
     checkpoints: tuple[Checkpoint, ...]
     versions: Versions
     under_pressure: tuple[str, ...] = ()
+    load_rates: tuple[LoadRate, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -197,10 +191,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadFinished:
-    """Tells the home of the weight store that a permitted load ended."""
+    """Tells the home of the weight store that a permitted load ended.
+
+    :param memory_mb: size of the model; 0 when it is not known.
+    """
 
     permit_id: str
     agent: str
     took_ms: int
     is_loaded: bool
     versions: Versions
+    memory_mb: int = 0
--- a/lagoonflow/placement/permits.py
+++ b/lagoonflow/placement/permits.py
@@ -54,7 +54,7 @@
         self._waiting: dict[str, _Waiting] = {}
         self._running: dict[str, int] = {}
         self._next_start_ms = float(0)
-        self._usual_ms = float(0)
+        self._usual = float(0)
 
     @property
     def parallel(self) -> int:
@@ -101,13 +101,14 @@
         self._waiting.pop(message.permit_id, None)
         if not message.is_loaded or message.took_ms <= 0:
             return
-        if self._usual_ms and message.took_ms > self._usual_ms * _SLOW_RATIO:
+        ms_per_mb = message.took_ms / max(1, message.memory_mb)
+        if self._usual and ms_per_mb > self._usual * _SLOW_RATIO:
             least = max(1, self._settings.parallel / 2)
             self._parallel = max(least, self._parallel - 1)
         else:
             most = self._settings.parallel
             self._parallel = min(most, self._parallel + _RECOVERY)
-        self._learn_usual(message.took_ms)
+        self._learn_usual(ms_per_mb)
 
     def reset(self) -> None:
         """Forget all loads, after a pause."""
@@ -136,11 +137,11 @@
             if waiting.asked_at_ms + REQUEST_LIFETIME_MS <= now_ms:
                 self._waiting.pop(permit_id)
 
-    def _learn_usual(self, took_ms: float) -> None:
-        if self._usual_ms:
-            self._usual_ms += _LEARNING_RATE * (took_ms - self._usual_ms)
+    def _learn_usual(self, ms_per_mb: float) -> None:
+        if self._usual:
+            self._usual += _LEARNING_RATE * (ms_per_mb - self._usual)
         else:
-            self._usual_ms = took_ms
+            self._usual = ms_per_mb
 
 
 def _due_ms(now_ms: int, request: PermitRequest) -> float:
--- a/lagoonflow/placement/rounds.py
+++ b/lagoonflow/placement/rounds.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-from collections.abc import Collection
 
 from lagoonflow.placement.messages import Bid, Decision, LocateRequest, Tier
 from lagoonflow.results import Result
@@ -77,14 +76,6 @@
         codes = {refusal.code for refusal in refusals if refusal is not None}
         return codes == {Result.MODEL_DOES_NOT_FIT}
 
-    def unwanted(self) -> set[str]:
-        """Agents that some waiting request could not use."""
-        return {
-            agent
-            for waiter in self.waiters
-            for agent in waiter.request.stale_agents
-        }
-
     def is_rested(self, now_ms: int) -> bool:
         """Whether a resting round asks again."""
         is_resting = self.state is RoundState.RESTING
@@ -96,18 +87,12 @@
         self.state = RoundState.RESTING
         self.resumes_at_ms = now_ms
 
-    def best_load(self, unwanted: Collection[str] = ()) -> Bid | None:
-        """Find the best bid to load a replica.
-
-        :param unwanted: agents that are taken only when nobody else bids.
-        """
+    def best_load(self) -> Bid | None:
+        """Find the best bid to load a replica."""
         loads = [bid for bid in self.bids.values() if _is_load(bid)]
         if not loads:
             return None
-        return min(
-            loads,
-            key=lambda bid: (bid.agent in unwanted, cost_ms(bid), bid.agent),
-        )
+        return min(loads, key=lambda bid: (cost_ms(bid), bid.agent))
 
     def losers(self, winner: str = '') -> list[str]:
         """Agents whose reservations nobody needs any more."""
--- a/lagoonflow/runners/announcer.py
+++ b/lagoonflow/runners/announcer.py
@@ -62,6 +62,7 @@
             checkpoints=self.checkpoints(models),
             versions=versions,
             under_pressure=self.under_pressure(now_ms, models),
+            load_rates=self._replicas.predictor.load_rates(),
         )
 
     def replicas(
--- a/lagoonflow/runners/messages.py
+++ b/lagoonflow/runners/messages.py
@@ -108,6 +108,7 @@
     permit_id: str
     took_ms: int
     is_loaded: bool
+    memory_mb: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagoonflow/runners/predictor.py
+++ b/lagoonflow/runners/predictor.py
@@ -1,6 +1,8 @@
 """Learnt load times and service times, with the error of both."""
 
-from lagoonflow.placement.messages import Tier
+from collections.abc import Iterable
+
+from lagoonflow.placement.messages import LoadRate, Tier
 
 _LEARNING_RATE = 0.3
 _ERROR_RATE = 0.1
@@ -20,15 +22,15 @@
 
     def __init__(self, prior: float, rate: float = _LEARNING_RATE) -> None:
         self.value = prior
+        self.is_learnt = False
         self._rate = rate
-        self._is_learnt = False
 
     def learn(self, value: float) -> None:
-        if self._is_learnt:
+        if self.is_learnt:
             self.value += self._rate * (value - self.value)
         else:
             self.value = value
-            self._is_learnt = True
+            self.is_learnt = True
 
 
 class ErrorTrack:
@@ -59,6 +61,7 @@
         self._per_mb = {
             tier: _Average(prior) for tier, prior in _PRIOR_MS_PER_MB.items()
         }
+        self._told: set[Tier] = set()
         self._loads: dict[tuple[str, Tier], _Average] = {}
         self._first_tokens: dict[str, _Average] = {}
         self._tokens: dict[str, _Average] = {}
@@ -72,6 +75,29 @@
         per_mb = self._per_mb.get(tier)
         return per_mb.value * memory_mb if per_mb else 0
 
+    def is_load_learnt(self, model: str, tier: Tier) -> bool:
+        """Tell whether a prediction rests on observed loads."""
+        per_mb = self._per_mb.get(tier)
+        return (model, tier) in self._loads or (
+            per_mb is not None and (per_mb.is_learnt or tier in self._told)
+        )
+
+    def load_rates(self) -> tuple[LoadRate, ...]:
+        """Speeds that were observed on this runner."""
+        return tuple(
+            LoadRate(tier, average.value)
+            for tier, average in self._per_mb.items()
+            if average.is_learnt
+        )
+
+    def adopt(self, rates: Iterable[LoadRate]) -> None:
+        """Take over what others have observed, until there is better."""
+        for rate in rates:
+            average = self._per_mb.get(rate.tier)
+            if average is not None and not average.is_learnt:
+                average.value = rate.ms_per_mb
+                self._told.add(rate.tier)
+
     def first_token_ms(self, model: str) -> float:
         """Predict the time from start to first token."""
         learnt = self._first_tokens.get(model)
@@ -92,8 +118,9 @@
         took_ms: float,
     ) -> None:
         """Learn from a finished load."""
-        predicted_ms = self.load_ms(model, tier, memory_mb)
-        self.load_error.learn(predicted_ms, took_ms)
+        if self.is_load_learnt(model, tier):
+            predicted_ms = self.load_ms(model, tier, memory_mb)
+            self.load_error.learn(predicted_ms, took_ms)
         learnt = self._loads.setdefault((model, tier), _Average(took_ms))
         learnt.learn(took_ms)
         if memory_mb > 0 and tier in self._per_mb:
--- a/lagoonflow/runners/replicas.py
+++ b/lagoonflow/runners/replicas.py
@@ -65,6 +65,19 @@
         since_ms = now_ms - (replica.ordered_at_ms or replica.created_at_ms)
         return max(left_ms, round(since_ms * _OVERDUE_RATIO), 1)
 
+    def surely_in_ms(self, now_ms: int, replica: ReplicaState) -> int:
+        """Time until a replica is ready that a refusal can rest on.
+
+        It is shorter than predicted by the usual error of predictions.
+        """
+        if replica.is_serving:
+            return 0
+        key = replica.key
+        if not self.predictor.is_load_learnt(key.model, replica.tier):
+            return 0
+        ratio = min(1, self.predictor.load_error.relative)
+        return round((1 - ratio) * self.ready_in_ms(now_ms, replica))
+
     def add(
         self,
         now_ms: int,
@@ -150,5 +163,7 @@
     is_loaded: bool,
 ) -> Iterator[Action]:
     if replica.permit_id:
-        yield ReportLoad(replica.permit_id, took_ms, is_loaded)
+        yield ReportLoad(
+            replica.permit_id, took_ms, is_loaded, replica.memory_mb
+        )
         replica.permit_id = ''
--- a/lagoonflow/runners/scheduler.py
+++ b/lagoonflow/runners/scheduler.py
@@ -107,7 +107,7 @@
             if replica is None:
                 yield self.refuse(entry, Result.STALE_LOCATION, 'No replica.')
                 continue
-            ready_in_ms = self._replicas.ready_in_ms(now_ms, replica)
+            ready_in_ms = self._replicas.surely_in_ms(now_ms, replica)
             first_ms = self._predictor.first_token_ms(entry.target.model)
             if now_ms + ready_in_ms + first_ms > entry.deadline_ms:
                 yield self.refuse(
--- a/lagoonflow/runners/state.py
+++ b/lagoonflow/runners/state.py
@@ -122,6 +122,7 @@
         """Bid for a model; reserves memory when it isn't here."""
         spec = self._admission.spec_for(now_ms, request.model, request.versions)
         versions = self.parts.versions
+        self.parts.replicas.predictor.adopt(request.load_rates)
         if request.is_withdrawal:
             self.parts.bidder.withdraw(request.bid_id)
             spec = Refusal(Result.RESERVATION_LOST, 'Withdrawn.')
--- a/lagoonflow/runners/store_client.py
+++ b/lagoonflow/runners/store_client.py
@@ -33,6 +33,7 @@
             took_ms=report.took_ms,
             is_loaded=report.is_loaded,
             versions=versions,
+            memory_mb=report.memory_mb,
         )
         await self._send(LOAD_FINISHED, message)
 
--- a/tests/placement/test_home.py
+++ b/tests/placement/test_home.py
@@ -4,7 +4,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lagoonflow.placement.messages import LoadRate, Tier
 from lagoonflow.results import Result
+from lagoonflow.runners.messages import ReplicaKey
 from tests.placement.fakes import Fleet
 from tests.runners.fakes import FakeReleases, model_spec
 
@@ -229,3 +231,20 @@
         assert fleet.loads <= len(decided)
         for bench in fleet.benches.values():
             assert not bench.engine.overcommits
+
+
+def test_stale_location_does_not_bar_an_agent_from_a_load(fleet):
+    key = ReplicaKey('a', '1')
+    fleet.benches['agent-2'].engine.checkpoints[key] = Tier.MEMORY
+    fleet.benches['agent-2'].list()
+    waiter = fleet.locate('a', stale_agents=('agent-2',))
+    assert [one.agent for one in fleet.replies[waiter].places] == ['agent-2']
+
+
+def test_bid_requests_carry_the_speeds_that_others_observed(fleet):
+    rates = (LoadRate(Tier.REMOTE, 0.25),)
+    fleet.announce('agent-2', load_rates=rates)
+    fleet.locate('a')
+    predictor = fleet.benches['agent-3'].state.parts.replicas.predictor
+    assert predictor.load_ms('a', Tier.REMOTE, 100) == 25
+    assert predictor.is_load_learnt('a', Tier.REMOTE)
