--- a/lagoonflow/calls/buffer.py
+++ b/lagoonflow/calls/buffer.py
@@ -65,6 +65,8 @@
 
     def add_text(self, text: str, tokens: int) -> None:
         """Append text, joined to an unread chunk when that is small."""
+        if not text and not tokens:
+            return
         last = self._joinable()
         if last is None or last.body or last.answer:
             self._append(self._chunk(text=text, tokens=tokens))
@@ -77,6 +79,8 @@
 
     def add_body(self, body: bytes) -> None:
         """Append bytes of a body, joined like text."""
+        if not body:
+            return
         last = self._joinable()
         if last is None or last.tokens:
             self._append(self._chunk(body=body))
--- a/lagoonflow/calls/claimed_call.py
+++ b/lagoonflow/calls/claimed_call.py
@@ -12,8 +12,16 @@
     OutcomeKind,
 )
 from lagoonflow.calls.messages import ServiceAnswer
+from lagoonflow.clock import MS_PER_S
+from lagoonflow.results import Refusal, Result
 
 MAX_QUEUED_DELIVERIES = 16
+NOT_KNOWN_YET = Refusal(
+    Result.OUTCOME_UNKNOWN,
+    'the call runs; its outcome is kept under its idempotency key',
+    not_run=False,
+    retry_after_ms=1000,
+)
 
 
 class OutcomeRecorder:
@@ -66,16 +74,20 @@
 
     :param answer: the call's answer, which is read to its end.
     :param settle: takes the outcome.
+    :param begin_in_ms: time after which the caller is told that the outcome
+        is not known yet, unless the answer has begun.
     """
 
     def __init__(
         self,
         answer: AsyncIterator[actions.Delivery],
         settle: Callable[[Outcome], None],
+        begin_in_ms: int,
     ) -> None:
         """Prepare the call; :meth:`run` records it."""
         self._answer = answer
         self._settle = settle
+        self._begin_in_ms = begin_in_ms
         self._is_caller_gone = False
         self._deliveries: asyncio.Queue[actions.Delivery] = asyncio.Queue(
             MAX_QUEUED_DELIVERIES
@@ -99,13 +111,20 @@
 
     async def answer(self) -> AsyncIterator[actions.Delivery]:
         """Yield the parts of the answer; it may be closed at any time."""
-        is_last = False
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self._leave)
-            while not is_last:
-                delivery = await self._deliveries.get()
-                is_last = actions.is_last(delivery)
+            delivery = await self._first()
+            while not actions.is_last(delivery):
                 yield delivery
+                delivery = await self._deliveries.get()
+            yield delivery
+
+    async def _first(self) -> actions.Delivery:
+        try:
+            async with asyncio.timeout(self._begin_in_ms / MS_PER_S):
+                return await self._deliveries.get()
+        except TimeoutError:
+            return actions.Refuse(NOT_KNOWN_YET)
 
     def _leave(self) -> None:
         self._is_caller_gone = True
--- a/lagoonflow/calls/flight.py
+++ b/lagoonflow/calls/flight.py
@@ -7,6 +7,7 @@
     AttemptRequest,
     AttemptState,
     CancelRequest,
+    Chunk,
     RevokeRequest,
 )
 
@@ -35,6 +36,20 @@
         """Whether the agent has said that the attempt was started."""
         return self.state in RUN_STATES
 
+    def learn(self, chunk: Chunk) -> None:
+        """Take the attempt's state from a chunk.
+
+        The process that answers first has the attempt, unless an earlier
+        stream may have reached another one.
+        """
+        if chunk.state is AttemptState.UNKNOWN:
+            return
+        self.state = chunk.state
+        if not self.request.agent_nonce and not self.resumes:
+            self.request = dataclasses.replace(
+                self.request, agent_nonce=chunk.nonce
+            )
+
     def resume(self, left_ms: int) -> AttemptRequest:
         """Count a resumption, and return the request for it."""
         self.resumes += 1
--- a/lagoonflow/calls/streaming.py
+++ b/lagoonflow/calls/streaming.py
@@ -11,7 +11,7 @@
 from lagoonflow.calls.context import CallContext
 from lagoonflow.calls.ending import Ending
 from lagoonflow.calls.flight import Flight
-from lagoonflow.calls.messages import AttemptId, AttemptState, Chunk, Finish
+from lagoonflow.calls.messages import AttemptId, Chunk, Finish
 from lagoonflow.calls.phases import Phase, Step
 from lagoonflow.calls.placing import Placing
 from lagoonflow.results import Refusal, Result
@@ -59,8 +59,7 @@
         if chunk.nonce:
             context.progress.nonces[flight.agent] = chunk.nonce
         flight.failed_resumes = 0
-        if chunk.state is not AttemptState.UNKNOWN:
-            flight.state = chunk.state
+        flight.learn(chunk)
         for part in flight.assembly.accept(chunk):
             self._take_part(part, flight)
 
--- a/lagoonflow/wiring/callrunner.py
+++ b/lagoonflow/wiring/callrunner.py
@@ -19,6 +19,7 @@
 from lagoonflow.calls.messages import Finish, ServiceAnswer
 from lagoonflow.calls.router_calls import RouterCalls
 from lagoonflow.calls.spec import CallSpec
+from lagoonflow.clock import boottime_ms
 from lagoonflow.results import Refusal, Result
 
 OUTCOME_WAIT_MS = 30_000
@@ -69,7 +70,7 @@
             and service_call is not None
             and not service_call.is_idempotent
         )
-        parts = self._run_claimed(call) if is_claimed else self._run(call)
+        parts = self._run_claimed(call) if is_claimed else self._run(call, 0)
         async with contextlib.aclosing(parts) as deliveries:
             async for delivery in deliveries:
                 yield delivery
@@ -79,8 +80,12 @@
         await self._calls.drain()
         await asyncio.gather(*self._claimed, return_exceptions=True)
 
-    async def _run(self, call: Call) -> AsyncIterator[Delivery]:
-        started = self._calls.start(self._spec(call))
+    async def _run(
+        self,
+        call: Call,
+        outcome_wait_ms: int,
+    ) -> AsyncIterator[Delivery]:
+        started = self._calls.start(self._spec(call, outcome_wait_ms))
         try:
             async with contextlib.aclosing(started.answer()) as deliveries:
                 async for delivery in deliveries:
@@ -108,15 +113,16 @@
 
     def _start_claimed(self, call: Call, claim_id: str) -> ClaimedCall:
         claimed = ClaimedCall(
-            self._run(call),
+            self._run(call, OUTCOME_WAIT_MS),
             lambda outcome: self._claims.settle(claim_id, outcome),
+            max(0, int(call.deadline_ms) - boottime_ms()),
         )
         task = asyncio.create_task(claimed.run())
         self._claimed.add(task)
         task.add_done_callback(self._claimed.discard)
         return claimed
 
-    def _spec(self, call: Call) -> CallSpec:
+    def _spec(self, call: Call, outcome_wait_ms: int) -> CallSpec:
         return CallSpec(
             request_id=call.request_id,
             router=self._router,
@@ -127,7 +133,7 @@
             service_call=call.service_call,
             cost_tokens=call.cost_tokens,
             router_nonce=self._nonce,
-            outcome_wait_ms=OUTCOME_WAIT_MS if call.service_call else 0,
+            outcome_wait_ms=outcome_wait_ms,
         )
 
 
--- a/lagoonflow/wiring/claims.py
+++ b/lagoonflow/wiring/claims.py
@@ -2,12 +2,9 @@
 
 import uuid
 
-from lagoonflow.calls.claim_records import ClaimKind, ClaimRecord
 from lagoonflow.calls.claims_fold import ClaimsFold
 from lagoonflow.calls.claims_task import ClaimPorts
 from lagoonflow.clock import boottime_ms
-from lagoonflow.results import Refusal
-from lagoonflow.streams.envelope import Record
 from lagoonflow.streams.messages import Stream
 from lagoonflow.wiring.agreed import AgreedStreams
 
@@ -19,18 +16,8 @@
     appender = agreed.appenders[Stream.CLAIMS]
     follower = agreed.followers[Stream.CLAIMS]
 
-    async def append(
-        kind: ClaimKind,
-        record_id: str,
-        body: ClaimRecord,
-        timeout_ms: int,
-    ) -> bool:
-        record = Record(record_id, kind.value, body)
-        appended = await appender.append(record, timeout_ms)
-        return not isinstance(appended, Refusal)
-
     return ClaimPorts(
-        append=append,
+        append=appender.append,
         is_log_reachable=lambda: follower.is_log_up,
         is_member=agreed.roster.is_member,
         clock_ms=boottime_ms,
--- /dev/null
+++ b/tests/calls/test_service_work.py
@@ -0,0 +1,109 @@
+"""Calls of plain services: turns, withdrawal, deadlines."""
+
+import asyncio
+
+import pytest
+
+from lagoonflow.calls.messages import (
+    AttemptId,
+    AttemptRequest,
+    ServiceAnswer,
+    ServiceCall,
+)
+from lagoonflow.calls.service_work import ServiceLimits, ServiceWork
+from lagoonflow.calls.work import (
+    AnswerBegun,
+    BodyProduced,
+    Finished,
+    Refused,
+    Started,
+)
+from lagoonflow.results import Refusal, Result
+from lagoonflow.streams.messages import Versions
+
+HEAD = ServiceAnswer(204, ())
+
+
+class FakeClient:
+    def __init__(self, *parts):
+        self.parts = parts
+        self.gate = asyncio.Event()
+        self.calls = 0
+
+    async def call(self, call):
+        self.calls += 1
+        await self.gate.wait()
+        for part in self.parts:
+            yield part
+
+
+def request(number=1, deadline_in_ms=1000):
+    call = ServiceCall('portal', 'POST', '/', '', (), b'', False)
+    return AttemptRequest(
+        AttemptId(f'request-{number}', 1),
+        'router',
+        'org',
+        'key',
+        deadline_in_ms,
+        Versions(),
+        service_call=call,
+    )
+
+
+async def events_of(work, one):
+    return [event async for event in work.run(one)]
+
+
+@pytest.fixture
+def client():
+    return FakeClient(HEAD, b'body')
+
+
+@pytest.fixture
+def work(client):
+    return ServiceWork(client, ServiceLimits(max_running=1, max_waiting=1))
+
+
+async def test_call_is_answered(work, client):
+    client.gate.set()
+    events = await events_of(work, request())
+    kinds = [type(event) for event in events]
+    assert kinds == [Started, AnswerBegun, BodyProduced, Finished]
+
+
+async def test_refusal_of_the_client_ends_the_call():
+    refusal = Refusal(Result.OUTCOME_UNKNOWN, 'broken', not_run=False)
+    client = FakeClient(HEAD, refusal)
+    client.gate.set()
+    events = await events_of(ServiceWork(client), request())
+    assert events[-1] == Refused(refusal)
+
+
+async def test_waiting_call_can_be_withdrawn_and_a_running_one_not(
+    work, client
+):
+    running = asyncio.create_task(events_of(work, request(1)))
+    await asyncio.sleep(0)
+    waiting = asyncio.create_task(events_of(work, request(2)))
+    await asyncio.sleep(0)
+    (full,) = await events_of(work, request(3))
+    assert full.refusal.code is Result.TOO_MANY_WAITING
+    assert not work.withdraw(request(1).attempt)
+    assert work.withdraw(request(2).attempt)
+    client.gate.set()
+    await running
+    (revoked,) = await waiting
+    assert revoked.refusal.not_run
+    assert client.calls == 1
+    assert len(await events_of(work, request(4))) == 4
+
+
+async def test_call_without_a_turn_in_time_is_refused(work, client):
+    running = asyncio.create_task(events_of(work, request(1)))
+    await asyncio.sleep(0)
+    (late,) = await events_of(work, request(2, deadline_in_ms=20))
+    assert late.refusal.code is Result.DEADLINE_UNREACHABLE
+    assert late.refusal.not_run
+    client.gate.set()
+    await running
+    assert client.calls == 1
