--- a/lagoonflow/wiring/agent.py
+++ b/lagoonflow/wiring/agent.py
@@ -53,6 +53,9 @@
         await agent.start()
         await stop.wait()
         await agent.stop()
+    except Exception:
+        get_logger('program').error('Program failed.', exc_info=True)
+        raise
     finally:
         await agent.close()
 
@@ -120,7 +123,7 @@
         )
         self._join(peer.port, admin.port)
         self._core.is_ready = True
-        self._core.announce_address('peers', peer)
+        self._core.announce_address('peer', peer)
         self._core.announce_address('admin', admin)
 
     async def stop(self) -> None:
--- a/lagoonflow/wiring/claims.py
+++ b/lagoonflow/wiring/claims.py
@@ -2,22 +2,17 @@
 
 import uuid
 
-from lagoonflow.calls.claims_fold import ClaimsFold
 from lagoonflow.calls.claims_task import ClaimPorts
 from lagoonflow.clock import boottime_ms
 from lagoonflow.streams.messages import Stream
 from lagoonflow.wiring.agreed import AgreedStreams
 
-__all__ = ('ClaimsFold', 'claim_ports')
-
 
 def claim_ports(agreed: AgreedStreams) -> ClaimPorts:
     """Return what claims need; the claims stream has to be followed."""
-    appender = agreed.appenders[Stream.CLAIMS]
     follower = agreed.followers[Stream.CLAIMS]
-
     return ClaimPorts(
-        append=appender.append,
+        append=agreed.appenders[Stream.CLAIMS].append,
         is_log_reachable=lambda: follower.is_log_up,
         is_member=agreed.roster.is_member,
         clock_ms=boottime_ms,
