--- a/benchmarks/storm/runs.py
+++ b/benchmarks/storm/runs.py
@@ -6,6 +6,8 @@
 import tempfile
 from collections.abc import Iterator
 
+import msgspec
+
 from benchmarks.storm import outcomes as results
 from benchmarks.storm.arrivals import (
     Arrival,
@@ -19,6 +21,7 @@
 from benchmarks.storm.load import RouterClient, replay
 from benchmarks.storm.outcomes import Measures, Outcome
 from benchmarks.storm.world import EngineWatcher
+from tests.support import http
 from tests.support.processes import ProcessSet
 
 LAGOONFLOW = 'lagoonflow'
@@ -57,6 +60,7 @@
         )
         if keep_logs is not None:
             _keep(processes, keep_logs)
+            _keep_timelines(fleet, keep_logs)
     in_rate = results.within_rate(plan, limits)
     return _measures(policy, deployment, seed, found, in_rate, counts)
 
@@ -177,3 +181,12 @@
     for process in processes.all():
         name = process.name.replace(' ', '-')
         (folder / f'{name}.log').write_text(process.logs())
+
+
+def _keep_timelines(fleet: Fleet, folder: pathlib.Path) -> None:
+    lines = [
+        msgspec.json.encode(event)
+        for admin in fleet.admins
+        for event in http.request(admin, 'GET', '/timeline').json()
+    ]
+    (folder / 'timeline.jsonl').write_bytes(b'\n'.join(lines))
