Answer a request that joins a round for a further replica

A round that looks for a further replica ends without a decision when none pays; a locate request that had joined it got no answer. Such a round now serves who joins. The new test failed before; the random test asserts that every locate request is answered in the end.

Also: targets are grouped before they are looked up for the whole queue, offers and predicted waits have modules of their own.

--- a/lagoonflow/placement/bidding.py
+++ b/lagoonflow/placement/bidding.py
@@ -27,6 +27,7 @@
         """Let a request wait for the round of its model."""
         current = self._context.rounds.get(model)
         if current is not None:
+            current.worth_ms = 0
             current.waiters.append(waiter)
             return
         current = Round(self._context.new_id(), model, now_ms)
--- a/lagoonflow/runners/bids.py
+++ b/lagoonflow/runners/bids.py
@@ -63,7 +63,9 @@
         """Bid for a model, and reserve its memory."""
         self.expire(now_ms)
         replica = self._replicas.find(request.model)
-        wait_ms = round(self._scheduler.probe_wait_ms(now_ms, request.model))
+        wait_ms = round(
+            self._scheduler.waits.probe_wait_ms(now_ms, request.model)
+        )
         empty = _empty_bid(request.bid_id, self._agent, versions)
         bid = dataclasses.replace(empty, wait_ms=wait_ms)
         if replica is not None:
@@ -87,7 +89,7 @@
         bid = self._bids.pop(decision.bid_id, None)
         if bid is None:
             return Refusal(Result.RESERVATION_LOST, 'The bid has expired.')
-        self._replicas.ledger.withdraw(decision.bid_id)
+        self._replicas.ledger.offers.withdraw(decision.bid_id)
         key = ReplicaKey(decision.model, spec.version)
         if bid.key != key or key in self._replicas.table:
             return Refusal(Result.RESERVATION_LOST, 'The replica changed.')
@@ -104,11 +106,11 @@
     def withdraw(self, bid_id: str) -> None:
         """Release the memory of a bid that was not taken."""
         self._bids.pop(bid_id, None)
-        self._replicas.ledger.withdraw(bid_id)
+        self._replicas.ledger.offers.withdraw(bid_id)
 
     def expire(self, now_ms: int) -> None:
         """Drop the bids whose reservation is over."""
-        self._replicas.ledger.expire(now_ms)
+        self._replicas.ledger.offers.expire(now_ms)
         for bid_id, bid in tuple(self._bids.items()):
             if bid.expires_at_ms <= now_ms:
                 self._bids.pop(bid_id)
@@ -116,7 +118,7 @@
     def drop_all(self) -> None:
         """Drop all bids, after a pause."""
         self._bids.clear()
-        self._replicas.ledger.withdraw_all()
+        self._replicas.ledger.offers.withdraw_all()
 
     def room_mb(self) -> int:
         """Memory that a replica could have without an eviction."""
@@ -137,7 +139,7 @@
             return _refused(bid, Result.NO_RUNNER, 'No memory is free.')
         needed_mb = max(0, spec.memory_mb - eviction.freed_mb)
         expires_at_ms = now_ms + self._lifetime_ms
-        self._replicas.ledger.offer(bid.bid_id, needed_mb, expires_at_ms)
+        self._replicas.ledger.offers.add(bid.bid_id, needed_mb, expires_at_ms)
         self._bids[bid.bid_id] = _LiveBid(key, eviction.victims, expires_at_ms)
         tier = self._replicas.tier(key)
         load_ms = self._replicas.predictor.load_ms(model, tier, spec.memory_mb)
@@ -164,20 +166,18 @@
         model: str,
     ) -> Eviction | None:
         shortage_mb = memory_mb - self.room_mb()
+        promised = {
+            victim for bid in self._bids.values() for victim in bid.victims
+        }
         candidates = [
             self._candidate(now_ms, replica)
             for replica in self._replicas.table.values()
-            if self._is_evictable(replica, model)
+            if replica.is_ready
+            and replica.key.model != model
+            and replica.key not in promised
         ]
         return choose_eviction(shortage_mb, candidates, EVICTION_HORIZON_MS)
 
-    def _is_evictable(self, replica: ReplicaState, model: str) -> bool:
-        promised = any(
-            replica.key in bid.victims for bid in self._bids.values()
-        )
-        is_other = replica.key.model != model
-        return replica.is_ready and is_other and not promised
-
     def _candidate(self, now_ms: int, replica: ReplicaState) -> Candidate:
         model = replica.key.model
         idle_ms = now_ms - replica.last_used_ms
@@ -189,7 +189,7 @@
                 model, tier, replica.memory_mb
             ),
             next_use_ms=self._keep_alive.next_use_ms(model, idle_ms),
-            drain_ms=self._scheduler.drain_ms(now_ms, replica.key),
+            drain_ms=self._scheduler.waits.drain_ms(now_ms, replica.key),
         )
 
     def _freeing_mb(self) -> int:
--- a/lagoonflow/runners/ledger.py
+++ b/lagoonflow/runners/ledger.py
@@ -1,18 +1,10 @@
 """Memory ledger of one runner: no order goes out without a hold."""
 
-import dataclasses
 from collections.abc import Mapping
 
 from lagoonflow.results import Refusal, Result
 from lagoonflow.runners.messages import AdapterKey, Holder
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Offer:
-    """Memory that is kept for a bid until it expires."""
-
-    memory_mb: int
-    expires_at_ms: int
+from lagoonflow.runners.offers import Offers
 
 
 class Ledger:
@@ -22,6 +14,8 @@
     on its way. A claim waits for memory that is being freed. An offer is
     kept for a bid. Only holds count against the capacity; claims and
     offers keep later bids from counting on the same memory.
+
+    :ivar offers: memory that is kept for bids.
     """
 
     def __init__(
@@ -35,7 +29,7 @@
         self.adapter_room_mb = adapter_room_mb
         self._holds: dict[Holder, int] = {}
         self._claims: dict[Holder, int] = {}
-        self._offers: dict[str, Offer] = {}
+        self.offers = Offers()
 
     @property
     def held_mb(self) -> int:
@@ -56,8 +50,7 @@
     def unpromised_mb(self) -> int:
         """Free memory less claims and offers; negative while claims wait."""
         claimed_mb = sum(self._claims.values())
-        offered_mb = sum(offer.memory_mb for offer in self._offers.values())
-        return self.free_mb - claimed_mb - offered_mb
+        return self.free_mb - claimed_mb - self.offers.memory_mb
 
     @property
     def available_mb(self) -> int:
@@ -69,24 +62,6 @@
         )
         return self.unpromised_mb - max(0, self.adapter_room_mb - adapters_mb)
 
-    def offer(self, bid_id: str, memory_mb: int, expires_at_ms: int) -> None:
-        """Keep memory for a bid; the caller accounts for evictions."""
-        self._offers[bid_id] = Offer(memory_mb, expires_at_ms)
-
-    def withdraw(self, bid_id: str) -> None:
-        """Drop the offer of a bid."""
-        self._offers.pop(bid_id, None)
-
-    def withdraw_all(self) -> None:
-        """Drop all offers."""
-        self._offers.clear()
-
-    def expire(self, now_ms: int) -> None:
-        """Drop the offers whose time is over."""
-        for bid_id, offer in tuple(self._offers.items()):
-            if offer.expires_at_ms <= now_ms:
-                self._offers.pop(bid_id)
-
     def claim(self, holder: Holder, memory_mb: int) -> None:
         """Queue for memory that is being freed."""
         if holder not in self._holds:
--- a/lagoonflow/runners/parts.py
+++ b/lagoonflow/runners/parts.py
@@ -110,10 +110,11 @@
         yield from self.adapters.progress(now_ms)
 
     def _want_adapters(self, now_ms: int) -> None:
-        for entry in self.scheduler.queue:
-            name = entry.target.adapter
-            replica = self.replicas.serving(entry.target.model)
+        targets = {entry.target: None for entry in self.scheduler.queue}
+        for target in targets:
+            name = target.adapter
             spec = self.releases.adapter(name) if name else None
+            replica = self.replicas.serving(target.model) if spec else None
             if replica is not None and spec is not None:
                 self.adapters.want(now_ms, replica, name, spec)
 
--- a/lagoonflow/runners/reconcile.py
+++ b/lagoonflow/runners/reconcile.py
@@ -89,7 +89,7 @@
     def _restart(self, listing: Listing) -> None:
         self.epoch = listing.epoch
         self._orders.clear()
-        self._replicas.ledger.withdraw_all()
+        self._replicas.ledger.offers.withdraw_all()
         for replica in self._replicas.table.values():
             replica.settled_at_ms = 0
             for slot in replica.adapters.values():
--- a/lagoonflow/runners/scheduler.py
+++ b/lagoonflow/runners/scheduler.py
@@ -1,6 +1,5 @@
 """Admits attempts to the run queue and starts them in order."""
 
-import dataclasses
 from collections.abc import Iterator
 
 from lagoonflow.calls.messages import AttemptId, AttemptRequest
@@ -10,28 +9,16 @@
 from lagoonflow.runners.messages import (
     Action,
     RefuseQueued,
-    ReplicaKey,
     StartGeneration,
     StreamEnd,
 )
 from lagoonflow.runners.progress import Waiting
-from lagoonflow.runners.queue import Entry, Predicate, RunQueue
-from lagoonflow.runners.replica import AdapterSlot, ReplicaState
+from lagoonflow.runners.queue import Entry, RunQueue
 from lagoonflow.runners.replicas import Replicas
 from lagoonflow.runners.served import ServedRatios
+from lagoonflow.runners.waits import Running, Waits
 
 _PROMPT_CHARACTERS_PER_TOKEN = 4
-_PROBE_MAX_TOKENS = 128
-
-
-@dataclasses.dataclass(slots=True)
-class Running:
-    """One attempt that runs on the engine."""
-
-    entry: Entry
-    replica: ReplicaState
-    slot: AdapterSlot | None
-    started_at_ms: int
 
 
 class Scheduler:
@@ -50,6 +37,7 @@
         self._adapters = adapters
         self._predictor = replicas.predictor
         self._max_running = max_running
+        self.waits = Waits(self.queue, self.running, replicas, max_running)
 
     def entry(self, now_ms: int, request: AttemptRequest) -> Entry:
         """Describe an attempt as it would wait."""
@@ -67,54 +55,37 @@
             ),
         )
 
-    def wait_ms(self, now_ms: int, entry: Entry, ready_in_ms: int) -> float:
-        """Predict the time until an entry starts."""
-        counts = self._counted(now_ms, ready_in_ms)
-        ahead_ms = self.queue.ahead_ms(entry, counts)
-        if not ahead_ms and len(self.running) < self._max_running:
-            return ready_in_ms
-        work_ms = ahead_ms + self._residual_ms(now_ms)
-        return max(ready_in_ms, work_ms / self._max_running)
-
-    def probe_wait_ms(self, now_ms: int, model: str) -> float:
-        """Predict the wait of one more request for a model, once ready."""
-        service_ms = self._predictor.service_ms(model, _PROBE_MAX_TOKENS)
-        waiting_ms = sum(entry.service_ms for entry in self.queue)
-        if not waiting_ms and len(self.running) < self._max_running:
-            return 0
-        work_ms = waiting_ms + self._residual_ms(now_ms) + service_ms
-        return work_ms / self._max_running
-
-    def late_by_ms(self, now_ms: int, entry: Entry, ready_in_ms: int) -> int:
-        """Predict by how much an entry misses its deadline; 0 for none."""
-        first_ms = self._predictor.first_token_ms(entry.target.model)
-        wait_ms = self.wait_ms(now_ms, entry, ready_in_ms)
-        return max(0, round(now_ms + wait_ms + first_ms - entry.deadline_ms))
-
     def dispatch(self, now_ms: int) -> Iterator[Action]:
         """Start attempts while the batch has room."""
+        startable: dict[Target, bool] = {}
+
+        def can_start(entry: Entry) -> bool:
+            if entry.target not in startable:
+                startable[entry.target] = self._can_start(entry.target)
+            return startable[entry.target]
+
         while len(self.running) < self._max_running:
-            entry = self.queue.pop(self._can_start)
+            entry = self.queue.pop(can_start)
             if entry is None:
                 return
             yield self._start(now_ms, entry)
 
     def refuse_late(self, now_ms: int) -> Iterator[Action]:
         """Refuse queued attempts that can't begin in time any more."""
+        begins_in: dict[str, float | None] = {}
         for entry in self.queue:
-            replica = self._replicas.find(entry.target.model)
-            replica = replica or self._replicas.serving(entry.target.model)
-            if replica is None:
+            model = entry.target.model
+            if model not in begins_in:
+                begins_in[model] = self._begins_in_ms(now_ms, model)
+            begins_in_ms = begins_in[model]
+            if begins_in_ms is None:
                 yield self.refuse(entry, Result.STALE_LOCATION, 'No replica.')
-                continue
-            ready_in_ms = self._replicas.surely_in_ms(now_ms, replica)
-            first_ms = self._predictor.first_token_ms(entry.target.model)
-            if now_ms + ready_in_ms + first_ms > entry.deadline_ms:
+            elif now_ms + begins_in_ms > entry.deadline_ms:
                 yield self.refuse(
                     entry,
                     Result.DEADLINE_UNREACHABLE,
                     'The answer can not begin in time.',
-                    ready_in_ms,
+                    round(begins_in_ms),
                 )
 
     def refuse(
@@ -161,22 +132,6 @@
             ),
         )
 
-    def drain_ms(self, now_ms: int, key: ReplicaKey) -> float:
-        """Predict the time until a replica has nothing left to run."""
-        left_ms = [
-            running.entry.service_ms - (now_ms - running.started_at_ms)
-            for running in self.running.values()
-            if running.replica.key == key
-        ]
-        queued_ms = sum(
-            entry.service_ms
-            for entry in self.queue
-            if entry.target.model == key.model
-        )
-        if not left_ms and not queued_ms:
-            return 0
-        return max(1, *left_ms, 0) + queued_ms / self._max_running
-
     def _learn(self, running: Running, end: StreamEnd) -> None:
         work = running.entry.request.generation
         self._predictor.learn_service(
@@ -187,37 +142,21 @@
             end.took_ms,
         )
 
-    def _counted(self, now_ms: int, ready_in_ms: int) -> Predicate:
-        """Count the entries that can start before or with the replica."""
-        soon: dict[str, bool] = {}
-
-        def is_counted(entry: Entry) -> bool:
-            model = entry.target.model
-            if model not in soon:
-                replica = self._replicas.find(model)
-                soon[model] = replica is None or (
-                    self._replicas.ready_in_ms(now_ms, replica) <= ready_in_ms
-                )
-            return soon[model]
-
-        return is_counted
-
-    def _residual_ms(self, now_ms: int) -> float:
-        return sum(
-            max(
-                0,
-                running.entry.service_ms - (now_ms - running.started_at_ms),
-            )
-            for running in self.running.values()
-        )
+    def _begins_in_ms(self, now_ms: int, model: str) -> float | None:
+        """Time that a first token takes at least; ``None``: no replica."""
+        replica = self._replicas.find(model) or self._replicas.serving(model)
+        if replica is None:
+            return None
+        ready_in_ms = self._replicas.surely_in_ms(now_ms, replica)
+        return ready_in_ms + self._predictor.first_token_ms(model)
 
-    def _can_start(self, entry: Entry) -> bool:
-        replica = self._replicas.serving(entry.target.model)
+    def _can_start(self, target: Target) -> bool:
+        replica = self._replicas.serving(target.model)
         if replica is None:
             return False
-        if not entry.target.adapter:
+        if not target.adapter:
             return True
-        return self._adapters.find(replica, entry.target.adapter) is not None
+        return self._adapters.find(replica, target.adapter) is not None
 
     def _start(self, now_ms: int, entry: Entry) -> StartGeneration:
         replica = self._replicas.serving(entry.target.model)
--- /dev/null
+++ b/lagoonflow/runners/waits.py
@@ -0,0 +1,102 @@
+"""Predicted waits of one runner."""
+
+import dataclasses
+
+from lagoonflow.calls.messages import AttemptId
+from lagoonflow.runners.messages import ReplicaKey
+from lagoonflow.runners.queue import Entry, Predicate, RunQueue
+from lagoonflow.runners.replica import AdapterSlot, ReplicaState
+from lagoonflow.runners.replicas import Replicas
+
+_PROBE_MAX_TOKENS = 128
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """One attempt that runs on the engine."""
+
+    entry: Entry
+    replica: ReplicaState
+    slot: AdapterSlot | None
+    started_at_ms: int
+
+
+class Waits:
+    """Predicts waits from the queue, the batch and the replicas."""
+
+    def __init__(
+        self,
+        queue: RunQueue,
+        running: dict[AttemptId, Running],
+        replicas: Replicas,
+        max_running: int,
+    ) -> None:
+        self._queue = queue
+        self._running = running
+        self._replicas = replicas
+        self._predictor = replicas.predictor
+        self._max_running = max_running
+
+    def wait_ms(self, now_ms: int, entry: Entry, ready_in_ms: int) -> float:
+        """Predict the time until an entry starts."""
+        counts = self._counted(now_ms, ready_in_ms)
+        ahead_ms = self._queue.ahead_ms(entry, counts)
+        if not ahead_ms and len(self._running) < self._max_running:
+            return ready_in_ms
+        work_ms = ahead_ms + self._residual_ms(now_ms)
+        return max(ready_in_ms, work_ms / self._max_running)
+
+    def probe_wait_ms(self, now_ms: int, model: str) -> float:
+        """Predict the wait of one more request for a model, once ready."""
+        service_ms = self._predictor.service_ms(model, _PROBE_MAX_TOKENS)
+        waiting_ms = sum(entry.service_ms for entry in self._queue)
+        if not waiting_ms and len(self._running) < self._max_running:
+            return 0
+        work_ms = waiting_ms + self._residual_ms(now_ms) + service_ms
+        return work_ms / self._max_running
+
+    def late_by_ms(self, now_ms: int, entry: Entry, ready_in_ms: int) -> int:
+        """Predict by how much an entry misses its deadline; 0 for none."""
+        first_ms = self._predictor.first_token_ms(entry.target.model)
+        wait_ms = self.wait_ms(now_ms, entry, ready_in_ms)
+        return max(0, round(now_ms + wait_ms + first_ms - entry.deadline_ms))
+
+    def drain_ms(self, now_ms: int, key: ReplicaKey) -> float:
+        """Predict the time until a replica has nothing left to run."""
+        left_ms = [
+            running.entry.service_ms - (now_ms - running.started_at_ms)
+            for running in self._running.values()
+            if running.replica.key == key
+        ]
+        queued_ms = sum(
+            entry.service_ms
+            for entry in self._queue
+            if entry.target.model == key.model
+        )
+        if not left_ms and not queued_ms:
+            return 0
+        return max(1, *left_ms, 0) + queued_ms / self._max_running
+
+    def _counted(self, now_ms: int, ready_in_ms: int) -> Predicate:
+        """Count the entries that can start before or with the replica."""
+        soon: dict[str, bool] = {}
+
+        def is_counted(entry: Entry) -> bool:
+            model = entry.target.model
+            if model not in soon:
+                replica = self._replicas.find(model)
+                soon[model] = replica is None or (
+                    self._replicas.ready_in_ms(now_ms, replica) <= ready_in_ms
+                )
+            return soon[model]
+
+        return is_counted
+
+    def _residual_ms(self, now_ms: int) -> float:
+        return sum(
+            max(
+                0,
+                running.entry.service_ms - (now_ms - running.started_at_ms),
+            )
+            for running in self._running.values()
+        )
--- a/tests/placement/fakes.py
+++ b/tests/placement/fakes.py
@@ -1,7 +1,6 @@
 """A few runners and homes that talk without delay."""
 
 import dataclasses
-import itertools
 
 from lagoonflow.placement.actions import (
     AskBid,
@@ -29,7 +28,7 @@
         self.replies = {}
         self.decisions = []
         self.pending = []
-        self._numbers = itertools.count()
+        self.located = 0
         self.benches = {}
         self.homes = {}
         for name in self.names:
@@ -45,7 +44,8 @@
             )
 
     def locate(self, model, home='agent-1', **fields):
-        number = next(self._numbers)
+        number = self.located
+        self.located += 1
         request = LocateRequest(
             Target(model),
             'org',
--- a/tests/placement/test_home.py
+++ b/tests/placement/test_home.py
@@ -183,6 +183,18 @@
     assert not fleet.decisions
 
 
+def test_request_that_joins_a_round_for_a_further_replica(fleet):
+    fleet.benches['agent-2'].load('a')
+    fleet.locate('a')
+    fleet.held_back.update(fleet.names)
+    fleet.announce('agent-2', under_pressure=('a',))
+    waiter = fleet.locate('a', stale_agents=('agent-2',))
+    fleet.held_back.clear()
+    fleet.release()
+    fleet.tick()
+    assert fleet.replies[waiter].places
+
+
 def test_stale_agent_leads_to_another_replica(fleet):
     fleet.benches['agent-2'].load('a')
     first = fleet.locate('a')
@@ -201,15 +213,17 @@
 
 
 @given(
+    st.integers(1, 2),
     st.lists(
         st.sampled_from(
             ['locate', 'stale', 'tick', 'lose', 'down', 'complete', 'announce']
+            + ['pressure']
         ),
         max_size=30,
-    )
+    ),
 )
-def test_loads_never_exceed_decisions(steps):
-    fleet = Fleet(FakeReleases({'a': model_spec(max_replicas=1)}))
+def test_loads_never_exceed_decisions(max_replicas, steps):
+    fleet = Fleet(FakeReleases({'a': model_spec(max_replicas=max_replicas)}))
     for number, step in enumerate(steps):
         name = fleet.names[number % len(fleet.names)]
         match step:
@@ -227,10 +241,17 @@
                 fleet.complete()
             case 'announce':
                 fleet.announce(name)
+            case 'pressure':
+                fleet.announce(name, under_pressure=('a',))
         decided = {one.decision_id for one in fleet.decisions}
         assert fleet.loads <= len(decided)
         for bench in fleet.benches.values():
             assert not bench.engine.overcommits
+    fleet.down.clear()
+    fleet.lose_replies = False
+    for _ in range(80):
+        fleet.tick(1_000)
+    assert fleet.replies.keys() == set(range(fleet.located))
 
 
 def test_stale_location_does_not_bar_an_agent_from_a_load(fleet):
--- a/tests/runners/test_ledger.py
+++ b/tests/runners/test_ledger.py
@@ -32,9 +32,9 @@
 
 def test_offer_expires():
     ledger = Ledger(100)
-    ledger.offer('bid', 80, expires_at_ms=10)
+    ledger.offers.add('bid', 80, expires_at_ms=10)
     assert ledger.available_mb == 20
-    ledger.expire(10)
+    ledger.offers.expire(10)
     assert ledger.available_mb == 100
 
 
--- a/tests/runners/test_state.py
+++ b/tests/runners/test_state.py
@@ -101,6 +101,8 @@
     bench.releases.models['c'] = model_spec(memory_mb=200)
     assert bench.bid('b', 'first').refusal is None
     assert bench.bid('c', 'second').refusal.code is Result.NO_RUNNER
+    assert bench.decide('b', 'first').refusal is None
+    assert set(bench.engine.replicas) == {ReplicaKey('b', '1')}
 
 
 def test_agent_restarts_mid_load(bench):
