--- a/lagoonflow/runners/settings.py
+++ b/lagoonflow/runners/settings.py
@@ -31,7 +31,7 @@
     adapter_room_mb: int = 0
     adapters_in_flight: int = 30
     bid_lifetime_ms: int = 2_000
-    reload_weight: float = 10
+    reload_weight: float = 30
     pressure_wait_ms: int = 1_000
     store_share_per_s: float = 0.2
     checks_fence: bool = False
