Bound the wait for tokens to 1.5 s

Cause: 11 s of the slowest cold starts passed before the first question for a place: the flooding organisation's requests queued for tokens up to their deadline, so that everything it was admitted was late. Ruled out: placement (located within 0.5 s of admission) and the store.

--- a/lagoonflow/wiring/admission.py
+++ b/lagoonflow/wiring/admission.py
@@ -5,6 +5,10 @@
 from lagoonflow.quotas.task import QuotaTask
 from lagoonflow.results import Refusal
 
+# A longer queue for tokens would only delay what an organisation sends above
+# its rate; borrowing between routers takes milliseconds.
+MAX_WAIT_MS = 1500
+
 
 class QuotaAdmission:
     """Charges organisations through the router's token shares."""
@@ -26,7 +30,7 @@
             request_id,
             organisation,
             cost_tokens,
-            deadline_ms - self._clock(),
+            min(deadline_ms - self._clock(), MAX_WAIT_MS),
         )
         if isinstance(admitted, Refusal):
             return admitted
