Bound the wait for tokens to 250 ms

Cause: of a flooding organisation, requests that queue for tokens take those of later ones that one ideal bucket would have admitted at once, and wait longest. Borrowing needs milliseconds.

--- a/benchmarks/storm/outcomes.py
+++ b/benchmarks/storm/outcomes.py
@@ -58,6 +58,7 @@
     duplicated: int
     loads: int
     refusals: dict[str, int]
+    in_rate_refusals: dict[str, int]
 
 
 def percentile(numbers: Sequence[float], part: float) -> float:
--- a/benchmarks/storm/runs.py
+++ b/benchmarks/storm/runs.py
@@ -131,7 +131,12 @@
     ]
     first = [one.first_token_ms for one in found if one.first_token_ms]
     inside = [one for one, is_in in zip(found, in_rate, strict=True) if is_in]
+    in_rate_refusals: dict[str, int] = {}
     ratios = results.served_ratios(found, in_rate)
+    for one in inside:
+        if not one.is_in_time:
+            name = one.arrival.organisation
+            in_rate_refusals[name] = in_rate_refusals.get(name, 0) + 1
     refusals: dict[str, int] = {}
     for one in found:
         if one.code:
@@ -173,6 +178,7 @@
         duplicated=sum(times > 1 for times in executions.values()),
         loads=sum(sum(count.get('loads', {}).values()) for count in counts),
         refusals=refusals,
+        in_rate_refusals=in_rate_refusals,
     )
 
 
--- a/lagoonflow/wiring/admission.py
+++ b/lagoonflow/wiring/admission.py
@@ -7,7 +7,7 @@
 
 # A longer queue for tokens would only delay what an organisation sends above
 # its rate; borrowing between routers takes milliseconds.
-MAX_WAIT_MS = 1500
+MAX_WAIT_MS = 250
 
 
 class QuotaAdmission:
