Close ways in which a stream could stay unreadable

Cause, by reading the code and the sizes: - a fleet stopped for longer than retention waited for a checkpoint for ever; after 30 s (drawn up to 60 s) without one, a process without any state starts empty. Any other state covers more and replaces it. Ruled out: asking an operator, since the roster would keep every process waiting. - large records could make a whole answer longer than the client accepts, so that the same read failed for ever; the limit is now quartered after each failed read and grows back. Replies to peers are bounded likewise. - outcomes of notes could make a checkpoint longer than a record may be; 200 outcomes with 20 objects each are kept. A state that is too large for a checkpoint is logged instead of appended. - an exception of a fold on a malformed record ended the reader. Not solved: the state of claims may be larger than a record (4 MiB).

--- a/lagoonflow/cli/note_commands.py
+++ b/lagoonflow/cli/note_commands.py
@@ -14,7 +14,7 @@
 from lagoonflow.releases.note import Note, parse_note
 from lagoonflow.releases.plan import PlanAction, PlannedChange, make_plan
 from lagoonflow.releases.publish import Published, Publisher
-from lagoonflow.releases.state import ReleaseFold
+from lagoonflow.releases.state import MAX_LISTED, ReleaseFold
 from lagoonflow.releases.yaml_source import Mistake
 from lagoonflow.results import Refusal, Result
 
@@ -30,6 +30,7 @@
     'Nothing of the note is in force. Compare its bases with'
     ' lagoonflowctl release show, mend it and publish it again.'
 )
+MORE = 'The note changes {count} objects; the first ones are listed.'
 MAYBE_PUBLISHED = (
     'The note may have been published. Publish it again to learn what became'
     ' of it; a repeat does no harm.'
@@ -160,6 +161,9 @@
             f'  {changed.kind} {changed.name}: version {changed.version}',
         )
     _print_problems(outcome.problems, environment)
+    listed = len(outcome.versions) + len(outcome.problems)
+    if listed == MAX_LISTED and listed < outcome.object_count:
+        environment.print(MORE.format(count=outcome.object_count))
     if outcome.is_accepted:
         return ExitStatus.SUCCESS
     environment.print(REJECTED_HINT)
--- a/lagoonflow/releases/state.py
+++ b/lagoonflow/releases/state.py
@@ -28,7 +28,8 @@
 from lagoonflow.streams.messages import Stream
 from lagoonflow.streams.state import FoldBase
 
-MAX_OUTCOMES = 500
+MAX_OUTCOMES = 200
+MAX_LISTED = 20
 UNKNOWN_KIND = 'The kind of the record is not known.'
 
 
@@ -46,8 +47,9 @@
     """What became of a release note.
 
     :param content: digest of its changes.
-    :param versions: versions after it, when it was accepted.
-    :param problems: why it was rejected; empty when it was accepted.
+    :param versions: first versions after it, when it was accepted.
+    :param problems: first problems; empty when it was accepted.
+    :param object_count: number of objects that it changes.
     """
 
     note_id: str
@@ -58,6 +60,7 @@
     published_at_ms: int = 0
     versions: tuple[ObjectVersion, ...] = ()
     problems: tuple[ObjectProblem, ...] = ()
+    object_count: int = 0
 
     @property
     def is_accepted(self) -> bool:
@@ -105,7 +108,9 @@
                 message=note.message,
                 published_at_ms=note.published_at_ms,
                 versions=() if problems else _versions(after, changes),
-                problems=tuple(problems),
+                # Outcomes are part of checkpoints, so they stay small.
+                problems=tuple(problems[:MAX_LISTED]),
+                object_count=len(changes),
             ),
         )
         return None
@@ -161,5 +166,5 @@
             change.name,
             after.version(kind_of(change), change.name),
         )
-        for change in changes
+        for change in changes[:MAX_LISTED]
     )
--- a/lagoonflow/streams/appender.py
+++ b/lagoonflow/streams/appender.py
@@ -24,6 +24,7 @@
 from lagoonflow.streams.ports import LogClient
 
 APPEND_TIMEOUT_MS = 10_000
+TAIL_RECORDS = 100
 LOG_UNAVAILABLE = 'The log service did not take the record in time.'
 
 
@@ -95,7 +96,9 @@
                 result = await self._send(texts)
                 self._finish(self._queue.on_append(self._clock(), result))
             case ReadTail(offset):
-                tail = await self._log.read(self._stream, offset, 0)
+                tail = await self._log.read(
+                    self._stream, offset, 0, TAIL_RECORDS
+                )
                 self._finish(self._queue.on_tail(self._clock(), tail))
             case WaitUntil(at_ms):
                 await asyncio.sleep((at_ms - self._clock()) / MS_PER_S)
--- a/lagoonflow/streams/envelope.py
+++ b/lagoonflow/streams/envelope.py
@@ -6,7 +6,7 @@
 import msgspec
 
 CHECKPOINT_KIND = 'checkpoint'
-MAX_RECORD_CHARS = 1_048_576
+MAX_RECORD_CHARS = 4_194_304
 MAX_ID_CHARS = 128
 MAX_KIND_CHARS = 64
 
--- a/lagoonflow/streams/following.py
+++ b/lagoonflow/streams/following.py
@@ -10,7 +10,8 @@
 from lagoonflow.streams.schedule import CheckpointSchedule
 from lagoonflow.streams.state import FoldBase
 
-BRIDGING_READS = 4
+MAX_READ_RECORDS = 1000
+LIMIT_FACTOR = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,6 +22,8 @@
     :param answer_margin_ms: how much longer than that it may take, in ms.
     :param bridge_after_ms: how long to look for a checkpoint before going
         on with the own state, in ms.
+    :param start_empty_after_ms: how long a process without any state waits
+        for a checkpoint before it starts with an empty one, in ms.
     :param checkpoint_interval_ms: at most a quarter of the retention, in ms.
     :param republish_within_ms: time in which the first process appends a
         checkpoint when the log holds none, in ms.
@@ -29,16 +32,21 @@
     wait_ms: int = 10_000
     answer_margin_ms: int = 3_000
     bridge_after_ms: int = 2_000
+    start_empty_after_ms: int = 30_000
     checkpoint_interval_ms: int = 120_000
     republish_within_ms: int = 2_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Read:
-    """The next read of the log."""
+    """The next read of the log.
+
+    :param limit: most records to read.
+    """
 
     offset: int
     wait_ms: int
+    limit: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +94,8 @@
         )
         self._checkpoint_offset = -1
         self._bridge_at_ms: int | None = None
+        self._may_start_empty = False
+        self._limit = MAX_READ_RECORDS
 
     def next_read(self, now_ms: int) -> Read:
         """Return the next read of the log."""
@@ -95,7 +105,7 @@
             wait_ms = min(wait_ms, left_ms)
         if not self.is_log_up:
             wait_ms = 0
-        return Read(self.reader.next_read(), wait_ms)
+        return Read(self.reader.next_read(), wait_ms, self._limit)
 
     def on_read(
         self, now_ms: int, result: ReadResult
@@ -104,6 +114,8 @@
         self.is_log_up = not isinstance(result, Unavailable)
         match result:
             case Unavailable():
+                # Large records can make a whole answer too long to accept.
+                self._limit = max(1, self._limit // LIMIT_FACTOR)
                 return (Pause(self._backoff.fail()),)
             case Expired():
                 self.reader.on_expired(result)
@@ -111,6 +123,7 @@
                 self.reader.on_batch(result)
                 self._check_newest(now_ms, result.earliest)
         self._backoff.succeed()
+        self._limit = min(MAX_READ_RECORDS, self._limit * LIMIT_FACTOR)
         return (*self._bridge(now_ms), *self._publish(now_ms))
 
     def _check_newest(self, now_ms: int, earliest: int) -> None:
@@ -124,24 +137,28 @@
     def _bridge(self, now_ms: int) -> tuple[FollowAction, ...]:
         if not self.reader.is_bridging:
             self._bridge_at_ms = None
+            self._may_start_empty = False
             return ()
         if not self.reader.is_at_head:
             return ()
         if self._bridge_at_ms is None:
-            factor = 1 + self._rng.random()
-            wait_ms = round(self._settings.bridge_after_ms * factor)
-            self._bridge_at_ms = now_ms + wait_ms
+            self._set_bridge_time(now_ms, self._settings.bridge_after_ms)
             return (AskPeer(),)
         if now_ms >= self._bridge_at_ms:
-            self._bridge_at_ms = None
-            return self._go_on(now_ms)
+            self._go_on(now_ms)
         return ()
 
-    def _go_on(self, now_ms: int) -> tuple[FollowAction, ...]:
-        if not self.reader.bridge():
-            return (Pause(self._backoff.fail()),)
-        self._schedule.hasten(now_ms, self._settings.republish_within_ms)
-        return ()
+    def _go_on(self, now_ms: int) -> None:
+        if self.reader.bridge(may_be_empty=self._may_start_empty):
+            self._schedule.hasten(now_ms, self._settings.republish_within_ms)
+            return
+        # Live processes would have appended a checkpoint long before that.
+        self._may_start_empty = True
+        self._set_bridge_time(now_ms, self._settings.start_empty_after_ms)
+
+    def _set_bridge_time(self, now_ms: int, wait_ms: int) -> None:
+        factor = 1 + self._rng.random()
+        self._bridge_at_ms = now_ms + round(wait_ms * factor)
 
     def _publish(self, now_ms: int) -> tuple[FollowAction, ...]:
         if self.reader.is_bridging or not self.reader.is_at_head:
--- a/lagoonflow/streams/ports.py
+++ b/lagoonflow/streams/ports.py
@@ -17,5 +17,7 @@
     ) -> AppendResult:
         """Append records in one request."""
 
-    async def read(self, stream: str, offset: int, wait_ms: int) -> ReadResult:
+    async def read(
+        self, stream: str, offset: int, wait_ms: int, limit: int
+    ) -> ReadResult:
         """Read from an offset; wait for a record when there is none."""
--- a/lagoonflow/streams/reading.py
+++ b/lagoonflow/streams/reading.py
@@ -11,6 +11,7 @@
 from lagoonflow.streams.state import FoldBase
 
 MAX_PULL_RECORDS = 500
+MAX_PULL_CHARS = 1_048_576
 
 
 class StreamReader:
@@ -59,16 +60,18 @@
             self._scan(records)
         self.is_at_head = self.next_read() >= batch.head
 
-    def bridge(self) -> bool:
+    def bridge(self, *, may_be_empty: bool = False) -> bool:
         """Go on with the best state known, and leave a gap in it.
 
+        :param may_be_empty: whether to start with nothing when no state
+            is known; any other state covers more and replaces it later.
         :returns: false when there is no state to go on with.
         """
         self._leave_bridging()
         if self._scan_offset is None:
             return False
         self.fold.restore(self._stale_checkpoint)
-        if self.fold.next_offset == 0:
+        if self.fold.next_offset == 0 and not may_be_empty:
             return False
         self.fold.skip_to(self._earliest)
         self._scan_offset = None
@@ -96,7 +99,7 @@
         records = self.fold.history.between(first, last)
         if records is None:
             return PullReply(versions, checkpoint=self.fold.checkpoint())
-        return PullReply(versions, records)
+        return PullReply(versions, _fitting(records))
 
     def _fold_all(self, records: tuple[LogRecord, ...]) -> None:
         left = self._fold_contiguous(records)
@@ -138,3 +141,12 @@
             return
         if self.fold.next_offset >= self._earliest:
             self._scan_offset = None
+
+
+def _fitting(records: tuple[LogRecord, ...]) -> tuple[LogRecord, ...]:
+    chars = 0
+    for place, record in enumerate(records):
+        chars += len(record.text)
+        if place and chars > MAX_PULL_CHARS:
+            return records[:place]
+    return records
--- a/lagoonflow/streams/state.py
+++ b/lagoonflow/streams/state.py
@@ -26,7 +26,6 @@
 
 MAX_REJECTIONS = 16
 MAX_VERIFIED_RECORDS = 512
-DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 
 MALFORMED_ENVELOPE = 'The record is not a valid envelope.'
 MALFORMED_BODY = 'The body of the record is not valid.'
@@ -147,7 +146,8 @@
             return None
         try:
             return self._fold(envelope, record.offset)
-        except DECODE_ERRORS:
+        except Exception:
+            # Whatever a record does to a fold, it must not stop the reader.
             return _rejected(MALFORMED_BODY)
 
     def _report(self, offset: int, reason: str) -> None:
@@ -199,7 +199,7 @@
     def _take_over(self, body: CheckpointBody) -> bool:
         try:
             self._load(body.state)
-        except DECODE_ERRORS:
+        except Exception:
             return False
         self.next_offset = body.as_of
         self.rejected_count = body.rejected_count
--- a/lagoonflow/streams/task.py
+++ b/lagoonflow/streams/task.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Callable
 
+import structlog
+
 from lagoonflow.clock import MS_PER_S, Clock, boottime_ms
 from lagoonflow.platform.messages.common import Unavailable
 from lagoonflow.platform.messages.log import Appended, ReadResult
@@ -31,6 +33,10 @@
 from lagoonflow.streams.signal import Signal
 from lagoonflow.streams.state import FoldBase
 
+TOO_LARGE = 'streams: the state is too large for a checkpoint'
+
+logger = structlog.get_logger()
+
 
 class StreamFollower:
     """Keeps a fold up to date from the log and from peers.
@@ -158,7 +164,7 @@
         try:
             async with asyncio.timeout(limit_ms / MS_PER_S):
                 return await self._log.read(
-                    self.fold.stream, read.offset, read.wait_ms
+                    self.fold.stream, read.offset, read.wait_ms, read.limit
                 )
         except (OSError, TimeoutError) as error:
             return Unavailable(repr(error))
@@ -173,8 +179,13 @@
                 self._start_checkpoint()
 
     def _start_checkpoint(self) -> None:
-        envelope = decode_envelope(self.fold.checkpoint())
-        if self._appender is None or envelope is None:
+        if self._appender is None:
+            return
+        text = self.fold.checkpoint()
+        envelope = decode_envelope(text)
+        if envelope is None:
+            stream = self.fold.stream.value
+            logger.error(TOO_LARGE, stream=stream, chars=len(text))
             return
         record = Record(envelope.record_id, envelope.kind, envelope.body)
         self._checkpointing = asyncio.create_task(
--- a/tests/releases/test_state.py
+++ b/tests/releases/test_state.py
@@ -8,6 +8,7 @@
 
 from lagoonflow.releases.messages import ModelSpec
 from lagoonflow.releases.state import ReleaseFold
+from lagoonflow.streams.envelope import MAX_RECORD_CHARS
 from lagoonflow.streams.messages import LogRecord
 from tests.releases.notes import (
     adapter,
@@ -258,3 +259,16 @@
     fold = folded(text, note('next', model()))
     assert fold.next_offset == 2
     assert fold.model('m')
+
+
+def test_checkpoints_stay_small_after_many_large_notes():
+    texts = [
+        note(f'n{number}', *(model(f'm{n}', number) for n in range(100)))
+        for number in range(220)
+    ]
+    fold = folded(*texts)
+    assert fold.model('m99')
+    assert len(fold.checkpoint()) < MAX_RECORD_CHARS // 4
+    assert fold.note('n0') is None
+    assert fold.note('n219').object_count == 100
+    assert len(fold.note('n219').versions) == 20
--- a/tests/streams/memory_log.py
+++ b/tests/streams/memory_log.py
@@ -25,6 +25,8 @@
         self.lose_answers = 0
         self.drop_appends = 0
         self.refusals = 0
+        self.max_records = 1000
+        self.limits = []
         self._changed = asyncio.Event()
 
     @property
@@ -66,17 +68,20 @@
             return AppendUnknown('connection closed after')
         return Appended(first)
 
-    async def read(self, stream, offset, wait_ms):
+    async def read(self, stream, offset, wait_ms, limit=1000):
         await asyncio.sleep(0)
         if self.is_down:
             return Unavailable('down')
+        self.limits.append(limit)
+        if limit > self.max_records:
+            return Unavailable('the answer is too long')
         if offset >= self.head and wait_ms:
             try:
                 async with asyncio.timeout(wait_ms / 1000):
                     await self._changed.wait()
             except TimeoutError:
                 pass
-        return self.get(offset)
+        return self.get(offset, limit)
 
 
 def record_text(record_id, body='x', kind='item'):
--- a/tests/streams/test_task.py
+++ b/tests/streams/test_task.py
@@ -177,3 +177,49 @@
     assert '"checkpoint"' in log.records[1].value
     assert fold.wrong_checkpoint_count == 0
     assert fold.items == ['one']
+
+
+async def test_a_fleet_without_any_state_starts_empty_in_the_end(log):
+    log.put(record_text('a'), record_text('b'))
+    log.expire_to(2)
+    settings = FollowerSettings(
+        wait_ms=50,
+        bridge_after_ms=10,
+        start_empty_after_ms=50,
+        republish_within_ms=20,
+    )
+    followers = []
+    tasks = []
+    for seed in range(3):
+        fold = ListFold()
+        appender = StreamAppender(
+            Stream.RELEASES, log, lambda fold=fold: fold.next_offset
+        )
+        follower = StreamFollower(
+            fold,
+            log,
+            settings=settings,
+            appender=appender,
+            rng=random.Random(seed),
+        )
+        followers.append(follower)
+        tasks += [follower, appender]
+    async with running(*tasks):
+        for follower in followers:
+            assert await follower.wait_for(3, WAIT_MS)
+        log.put(record_text('c', 'three'))
+        for follower in followers:
+            assert await follower.wait_for(log.head, WAIT_MS)
+    assert len({one.fold.checkpoint() for one in followers}) == 1
+    assert followers[0].fold.items == ['three']
+
+
+async def test_answers_that_are_too_long_are_read_in_smaller_parts(log):
+    log.max_records = 3
+    for number in range(40):
+        log.put(record_text(str(number), str(number)))
+    follower, _ = build(log)
+    async with running(follower):
+        assert await follower.wait_for(40, 10_000)
+    assert len(follower.fold.items) == 40
+    assert min(log.limits) == 3
