Pace rounds of asks and look at the peers once per event

Cause: a short router woke up again for every bit that any peer accrued and asked all of them for it; amounts that cover a request only up to rounding woke it up every ms. Now a round that fell short is followed by the next one after 25 ms at the earliest, the peers are summed up once per event, and asks are rounded up by 0.01 tokens.

--- a/lagoonflow/quotas/account.py
+++ b/lagoonflow/quotas/account.py
@@ -14,6 +14,10 @@
 from lagoonflow.releases.messages import OrganisationSpec
 
 _MIN_WAKE_MS = 1
+# Makes up for rounding when amounts are added up.
+_ASK_MARGIN_TOKENS = 0.01
+# Least time between rounds of asks after one that fell short.
+_ROUND_INTERVAL_MS = 25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +59,7 @@
         self._borrower = borrower
         self._settings = settings
         self._charges = charges
+        self._next_round_ms = now_ms
 
     @property
     def available_tokens(self) -> float:
@@ -94,24 +99,22 @@
         self.bucket.charge(charge_id, rest_tokens)
         return [Admitted(request_id, charge_id)]
 
-    def serve(self, now_ms: float) -> list[Action]:
-        """Admit, refuse or borrow for the waiting requests."""
-        self.advance(now_ms)
-        actions = self._admit()
-        actions.extend(self._refuse_hopeless(now_ms))
-        if self.queue:
-            actions.extend(self._borrow(now_ms))
-        else:
-            self.bucket.absorb(self.borrowing.pot.take_all())
-        self.wake_ms = self._find_wake_ms(now_ms)
-        return actions
+    def serve(self, now_ms: float, *, is_held: bool = False) -> list[Action]:
+        """Admit, refuse or borrow for the waiting requests.
 
-    def hold(self, now_ms: float) -> list[Action]:
-        """Refuse what can't wait any longer, but admit nothing."""
+        :param is_held: only refuse what can't wait any longer.
+        """
         self.advance(now_ms)
-        actions = self._refuse_hopeless(now_ms)
-        head = self.queue.head
-        self.wake_ms = head and head.deadline_ms
+        actions = [] if is_held else self._admit()
+        if not self.queue:
+            self.bucket.absorb(self.borrowing.pot.take_all())
+            self._wake_by(now_ms, [])
+            return actions
+        forecast = self._forecast(now_ms)
+        actions.extend(self._refuse_hopeless(forecast))
+        if not is_held:
+            actions.extend(self._borrow(forecast))
+        self._wake_by(now_ms, self._find_times_ms(forecast))
         return actions
 
     def lend(self, now_ms: float, request: BorrowRequest) -> BorrowReply:
@@ -133,7 +136,8 @@
     def on_reply(self, now_ms: float, reply: BorrowReply) -> None:
         """Take borrowed tokens; late and repeated replies are dropped."""
         self.advance(now_ms)
-        self.borrowing.on_reply(now_ms, reply)
+        if not self.borrowing.on_reply(now_ms, reply):
+            self._next_round_ms = now_ms + _ROUND_INTERVAL_MS
 
     def on_hand_over(self, now_ms: float, offer: HandOver) -> list[Action]:
         """Fetch the offered tokens as far as they fit."""
@@ -142,7 +146,7 @@
         if amount_tokens <= 0:
             return []
         ask = self.borrowing.ask(now_ms, Ask(offer.giver, amount_tokens))
-        self.wake_ms = self._find_wake_ms(now_ms)
+        self._wake_by(now_ms, [self.wake_ms])
         return [ask]
 
     def offer(self, now_ms: float) -> tuple[str, HandOver] | None:
@@ -171,11 +175,8 @@
             actions.extend(admitted)
         return actions
 
-    def _refuse_hopeless(self, now_ms: float) -> list[Action]:
-        if not self.queue:
-            return []
+    def _refuse_hopeless(self, forecast: Forecast) -> list[Action]:
         actions: list[Action] = []
-        forecast = self._forecast(now_ms)
         ahead_tokens: float = 0
         for request in self.queue:
             refusal = forecast.judge(request, ahead_tokens)
@@ -186,44 +187,58 @@
             actions.append(Refused(request.request_id, refusal))
         return actions
 
-    def _borrow(self, now_ms: float) -> list[AskPeer]:
-        lenders = self.borrowing.lenders
-        held_tokens = self.available_tokens + self.borrowing.asked_tokens
-        reach_tokens = held_tokens + lenders.expected_tokens(now_ms)
+    def _borrow(self, forecast: Forecast) -> list[AskPeer]:
+        now_ms = forecast.now_ms
+        if now_ms < self._next_round_ms:
+            return []
+        reach_tokens = forecast.held_tokens + forecast.reach_tokens
         needed_tokens: float = 0
         for request in self.queue:
             if needed_tokens + request.cost_tokens > reach_tokens:
                 break
             needed_tokens += request.cost_tokens
-        asks = lenders.choose(now_ms, needed_tokens - held_tokens)
+        missing_tokens = needed_tokens - forecast.held_tokens
+        missing_tokens -= self.borrowing.asked_tokens
+        if missing_tokens <= 0:
+            return []
+        asks = self.borrowing.lenders.choose(
+            now_ms, missing_tokens + _ASK_MARGIN_TOKENS
+        )
         return [self.borrowing.ask(now_ms, ask) for ask in asks]
 
     def _forecast(self, now_ms: float) -> Forecast:
-        lenders = self.borrowing.lenders
+        outlook = self.borrowing.lenders.outlook(now_ms)
         return Forecast(
             now_ms=now_ms,
             held_tokens=self.available_tokens,
-            reach_tokens=self.borrowing.asked_tokens
-            + lenders.expected_tokens(now_ms),
+            reach_tokens=self.borrowing.asked_tokens + outlook.expected_tokens,
             own_tokens_per_s=self.bucket.rate_tokens_per_s,
-            peer_tokens_per_s=lenders.growth_tokens_per_s(now_ms),
+            peer_tokens_per_s=outlook.growth_tokens_per_s,
             fleet_tokens_per_s=self.spec.rate_tokens_per_s,
             burst_tokens=self.spec.burst_tokens,
             round_trip_ms=self._settings.round_trip_ms,
+            next_growth_ms=outlook.next_growth_ms,
         )
 
-    def _find_wake_ms(self, now_ms: float) -> float | None:
-        times_ms: list[float | None] = list(self.borrowing.due_ms)
+    def _find_times_ms(self, forecast: Forecast) -> list[float | None]:
         head = self.queue.head
-        if head is not None:
-            times_ms += [
-                head.deadline_ms,
-                self.borrowing.lenders.next_growth_ms(now_ms),
-                self.borrowing.pot.first_until_ms,
-                self._forecast(now_ms).covered_ms(head.cost_tokens),
-            ]
-        due_ms = min(
-            (time_ms for time_ms in times_ms if time_ms is not None),
-            default=None,
-        )
-        return due_ms and max(due_ms, now_ms + _MIN_WAKE_MS)
+        if head is None:
+            return []
+        times_ms = [
+            head.deadline_ms,
+            forecast.own_covered_ms(head.cost_tokens),
+            self.borrowing.pot.first_until_ms,
+        ]
+        asked_tokens = forecast.held_tokens + self.borrowing.asked_tokens
+        if head.cost_tokens > asked_tokens:
+            round_ms = forecast.next_round_ms(head.cost_tokens)
+            earliest_ms = forecast.now_ms + _ROUND_INTERVAL_MS
+            times_ms.append(round_ms and max(round_ms, earliest_ms))
+        return times_ms
+
+    def _wake_by(self, now_ms: float, times_ms: list[float | None]) -> None:
+        due_ms = [time_ms for time_ms in times_ms if time_ms is not None]
+        due_ms.extend(self.borrowing.due_ms)
+        self.wake_ms = None
+        if due_ms:
+            self.wake_ms = max(min(due_ms), now_ms + _MIN_WAKE_MS)
--- a/lagoonflow/quotas/borrowing.py
+++ b/lagoonflow/quotas/borrowing.py
@@ -89,12 +89,16 @@
         )
         return AskPeer(ask.peer, request)
 
-    def on_reply(self, now_ms: float, reply: BorrowReply) -> None:
-        """Take borrowed tokens; late and repeated replies are dropped."""
+    def on_reply(self, now_ms: float, reply: BorrowReply) -> bool:
+        """Take borrowed tokens; late and repeated replies are dropped.
+
+        :returns: whether the peer lent all that was asked for.
+        """
         ask = self._asks.pop(reply.borrow_id, None)
         if ask is None:
-            return
+            return False
         self.pot.add(reply.amount_tokens, ask.until_ms)
         self.lenders.on_reply(
             now_ms, ask.peer, reply.left_tokens, reply.is_short
         )
+        return reply.amount_tokens >= ask.amount_tokens
--- a/lagoonflow/quotas/forecast.py
+++ b/lagoonflow/quotas/forecast.py
@@ -20,6 +20,7 @@
     :param peer_tokens_per_s: rate of peers that do not need it themselves.
     :param fleet_tokens_per_s: rate of the organisation.
     :param round_trip_ms: least time that borrowing takes.
+    :param next_growth_ms: when a short peer is taken to accrue again.
     """
 
     now_ms: float
@@ -30,6 +31,7 @@
     fleet_tokens_per_s: float
     burst_tokens: float
     round_trip_ms: float
+    next_growth_ms: float | None = None
 
     def judge(
         self, request: WaitingRequest, ahead_tokens: float
@@ -50,16 +52,25 @@
             retry_after_ms=self._retry_after_ms(needed_tokens),
         )
 
-    def covered_ms(self, needed_tokens: float) -> float | None:
-        """When the supply reaches an amount, if it grows at all."""
-        missing_tokens = needed_tokens - self.held_tokens - self.reach_tokens
+    def own_covered_ms(self, needed_tokens: float) -> float | None:
+        """When the own share alone reaches an amount, if it grows."""
+        if self.own_tokens_per_s <= 0:
+            return None
+        missing_tokens = needed_tokens - self.held_tokens
+        return self.now_ms + missing_tokens * _MS_PER_S / self.own_tokens_per_s
+
+    def next_round_ms(self, needed_tokens: float) -> float | None:
+        """When own and peers' tokens may reach an amount, if they grow."""
+        times_ms = []
+        if self.next_growth_ms is not None:
+            times_ms.append(self.next_growth_ms)
         rate_tokens_per_s = self.own_tokens_per_s + self.peer_tokens_per_s
-        if missing_tokens <= 0:
+        if rate_tokens_per_s > 0:
             missing_tokens = needed_tokens - self.held_tokens
-            rate_tokens_per_s = self.own_tokens_per_s
-        if rate_tokens_per_s <= 0:
-            return None
-        return self.now_ms + missing_tokens * _MS_PER_S / rate_tokens_per_s
+            missing_tokens -= self.reach_tokens
+            wait_ms = missing_tokens * _MS_PER_S / rate_tokens_per_s
+            times_ms.append(self.now_ms + max(wait_ms, 0))
+        return min(times_ms, default=None)
 
     def _supply_tokens(self, left_ms: float) -> float:
         left_s = left_ms / _MS_PER_S
--- a/lagoonflow/quotas/gate.py
+++ b/lagoonflow/quotas/gate.py
@@ -34,6 +34,7 @@
         self._opens_ms: float | None = None
         self._delivered: set[tuple[str, str, int]] = set()
         self._acks_due_ms: float = 0
+        self._unacked: list[Membership] = []
 
     @property
     def peers(self) -> tuple[str, ...]:
@@ -65,6 +66,7 @@
             self._joined_version = joined_version
             self._opens_ms = None
         self._forget_departed()
+        self._unacked = self._find_unacked()
         self._try_open(now_ms)
 
     def on_ack(self, now_ms: float, ack: RosterAck) -> None:
@@ -86,20 +88,21 @@
             return []
         self._acks_due_ms = now_ms + ACK_RETRY_MS
         ack = RosterAck(self._name, self._nonce, versions)
-        return [AckPeer(router.member.name, ack) for router in self._unacked()]
+        return [AckPeer(router.member.name, ack) for router in self._unacked]
 
     def on_ack_delivered(self, peer: str, version: int) -> None:
         """Note that a peer has answered an acknowledgement."""
-        for router in self._unacked():
+        for router in self._unacked:
             if router.member.name == peer and router.joined_version <= version:
                 self._delivered.add(_key(router))
+        self._unacked = self._find_unacked()
 
     def next_wake_ms(self, now_ms: float) -> float | None:
         """When the share or an acknowledgement is due next."""
         times_ms = []
         if self._opens_ms is not None and self._opens_ms > now_ms:
             times_ms.append(self._opens_ms)
-        if self._unacked():
+        if self._unacked:
             times_ms.append(self._acks_due_ms)
         return min(times_ms, default=None)
 
@@ -129,7 +132,7 @@
         joined_version = self._joined_version or 0
         return self._acked_versions.get(sender, 0) >= joined_version
 
-    def _unacked(self) -> list[Membership]:
+    def _find_unacked(self) -> list[Membership]:
         if self._joined_version is None:
             return []
         return [
--- a/lagoonflow/quotas/lenders.py
+++ b/lagoonflow/quotas/lenders.py
@@ -31,6 +31,21 @@
     amount_tokens: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outlook:
+    """What a router expects of all its peers together.
+
+    :param expected_tokens: what they are expected to hold now.
+    :param growth_tokens_per_s: rate of those that are not short.
+    :param next_growth_ms: when the next short or silent peer is taken to
+        grow again.
+    """
+
+    expected_tokens: float
+    growth_tokens_per_s: float
+    next_growth_ms: float | None
+
+
 class Lenders:
     """The peers of one router, as far as one organisation is concerned.
 
@@ -72,19 +87,23 @@
         """Note that a peer has not answered in time."""
         self._set(peer, 0, now_ms + SILENCE_MS)
 
-    def expected_tokens(self, now_ms: float) -> float:
-        """What all peers together are expected to hold."""
-        return sum(
-            self._expected(now_ms, lender) for lender in self._lenders.values()
+    def outlook(self, now_ms: float) -> Outlook:
+        """What all peers together hold and how it is expected to grow."""
+        expected_tokens: float = 0
+        growing = 0
+        growths_ms = []
+        for lender in self._lenders.values():
+            expected_tokens += self._expected(now_ms, lender)
+            if lender.grows_from_ms <= now_ms:
+                growing += 1
+            else:
+                growths_ms.append(lender.grows_from_ms)
+        return Outlook(
+            expected_tokens,
+            growing * self._rate_tokens_per_s,
+            min(growths_ms, default=None),
         )
 
-    def growth_tokens_per_s(self, now_ms: float) -> float:
-        """Rate at which peers that are not short accrue together."""
-        growing = sum(
-            lender.grows_from_ms <= now_ms for lender in self._lenders.values()
-        )
-        return growing * self._rate_tokens_per_s
-
     def choose(self, now_ms: float, missing_tokens: float) -> list[Ask]:
         """Fewest peers that are expected to cover the missing tokens."""
         expected = [
@@ -101,17 +120,6 @@
             asks.append(ask)
         return asks
 
-    def next_growth_ms(self, now_ms: float) -> float | None:
-        """When the next short or silent peer is taken to grow again."""
-        return min(
-            (
-                lender.grows_from_ms
-                for lender in self._lenders.values()
-                if lender.grows_from_ms > now_ms
-            ),
-            default=None,
-        )
-
     def shortest(self, now_ms: float) -> str | None:
         """Peer that is expected to hold least, if there is any."""
         return min(
@@ -127,6 +135,8 @@
             lender.grows_from_ms = grows_from_ms
 
     def _expected(self, now_ms: float, lender: _Lender) -> float:
-        grown_ms = max(now_ms - lender.grows_from_ms, 0)
-        grown_tokens = self._rate_tokens_per_s * grown_ms / _MS_PER_S
-        return min(lender.left_tokens + grown_tokens, self._cap_tokens)
+        tokens = lender.left_tokens
+        if lender.grows_from_ms < now_ms:
+            grown_ms = now_ms - lender.grows_from_ms
+            tokens += self._rate_tokens_per_s * grown_ms / _MS_PER_S
+        return min(tokens, self._cap_tokens)
--- a/lagoonflow/quotas/shares.py
+++ b/lagoonflow/quotas/shares.py
@@ -115,10 +115,7 @@
     ) -> list[Action]:
         actions: list[Action] = []
         for account in accounts:
-            if self._is_held:
-                actions.extend(account.hold(now_ms))
-            else:
-                actions.extend(account.serve(now_ms))
+            actions.extend(account.serve(now_ms, is_held=self._is_held))
         return actions
 
     def _refresh_share(
