--- a/lagoonflow/quotas/shares.py
+++ b/lagoonflow/quotas/shares.py
@@ -37,6 +37,7 @@
         self._arrivals = 0
         self._is_held = False
         self._is_leaving = False
+        self._fetched_by_ms: float = 0
 
     @property
     def versions(self) -> Versions:
@@ -96,19 +97,20 @@
         """
         self._is_leaving = True
         self._refresh_share(now_ms, is_forced=True)
+        self._fetched_by_ms = now_ms + self._settings.borrow_timeout_ms
         offers = [account.offer(now_ms) for account in self._accounts.values()]
         return [OfferPeer(*offer) for offer in offers if offer]
 
     def leave_ms(self, now_ms: float) -> float:
         """Earliest time to append the own departure to the roster.
 
-        Until then lent tokens need the place that this router's share has
-        for them.
+        Until then peers may fetch what they were offered, and lent tokens
+        need the place that this router's share has for them.
         """
         times_ms = [
             account.bucket.lent_until_ms for account in self._accounts.values()
         ]
-        return max(now_ms, *times_ms)
+        return max(now_ms, self._fetched_by_ms, *times_ms)
 
     def _serve(
         self, now_ms: float, accounts: Iterable[Account]
--- a/lagoonflow/quotas/task.py
+++ b/lagoonflow/quotas/task.py
@@ -1,6 +1,7 @@
 """The task that carries out what the quota logic decides."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any
 
@@ -113,8 +114,8 @@
     async def run(self) -> None:
         """Do what becomes due, until cancelled."""
         while True:
-            self._changed.clear()
             self.perform(self.shares.poll(self.clock_ms()))
+            self._changed.clear()
             await self._sleep()
 
     def perform(self, actions: Iterable[Action]) -> None:
@@ -180,7 +181,6 @@
         wake_ms = self.shares.next_wake_ms(now_ms)
         left_ms = _IDLE_INTERVAL_MS if wake_ms is None else wake_ms - now_ms
         timeout_s = min(max(left_ms, 0), _IDLE_INTERVAL_MS) / MS_PER_S
-        try:
-            await asyncio.wait_for(self._changed.wait(), timeout_s)
-        except TimeoutError:
-            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
