--- a/tests/quotas/test_conservation.py
+++ b/tests/quotas/test_conservation.py
@@ -7,10 +7,18 @@
 from hypothesis import strategies as st
 
 from lagoonflow.quotas import account, shares
+from lagoonflow.quotas.actions import OfferPeer
 from lagoonflow.quotas.bucket import Bucket
 from lagoonflow.quotas.gate import ShareGate
 from lagoonflow.releases.messages import OrganisationSpec
-from tests.quotas.fleet import Faults, Fleet, drain, random_history
+from tests.quotas.fleet import (
+    ORGANISATION,
+    Faults,
+    Fleet,
+    Router,
+    drain,
+    random_history,
+)
 
 TOLERANCE_TOKENS = 1e-6
 MUTANT_HISTORIES = 600
@@ -96,8 +104,41 @@
     yield fleet
 
 
-def full_fleet(count: int, limits: OrganisationSpec, faults: Faults) -> Fleet:
-    fleet = Fleet(random.Random(0), faults)
+class PushingFleet(Fleet):
+    """Adds handed over tokens whenever they arrive, as far as they fit."""
+
+    def _perform(self, router, action) -> None:
+        if not isinstance(action, OfferPeer):
+            super()._perform(router, action)
+            return
+        amount_tokens = action.hand_over.amount_tokens
+        self._send(action.peer, lambda r: absorb(r, amount_tokens))
+
+
+def absorb(router: Router, amount_tokens: float) -> None:
+    router.shares._accounts[ORGANISATION].bucket.absorb(amount_tokens)
+
+
+def late_hand_over(kind: type[Fleet] = Fleet):
+    """A hand-over arrives when the others have filled larger buckets."""
+    faults = Faults(
+        loss=0, duplication=0, slow=0, stale_ms=0, fast_ms=(4000, 4000)
+    )
+    fleet = full_fleet(3, OrganisationSpec(6, 60), faults, kind)
+    fleet.shut_down(fleet.routers[0])
+    for duration_ms in (3990, 20, 20):
+        fleet.run_until(fleet.now_ms + duration_ms)
+        drain(fleet)
+    yield fleet
+
+
+def full_fleet(
+    count: int,
+    limits: OrganisationSpec,
+    faults: Faults,
+    kind: type[Fleet] = Fleet,
+) -> Fleet:
+    fleet = kind(random.Random(0), faults)
     fleet.set_limits(limits)
     for number in range(count):
         fleet.join(f'router-{number}')
@@ -114,7 +155,9 @@
 ]
 
 
-@pytest.mark.parametrize('histories', [slow_replies, two_refunds])
+@pytest.mark.parametrize(
+    'histories', [slow_replies, two_refunds, late_hand_over]
+)
 def test_directed_histories_stay_within_the_limits(histories) -> None:
     for fleet in histories():
         assert fleet.excess_tokens <= TOLERANCE_TOKENS
@@ -127,3 +170,8 @@
     monkeypatch.setattr(module, name, mutant)
     excesses = (fleet.excess_tokens for fleet in histories())
     assert any(excess > TOLERANCE_TOKENS for excess in excesses)
+
+
+def test_check_fails_when_hand_overs_are_pushed() -> None:
+    for fleet in late_hand_over(PushingFleet):
+        assert fleet.excess_tokens > TOLERANCE_TOKENS
