--- a/lagoonflow/quotas/task.py
+++ b/lagoonflow/quotas/task.py
@@ -1,6 +1,7 @@
 """The task that carries out what the quota logic decides."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any
 
@@ -180,8 +181,6 @@
         wake_ms = self.shares.next_wake_ms(now_ms)
         left_ms = _IDLE_INTERVAL_MS if wake_ms is None else wake_ms - now_ms
         timeout_s = min(max(left_ms, 0), _IDLE_INTERVAL_MS) / MS_PER_S
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 await self._changed.wait()
-        except TimeoutError:
-            return
