Hand back the queue when the engine stays silent

Cause: an agent whose engine does not answer went on bidding and kept its queue until the deadlines, though the listing had failed.

After two listings in a row without an answer it refuses the queue as STALE_LOCATION (not run), makes no bids and announces no replicas, and announces them again with the next listing. A generation that did not end whole asks for a listing at once, so that a restarted engine is noticed before the idle poll of 5 s.

--- a/lagoonflow/placement/task.py
+++ b/lagoonflow/placement/task.py
@@ -91,7 +91,8 @@
             self._permits.ask(self._clock(), request)
             self._grant()
             with contextlib.suppress(TimeoutError):
-                return await asyncio.wait_for(reply, PERMIT_HOLD_S)
+                async with asyncio.timeout(PERMIT_HOLD_S):
+                    return await reply
         return self._permits.refusal(self._clock(), permit_id)
 
     async def load_finished(
--- a/lagoonflow/runners/admission.py
+++ b/lagoonflow/runners/admission.py
@@ -36,7 +36,7 @@
             return Refusal(Result.SHUTTING_DOWN, 'The agent is leaving.')
         if versions.roster < self._parts.versions.roster:
             return Refusal(Result.STALE_VIEW, 'The home is behind.')
-        if not self._parts.may_order(now_ms):
+        if self._parts.is_engine_lost or not self._parts.may_order(now_ms):
             return Refusal(Result.NO_RUNNER, 'The engine is not known yet.')
         spec = self._parts.releases.model(model)
         return spec or Refusal(Result.UNKNOWN_MODEL, 'No such model.')
@@ -57,7 +57,7 @@
         scheduler = self._parts.scheduler
         entry = scheduler.entry(now_ms, request)
         replica = self._parts.replicas.find(entry.target.model)
-        if replica is None:
+        if replica is None or self._parts.is_engine_lost:
             return Refusal(Result.STALE_LOCATION, 'No replica is here.')
         self._parts.keep_alive.on_use(now_ms, entry.target.model)
         ready_in_ms = self._parts.replicas.surely_in_ms(now_ms, replica)
--- a/lagoonflow/runners/announcing.py
+++ b/lagoonflow/runners/announcing.py
@@ -51,7 +51,8 @@
 
     async def _wait(self) -> None:
         try:
-            await asyncio.wait_for(self._wake.wait(), ANNOUNCE_INTERVAL_S)
+            async with asyncio.timeout(ANNOUNCE_INTERVAL_S):
+                await self._wake.wait()
         except TimeoutError:
             self.announce_all()
         self._wake.clear()
--- a/lagoonflow/runners/parts.py
+++ b/lagoonflow/runners/parts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from lagoonflow.results import Result
 from lagoonflow.runners.adapters import Adapters
 from lagoonflow.runners.announcer import Announcer
 from lagoonflow.runners.bids import Bidder
@@ -19,6 +20,7 @@
 from lagoonflow.runners.upgrades import Upgrades
 from lagoonflow.streams.messages import Versions
 
+LOST_AFTER_SILENCES = 2
 _TRANSIENT = frozenset((State.ORDERED, State.LOADING, State.UNLOADING))
 
 
@@ -51,6 +53,7 @@
         )
         self._checks_fence = settings.checks_fence
         self._orders_from_ms: int | None = None
+        self._silences = 0
         self._progress = Progress(settings.agent, self.replicas)
         self._upgrades = Upgrades(
             self.replicas, self.adapters, self.bidder.room_mb
@@ -66,11 +69,35 @@
         from_ms = self._orders_from_ms
         return from_ms is not None and now_ms >= from_ms
 
-    def on_listing(self, now_ms: int) -> None:
+    @property
+    def is_engine_lost(self) -> bool:
+        """Whether the engine has not answered several times."""
+        return self._silences >= LOST_AFTER_SILENCES
+
+    def on_silence(self, now_ms: int) -> tuple[Action, ...]:
+        """Hand back the queue when the engine stays silent."""
+        self._silences += 1
+        if not self.is_engine_lost:
+            return ()
+        self.bidder.drop_all()
+        refused = [
+            self.scheduler.refuse(
+                entry, Result.STALE_LOCATION, 'The engine is silent.'
+            )
+            for entry in self.scheduler.queue
+        ]
+        if self._silences > LOST_AFTER_SILENCES:
+            return tuple(refused)
+        return (*refused, Announce(self.announcer.models()))
+
+    def on_listing(self, now_ms: int) -> tuple[Action, ...]:
         """Wait out what an earlier agent may have ordered."""
+        was_lost = self.is_engine_lost
+        self._silences = 0
         if self._orders_from_ms is None:
             wait_ms = 0 if self._checks_fence else ORDER_SETTLE_MS
             self._orders_from_ms = now_ms + wait_ms
+        return (Announce(self.announcer.models()),) if was_lost else ()
 
     def has_pending(self) -> bool:
         """Whether a listing is needed to settle a change."""
--- a/lagoonflow/runners/polling.py
+++ b/lagoonflow/runners/polling.py
@@ -10,14 +10,16 @@
 
 BUSY_POLL_S = 0.03
 IDLE_POLL_S = 5
+RETRY_POLL_S = 0.2
 
-OnListing = Callable[[Listing, int], None]
+OnListing = Callable[[Listing | None, int], None]
 
 
 class ListingPoller:
     """Fetches listings until cancelled.
 
-    :param on_listing: told each listing and when it was asked for.
+    :param on_listing: told each listing and when it was asked for;
+        ``None`` when the engine did not answer.
     :param is_pending: tells whether a change waits for a listing.
     """
 
@@ -43,9 +45,11 @@
         while True:
             asked_at_ms = self._clock()
             listing = await self._engine.listing()
-            if listing is not None:
-                self._on_listing(listing, asked_at_ms)
-            await self._wait()
+            self._on_listing(listing, asked_at_ms)
+            if listing is None:
+                await asyncio.sleep(RETRY_POLL_S)
+            else:
+                await self._wait()
 
     async def _wait(self) -> None:
         self._wake.clear()
@@ -53,4 +57,5 @@
             await asyncio.sleep(BUSY_POLL_S)
             return
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._wake.wait(), IDLE_POLL_S)
+            async with asyncio.timeout(IDLE_POLL_S):
+                await self._wake.wait()
--- a/lagoonflow/runners/state.py
+++ b/lagoonflow/runners/state.py
@@ -98,16 +98,21 @@
     def on_listing(
         self,
         now_ms: int,
-        listing: Listing,
+        listing: Listing | None,
         asked_at_ms: int,
     ) -> tuple[Action, ...]:
-        """Apply the engine's listing that was asked for at a time."""
-        self.parts.on_listing(now_ms)
+        """Apply the engine's listing that was asked for at a time.
+
+        :param listing: ``None`` when the engine did not answer.
+        """
+        if listing is None:
+            return self.parts.on_silence(now_ms)
         self.parts.replicas.ledger.capacity_mb = listing.capacity_mb
-        actions = tuple(
-            self.parts.reconciler.on_listing(now_ms, listing, asked_at_ms),
+        return (
+            *self.parts.on_listing(now_ms),
+            *self.parts.reconciler.on_listing(now_ms, listing, asked_at_ms),
+            *self.parts.settle(now_ms),
         )
-        return actions + self.parts.settle(now_ms)
 
     def on_order_answer(
         self,
@@ -216,11 +221,12 @@
         announcement = self.parts.announcer.announcement(
             now_ms, tuple(models), self.parts.versions
         )
+        takes_requests = not (
+            self._admission.is_stopping or self.parts.is_engine_lost
+        )
         return dataclasses.replace(
             announcement,
             agent=self.agent,
             nonce=nonce,
-            replicas=()
-            if self._admission.is_stopping
-            else announcement.replicas,
+            replicas=announcement.replicas if takes_requests else (),
         )
--- a/lagoonflow/runners/task.py
+++ b/lagoonflow/runners/task.py
@@ -143,8 +143,14 @@
     def _on_end(self, end: actions.StreamEnd) -> None:
         todo = self._state.on_stream_finished(self._clock(), end)
         self._execute(todo)
+        if not end.is_whole:
+            self._poller.wake()
 
-    def _on_listing(self, listing: Listing, asked_at_ms: int) -> None:
+    def _on_listing(
+        self,
+        listing: Listing | None,
+        asked_at_ms: int,
+    ) -> None:
         now_ms = self._clock()
         self._execute(self._state.on_listing(now_ms, listing, asked_at_ms))
 
--- a/tests/runners/test_state.py
+++ b/tests/runners/test_state.py
@@ -133,6 +133,28 @@
     assert bench.engine.loads == 2
 
 
+def test_silent_engine_hands_back_the_queue(bench):
+    bench.bid('a')
+    bench.decide('a')
+    name = bench.request('a')
+    bench.run(bench.state.on_listing(bench.now_ms, None, bench.now_ms))
+    assert name not in bench.refused, 'one silence may be a slow answer'
+    bench.announced.clear()
+    bench.run(bench.state.on_listing(bench.now_ms, None, bench.now_ms))
+    assert bench.refused[name].code is Result.STALE_LOCATION
+    assert bench.announced == ['a']
+    assert not bench.state.announcement(0, 'n', ('a',)).replicas
+    assert bench.bid('b').refusal.code is Result.NO_RUNNER
+    bench.announced.clear()
+    bench.list()
+    assert bench.announced == ['a']
+    assert bench.state.announcement(0, 'n', ('a',)).replicas
+    bench.request('a')
+    bench.engine.complete()
+    bench.list()
+    assert len(bench.started) == 1
+
+
 def test_lost_answer_is_waited_out(bench):
     bench.auto_answer = False
     bench.bid('a')
