Count only requests that can start in the predicted wait

Cause: the wait that bids and announcements state counted requests which wait for another model's load. In a storm a runner with a cold queue therefore looked busy, lost bids to the weight store, and asked for further replicas of warm models.

The new test failed before. tests/runners and tests/placement: 86 passed, without the seven process tests of the engine port.

--- a/lagoonflow/runners/waits.py
+++ b/lagoonflow/runners/waits.py
@@ -49,7 +49,13 @@
     def probe_wait_ms(self, now_ms: int, model: str) -> float:
         """Predict the wait of one more request for a model, once ready."""
         service_ms = self._predictor.service_ms(model, _PROBE_MAX_TOKENS)
-        waiting_ms = sum(entry.service_ms for entry in self._queue)
+        ready: dict[str, bool] = {}
+        waiting_ms = float(0)
+        for entry in self._queue:
+            name = entry.target.model
+            if name not in ready:
+                ready[name] = self._replicas.serving(name) is not None
+            waiting_ms += entry.service_ms if ready[name] else 0
         if not waiting_ms and len(self._running) < self._max_running:
             return 0
         work_ms = waiting_ms + self._residual_ms(now_ms) + service_ms
--- a/tests/runners/test_state.py
+++ b/tests/runners/test_state.py
@@ -365,3 +365,20 @@
     bench.list()
     bench.load('b')
     assert not engine.overcommits
+
+
+def test_requests_for_a_cold_model_do_not_press_on_a_warm_one(bench):
+    bench.releases.models['c'] = model_spec(memory_mb=50)
+    bench.load('a')
+    bench.bid('c')
+    bench.decide('c')
+    for _ in range(400):
+        bench.request('c', tokens=200)
+    models = ('a', 'c')
+    announcement = bench.state.announcement(bench.now_ms, 'n', models)
+    assert announcement.under_pressure == ()
+    assert bench.bid('a').wait_ms == 0
+    bench.engine.complete()
+    bench.list()
+    announcement = bench.state.announcement(bench.now_ms, 'n', models)
+    assert announcement.under_pressure == ('c',)
