--- a/lagoonflow/calls/agent_task.py
+++ b/lagoonflow/calls/agent_task.py
@@ -170,6 +170,7 @@
                 yield chunk
                 if chunk.is_last:
                     return
+                await execution.linger(self._policy.linger_ms)
             elif not await execution.wait_for_change(keep_alive_ms):
                 yield self._keep_alive(execution, index)
 
--- a/lagoonflow/calls/executions.py
+++ b/lagoonflow/calls/executions.py
@@ -48,6 +48,7 @@
         self.task: asyncio.Task[None] | None = None
         self._changed = asyncio.Event()
         self._room = asyncio.Event()
+        self._ended = asyncio.Event()
 
     @property
     def is_busy(self) -> bool:
@@ -57,6 +58,14 @@
     def notify(self) -> None:
         """Wake the readers."""
         self._changed.set()
+        if self.buffer.is_complete:
+            self._ended.set()
+
+    async def linger(self, duration_ms: int) -> None:
+        """Wait for more text to join the next chunk, or for the end."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(duration_ms / MS_PER_S):
+                await self._ended.wait()
 
     async def wait_for_change(self, timeout_ms: int) -> bool:
         """Wait for more to read; return false after ``timeout_ms``."""
--- a/lagoonflow/calls/policy.py
+++ b/lagoonflow/calls/policy.py
@@ -8,6 +8,8 @@
     """Bounds that keep each step shorter than the deadline it serves.
 
     :param keep_alive_ms: longest time that an agent leaves a stream idle.
+    :param linger_ms: least time between chunks of an answer after the first,
+        so that tokens of a fast engine share a chunk.
     :param progress_timeout_ms: a stream that is silent for longer is broken.
     :param least_progress_timeout_ms: the same when little time is left.
     :param resume_delay_ms: time between attempts to resume a stream.
@@ -24,6 +26,7 @@
     """
 
     keep_alive_ms: int = 400
+    linger_ms: int = 25
     progress_timeout_ms: int = 2000
     least_progress_timeout_ms: int = 1000
     resume_delay_ms: int = 100
--- a/tests/calls/test_buffer.py
+++ b/tests/calls/test_buffer.py
@@ -30,6 +30,13 @@
     assert buffer.read(1).text == 'efg'
 
 
+def test_empty_parts_take_no_index():
+    buffer = ChunkBuffer(ATTEMPT, LIMITS)
+    buffer.add_body(b'')
+    buffer.add_text('', 0)
+    assert buffer.next_index == 0
+
+
 def test_source_waits_for_a_slow_reader():
     buffer = ChunkBuffer(ATTEMPT, LIMITS)
     buffer.add_body(b'0123456789')
