Accept and remove keys wherever a caller may pass them; prove it

Cause: the front read the key from Authorization only, though keys/state.py knows X-Api-Key, Api-Key and the query; such callers got KEY_MISSING. On an open route a key under any other name (x-note, ?token) reached the plain service. Ruled out: logs, time line, records and the agent's memory, where no key was found. Before: POST /v1/completions with X-Api-Key was answered 401; the plain service got x-note with the key. After: 200, and header and parameter are dropped when one of their words is a known key.

Seen failing: the code before this change (both cases above); with the removal of headers switched off in keys/state.py the plain service got Authorization. The stand-ins record headers that hold a key.

Left alone: a GET with a body is answered 502 BACKEND_FAILED.

--- a/lagoonflow/callers/generations.py
+++ b/lagoonflow/callers/generations.py
@@ -21,7 +21,7 @@
 from lagoonflow.callers.endpoint import AdmittedCall, Endpoint, Exchange
 from lagoonflow.callers.errors import error_body
 from lagoonflow.callers.messages import Call
-from lagoonflow.callers.requests import bearer_token, read_body
+from lagoonflow.callers.requests import key_of, read_body
 from lagoonflow.calls.actions import (
     DeliverFinish,
     DeliverText,
@@ -103,7 +103,7 @@
     def _authenticate(self, exchange: Exchange) -> Refusal | None:
         identity = authenticate(
             self.context.releases,
-            bearer_token(exchange.request),
+            key_of(exchange.request),
         )
         if isinstance(identity, Refusal):
             return identity
--- a/lagoonflow/callers/plain.py
+++ b/lagoonflow/callers/plain.py
@@ -10,8 +10,8 @@
 from lagoonflow.callers.endpoint import AdmittedCall, Endpoint, Exchange
 from lagoonflow.callers.messages import Call
 from lagoonflow.callers.requests import (
-    bearer_token,
     idempotency_key,
+    key_of,
     read_body,
 )
 from lagoonflow.calls.actions import (
@@ -22,7 +22,7 @@
     Refuse,
 )
 from lagoonflow.calls.messages import Header, ServiceAnswer, ServiceCall
-from lagoonflow.keys.state import authenticate, without_key
+from lagoonflow.keys.state import KeyDirectory, authenticate, without_key
 from lagoonflow.releases.messages import RouteSpec
 from lagoonflow.results import Refusal, Result
 
@@ -84,7 +84,7 @@
             return None
         identity = authenticate(
             self.context.releases,
-            bearer_token(exchange.request),
+            key_of(exchange.request),
         )
         if isinstance(identity, Refusal):
             return identity
@@ -114,7 +114,12 @@
             identity=exchange.identity,
             deadline_ms=exchange.deadline_ms,
             cost_tokens=route.cost_tokens,
-            service_call=_service_call(exchange, route, body),
+            service_call=_service_call(
+                exchange,
+                route,
+                body,
+                self.context.releases,
+            ),
             idempotency_key=repeat_key,
         )
 
@@ -136,6 +141,7 @@
     exchange: Exchange,
     route: RouteSpec,
     body: bytes,
+    keys: KeyDirectory,
 ) -> ServiceCall:
     request = exchange.request
     forwarded = without_key(
@@ -145,7 +151,8 @@
             if _is_forwarded(name.lower())
         ),
         request.url.query,
-        bearer_token(request),
+        key_of(request),
+        keys,
     )
     request_id = Header('x-request-id', exchange.request_id)
     return ServiceCall(
--- a/lagoonflow/callers/requests.py
+++ b/lagoonflow/callers/requests.py
@@ -4,9 +4,10 @@
 
 from starlette.requests import Request
 
+from lagoonflow.calls.messages import Header
+from lagoonflow.keys.state import presented_key
 from lagoonflow.results import Refusal, Result
 
-BEARER = 'bearer '
 DEADLINE_HEADER = 'lagoonflow-deadline-ms'
 IDEMPOTENCY_HEADER = 'idempotency-key'
 MAX_DEADLINE_MS = 600_000
@@ -29,12 +30,10 @@
     default_deadline_ms: int = 30_000
 
 
-def bearer_token(request: Request) -> str:
+def key_of(request: Request) -> str:
     """Return the caller's key, or nothing."""
-    header = request.headers.get('authorization', '')
-    if header.lower().startswith(BEARER):
-        return header[len(BEARER) :].strip()
-    return ''
+    headers = (Header(*named) for named in request.headers.items())
+    return presented_key(headers, request.url.query)
 
 
 def deadline_in_ms(request: Request, limits: CallerLimits) -> int | Refusal:
--- a/lagoonflow/keys/state.py
+++ b/lagoonflow/keys/state.py
@@ -139,11 +139,15 @@
 
 
 def without_key(
-    headers: Iterable[Header], query: str, token: str = ''
+    headers: Iterable[Header],
+    query: str,
+    token: str = '',
+    directory: KeyDirectory | None = None,
 ) -> Stripped:
     """Remove everything that may carry the caller's key.
 
     :param token: the presented key; values that contain it go as well.
+    :param directory: values that are one of its keys go as well.
     """
     kept = tuple(
         header
@@ -151,12 +155,28 @@
         if header.name.lower() not in KEY_HEADERS
         and not _contains(header.value, token)
         and not _contains(header.name, token)
+        and not _holds_key(header.value, directory)
     )
     parts = [part for part in query.split('&') if part]
-    kept_parts = [part for part in parts if not _names_key(part, token)]
+    kept_parts = [
+        part
+        for part in parts
+        if not _names_key(part, token)
+        and not _holds_key(_decode_parameter(part)[1], directory)
+    ]
     return Stripped(kept, '&'.join(kept_parts))
 
 
+def _holds_key(text: str, directory: KeyDirectory | None) -> bool:
+    if directory is None:
+        return False
+    return any(
+        directory.key_by_digest(digest(word)) is not None
+        for word in text.split()
+        if len(word) >= MIN_KEY_CHARS
+    )
+
+
 def _names_key(part: str, token: str) -> bool:
     name, _ = _decode_parameter(part)
     return name in KEY_PARAMETERS or _contains(part, token)
--- a/standins/gate.py
+++ b/standins/gate.py
@@ -13,6 +13,7 @@
 
 CONTROL_PATHS = frozenset(('/faults', '/counts'))
 CREDENTIAL_WORDS = ('auth', 'cookie', 'key', 'token', 'secret')
+KEY_PREFIX = 'lf_'
 HARMLESS_HEADERS = frozenset(('idempotency-key',))
 JSON_TYPE = 'application/json'
 
@@ -28,8 +29,9 @@
         """Record the credential-like headers and the query of a request."""
         for raw_name, raw_value in scope['headers']:
             name = raw_name.decode('latin-1').lower()
-            if _is_credential(name):
-                self._headers.add((name, raw_value.decode('latin-1')))
+            text = raw_value.decode('latin-1')
+            if _is_credential(name) or KEY_PREFIX in text:
+                self._headers.add((name, text))
         if scope['query_string']:
             self._queries.add(scope['query_string'].decode('latin-1'))
 
--- a/tests/keys/test_state.py
+++ b/tests/keys/test_state.py
@@ -96,6 +96,17 @@
     assert stripped.query == 'day=7&day=8&%C3%A1=x+y'
 
 
+def test_known_keys_are_removed_wherever_they_are():
+    headers = (
+        Header('X-Note', f'Key {KEY.token}'),
+        Header('X-Day', 'monday-7'),
+    )
+    query = f'day=monday-7&token={quote(KEY.token)}'
+    stripped = without_key(headers, query, '', fold_with_key())
+    assert stripped.headers == headers[1:]
+    assert stripped.query == 'day=monday-7'
+
+
 wrapped = st.sampled_from(
     [
         KEY.token,
