--- a/lagoonflow/runners/announcer.py
+++ b/lagoonflow/runners/announcer.py
@@ -62,6 +62,7 @@
             checkpoints=self.checkpoints(models),
             versions=versions,
             under_pressure=self.under_pressure(now_ms, models),
+            load_rates=self._replicas.predictor.load_rates(),
         )
 
     def replicas(
@@ -112,7 +113,7 @@
             decision_id=replica.decision_id,
             tier=Tier.READY if replica.is_ready else Tier.LOADING,
             ready_in_ms=self._replicas.ready_in_ms(now_ms, replica),
-            wait_ms=round(self._scheduler.probe_wait_ms(now_ms, model)),
+            wait_ms=round(self._scheduler.waits.probe_wait_ms(now_ms, model)),
             running=replica.running,
         )
 
@@ -122,7 +123,7 @@
             return False
         if not self._scheduler.waiting_for(model).count:
             return False
-        wait_ms = self._scheduler.probe_wait_ms(now_ms, model)
+        wait_ms = self._scheduler.waits.probe_wait_ms(now_ms, model)
         return wait_ms > self._pressure_wait_ms
 
     def _signatures(self, now_ms: int) -> dict[str, _Signature]:
