Abandon loads that nobody waits for any more

Replicas that waited for a permit kept their memory, and later their turn at the store, long after the requests behind them had been refused.

Change: a replica that has no permit yet, with no waiting request and no other replica of its model on the runner, is dropped 2 s after its decision.

Still open: memory is claimed and victims are evicted before the permit comes, which idles memory while the store is slow.

The test of a lost order now has a request waiting, as it otherwise meets the new rule. tests/runners and tests/placement: 94 passed.

--- a/lagoonflow/runners/progress.py
+++ b/lagoonflow/runners/progress.py
@@ -16,6 +16,7 @@
 from lagoonflow.streams.messages import Versions
 
 PERMIT_TIMEOUT_MS = 3_000
+ABANDON_MS = 2_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,7 +52,9 @@
         self._replicas.ledger.grant()
         for replica in tuple(self._replicas.table.values()):
             waiting = waiting_for(replica.key.model)
-            if replica.state == State.RESERVED:
+            if self._is_unwanted(now_ms, replica, waiting):
+                self._replicas.remove(replica, Event.VANISH)
+            elif replica.state == State.RESERVED:
                 yield from self._advance(now_ms, replica, waiting, versions)
             elif self._can_unload(now_ms, replica, waiting):
                 yield from self._unload(now_ms, replica)
@@ -74,6 +77,20 @@
         elif not replica.permit_id or self._is_permit_late(now_ms, replica):
             yield self._ask_permit(now_ms, replica, waiting, versions)
 
+    def _is_unwanted(
+        self,
+        now_ms: int,
+        replica: ReplicaState,
+        waiting: Waiting,
+    ) -> bool:
+        """Tell whether nobody waits any more for a load without permit."""
+        if replica.state != State.RESERVED or replica.has_permit:
+            return False
+        if waiting.count or now_ms - replica.created_at_ms < ABANDON_MS:
+            return False
+        others = self._replicas.of_model(replica.key.model)
+        return all(other is replica for other in others)
+
     def _is_permit_late(self, now_ms: int, replica: ReplicaState) -> bool:
         return now_ms - replica.asked_permit_at_ms > PERMIT_TIMEOUT_MS
 
--- a/lagoonflow/runners/state.py
+++ b/lagoonflow/runners/state.py
@@ -161,8 +161,8 @@
         reply: PermitReply,
     ) -> tuple[Action, ...]:
         """Start the load that has its permit."""
-        self._store.on_permit(now_ms, reply)
-        return self.parts.settle(now_ms)
+        unused = self._store.on_permit(now_ms, reply)
+        return unused + self.parts.settle(now_ms)
 
     def on_permit_lost(
         self,
--- a/lagoonflow/runners/store_access.py
+++ b/lagoonflow/runners/store_access.py
@@ -2,6 +2,7 @@
 
 from lagoonflow.placement.messages import PermitReply
 from lagoonflow.runners.bids import Bidder
+from lagoonflow.runners.messages import ReportLoad
 from lagoonflow.runners.replica import ReplicaState
 from lagoonflow.runners.replicas import Replicas
 
@@ -26,16 +27,23 @@
         self._interval_ms = round(_MS_PER_S / share_per_s)
         self._next_own_load_ms = 0
 
-    def on_permit(self, now_ms: int, reply: PermitReply) -> None:
-        """Apply the answer of the store's home."""
+    def on_permit(
+        self,
+        now_ms: int,
+        reply: PermitReply,
+    ) -> tuple[ReportLoad, ...]:
+        """Apply the answer of the store's home; return unused permits."""
         replica = self._find(reply.permit_id)
+        if replica is None and reply.is_granted:
+            return (ReportLoad(reply.permit_id, 0, is_loaded=False),)
         if replica is None:
-            return
+            return ()
         if reply.is_granted:
             replica.has_permit = True
             self._learn_wait(now_ms - replica.created_at_ms)
         else:
             _ask_again(replica, now_ms + reply.retry_after_ms)
+        return ()
 
     def on_lost(self, now_ms: int, permit_id: str) -> None:
         """Fall back to the runner's share of the store's rate."""
--- a/tests/runners/test_state.py
+++ b/tests/runners/test_state.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lagoonflow.placement.messages import LoadRate, Tier
+from lagoonflow.placement.messages import LoadRate, PermitReply, Tier
 from lagoonflow.results import Result
 from lagoonflow.runners.engine_messages import Answer, OrderAnswer
 from lagoonflow.runners.loads import ORDER_SETTLE_MS
@@ -175,6 +175,7 @@
     bench.auto_answer = False
     bench.bid('a')
     bench.decide('a')
+    bench.request('a')
     first = bench.orders[-1]
     bench.answer(OrderAnswer(first.fence, Answer.LOST))
     bench.tick(ORDER_SETTLE_MS + 1)
@@ -382,3 +383,23 @@
     bench.list()
     announcement = bench.state.announcement(bench.now_ms, 'n', models)
     assert announcement.under_pressure == ('c',)
+
+
+def test_load_that_nobody_waits_for_gives_up_its_permit(bench):
+    bench.auto_permit = False
+    bench.bid('a')
+    bench.decide('a')
+    replica = bench.state.parts.replicas.find('a')
+    bench.tick(1_000)
+    bench.request('a', deadline_in_ms=2_000)
+    bench.tick(1_500)
+    assert bench.state.parts.replicas.find('a') is replica
+    bench.tick(1_000)
+    bench.tick()
+    assert bench.state.parts.replicas.find('a') is None
+    assert bench.state.parts.replicas.ledger.unpromised_mb == 250
+    late = PermitReply(replica.permit_id, True, 0, Versions())
+    (report,) = bench.state.on_permit(bench.now_ms, late)
+    assert report.permit_id == replica.permit_id
+    assert not report.is_loaded
+    assert not bench.orders
