Wait out a predecessor's orders before every engine

Cause: test_orders_never_overcommit_the_engine[True] found it (hypothesis): an agent restarts, its predecessor's late load order reaches the engine before the new agent's first order, so that fencing does not refuse it, and the new agent's load no longer fits. Ruled out: the ledger (it held what it knew).

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -400,7 +400,7 @@
             name,
             max_running=self.sizes.batch,
             adapter_room_mb=2_000,
-            checks_fence=True,
+            may_follow_another=False,
         )
         self.runners[name] = RunnerState(
             settings, self.workload, lambda *_key: True
--- a/lagoonflow/runners/parts.py
+++ b/lagoonflow/runners/parts.py
@@ -51,7 +51,7 @@
         self.announcer = Announcer(
             self.replicas, self.scheduler, settings.pressure_wait_ms
         )
-        self._checks_fence = settings.checks_fence
+        self._may_follow_another = settings.may_follow_another
         self._orders_from_ms: int | None = None
         self._silences = 0
         self._progress = Progress(settings.agent, self.replicas)
@@ -95,7 +95,7 @@
         was_lost = self.is_engine_lost
         self._silences = 0
         if self._orders_from_ms is None:
-            wait_ms = 0 if self._checks_fence else ORDER_SETTLE_MS
+            wait_ms = ORDER_SETTLE_MS if self._may_follow_another else 0
             self._orders_from_ms = now_ms + wait_ms
         return (Announce(self.announcer.models()),) if was_lost else ()
 
--- a/lagoonflow/runners/settings.py
+++ b/lagoonflow/runners/settings.py
@@ -19,9 +19,9 @@
     :param reload_weight: idle ms that one ms of a reload is worth.
     :param pressure_wait_ms: predicted wait that asks for one more replica.
     :param store_share_per_s: loads without permits from the store's home.
-    :param checks_fence: whether the engine refuses orders with an old
-        fencing number; if not, a starting agent waits out the orders of
-        its predecessor before its first one.
+    :param may_follow_another: whether orders of an earlier agent may still
+        reach the engine; they are waited out, since a late one is accepted
+        even by an engine with fencing until a newer order came.
     :param first_fence: smallest fencing number of this agent.
     """
 
@@ -34,7 +34,7 @@
     reload_weight: float = 30
     pressure_wait_ms: int = 1_000
     store_share_per_s: float = 0.2
-    checks_fence: bool = False
+    may_follow_another: bool = True
     first_fence: int = 1
 
 
--- a/tests/runners/fakes.py
+++ b/tests/runners/fakes.py
@@ -146,7 +146,7 @@
         self.releases = releases
         self.now_ms = 1_000
         self.withdrawn = set()
-        settings.setdefault('checks_fence', True)
+        settings.setdefault('may_follow_another', False)
         self.settings = RunnerSettings('agent-1', **settings)
         self.started = []
         self.refused = {}
--- a/tests/runners/test_engine_port.py
+++ b/tests/runners/test_engine_port.py
@@ -48,7 +48,7 @@
         )
         self.client = EngineClient(address)
         self.state = RunnerState(
-            RunnerSettings('agent', checks_fence=True, **settings),
+            RunnerSettings('agent', may_follow_another=False, **settings),
             releases,
             lambda *_key: True,
         )
--- a/tests/runners/test_ledger.py
+++ b/tests/runners/test_ledger.py
@@ -79,7 +79,7 @@
     adapters = {'x': adapter_spec('a', memory_mb=20)}
     engine = FakeEngine(250, checks_fence)
     bench = Bench(
-        FakeReleases(models, adapters), engine, checks_fence=checks_fence
+        FakeReleases(models, adapters), engine, may_follow_another=True
     )
     bench.auto_answer = False
     bench.list()
--- a/tests/runners/test_task.py
+++ b/tests/runners/test_task.py
@@ -77,7 +77,7 @@
         self.homes = {}
         for name in self.names:
             state = RunnerState(
-                RunnerSettings(name, checks_fence=True),
+                RunnerSettings(name, may_follow_another=False),
                 releases,
                 lambda *_key: True,
             )
