--- a/lagoonflow/placement/task.py
+++ b/lagoonflow/placement/task.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import contextlib
 import itertools
 from collections.abc import Callable, Iterable
 
@@ -25,6 +26,7 @@
 from lagoonflow.wire.services import ANNOUNCE, BID, DECIDE
 
 TICK_S = 0.01
+IDLE_TICK_S = 0.5
 PERMIT_HOLD_S = 1
 
 
@@ -50,6 +52,7 @@
         self._clock = clock
         self._background = Background('home')
         self._numbers = itertools.count()
+        self._wake = asyncio.Event()
         self._locates: WaitingReplies[int, messages.LocateReply] = (
             WaitingReplies()
         )
@@ -61,15 +64,26 @@
         """Tick until cancelled."""
         async with self._background:
             while True:
-                await asyncio.sleep(TICK_S)
+                await self._sleep()
                 self._execute(self._state.on_tick(self._clock()))
                 self._grant()
 
+    async def _sleep(self) -> None:
+        """Sleep for a tick, or until a request comes when none waits."""
+        if self._locates.is_waiting or self._permit_replies.is_waiting:
+            await asyncio.sleep(TICK_S)
+            return
+        self._wake.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_TICK_S):
+                await self._wake.wait()
+
     async def locate(
         self, request: messages.LocateRequest
     ) -> messages.LocateReply:
         """Answer a router that looks for a model."""
         number = next(self._numbers)
+        self._wake.set()
         with self._locates.expect(number) as reply:
             now_ms = self._clock()
             self._execute(self._state.on_locate(now_ms, number, request))
@@ -93,6 +107,7 @@
     ) -> messages.PermitReply:
         """Grant a load, or say after a short time when to ask again."""
         permit_id = request.permit_id
+        self._wake.set()
         with self._permit_replies.expect(permit_id) as reply:
             self._permits.ask(self._clock(), request)
             self._grant()
--- a/lagoonflow/placement/waiting.py
+++ b/lagoonflow/placement/waiting.py
@@ -15,6 +15,11 @@
     def __init__(self) -> None:
         self._futures: dict[KeyT, asyncio.Future[ReplyT]] = {}
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a reply is expected."""
+        return bool(self._futures)
+
     @contextlib.contextmanager
     def expect(self, key: KeyT) -> Iterator[asyncio.Future[ReplyT]]:
         """Provide a future for the reply while the context lasts."""
