Give unused borrowed tokens back to their lenders

Now the part that doesn't fit there goes back to the lenders. The rule is that of refunds: a lender takes back at most its least headroom since the loan; while the place of the loan is kept, the loan itself counts as headroom, but not after a cap that shrinks has clipped it. Late and lost messages do no harm, repeated ones are told apart by the charge's id. Adds the message Returned, the method RETURN and the action GiveBack. Ruled out: gifts to any peer with room, which have no history to bound them.

--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -17,6 +17,7 @@
     AckPeer,
     Admitted,
     AskPeer,
+    GiveBack,
     Refused,
 )
 from lagoonflow.quotas.state import QuotaShares
@@ -173,6 +174,8 @@
                     index = int(peer.split('-')[1])
                     self._routers[number].on_ack_delivered(peer, ack)
                     self._do(now_ms, index, 'on_ack', ack)
+                case GiveBack():
+                    self._give_back(now_ms, action)
                 case Refused():
                     pass
         wake_ms = self._routers[number].next_wake_ms(now_ms)
@@ -220,6 +223,14 @@
             lambda now: self._lend(now, lender, number, ask),
         )
 
+    def _give_back(self, now_ms: float, action: GiveBack) -> None:
+        self.tally.messages += 1
+        lender = int(action.peer.split('-')[1])
+        self._at(
+            now_ms + self._rng.uniform(*DELAY_MS),
+            lambda now: self._do(now, lender, 'on_returned', action.returned),
+        )
+
     def _lend(self, now_ms: float, lender: int, number: int, ask) -> None:
         reply = self._do(now_ms, lender, 'on_borrow_request', ask.request)
         self._at(
--- a/lagoonflow/quotas/account.py
+++ b/lagoonflow/quotas/account.py
@@ -5,7 +5,7 @@
 from lagoonflow.quotas.actions import Action, Admitted, AskPeer, Refused
 from lagoonflow.quotas.borrowing import Borrower, Borrowing
 from lagoonflow.quotas.bucket import Bucket
-from lagoonflow.quotas.charges import Charges
+from lagoonflow.quotas.charges import Charge, Charges
 from lagoonflow.quotas.forecast import Forecast
 from lagoonflow.quotas.lenders import Ask
 from lagoonflow.quotas.messages import BorrowReply, BorrowRequest, HandOver
@@ -94,9 +94,13 @@
         """Charge a request at once if there are tokens for it."""
         if cost_tokens > self.available_tokens:
             return []
-        charge_id = self._charges.open(self._borrower.organisation, cost_tokens)
-        rest_tokens = self.borrowing.pot.spend(cost_tokens)
-        self.bucket.charge(charge_id, rest_tokens)
+        borrowed = tuple(self.borrowing.pot.spend(cost_tokens))
+        own_tokens = cost_tokens - sum(part.amount_tokens for part in borrowed)
+        ticket = self.bucket.charge(max(own_tokens, 0))
+        charge = Charge(
+            self._borrower.organisation, cost_tokens, ticket, borrowed
+        )
+        charge_id = self._charges.open(charge)
         return [Admitted(request_id, charge_id)]
 
     def serve(self, now_ms: float, *, is_held: bool = False) -> list[Action]:
@@ -124,7 +128,7 @@
         lent_tokens = max(min(spare_tokens, request.amount_tokens), 0)
         if lent_tokens:
             until_ms = now_ms + self._settings.place_ms
-            self.bucket.lend(lent_tokens, until_ms)
+            self.bucket.lend(request.borrow_id, lent_tokens, until_ms)
         return BorrowReply(
             request.borrow_id,
             lent_tokens,
--- a/lagoonflow/quotas/actions.py
+++ b/lagoonflow/quotas/actions.py
@@ -2,7 +2,12 @@
 
 import dataclasses
 
-from lagoonflow.quotas.messages import BorrowRequest, HandOver, RosterAck
+from lagoonflow.quotas.messages import (
+    BorrowRequest,
+    HandOver,
+    Returned,
+    RosterAck,
+)
 from lagoonflow.results import Refusal
 
 
@@ -46,4 +51,12 @@
     hand_over: HandOver
 
 
-Action = Admitted | Refused | AskPeer | AckPeer | OfferPeer
+@dataclasses.dataclass(frozen=True, slots=True)
+class GiveBack:
+    """Send tokens back to the peer that lent them."""
+
+    peer: str
+    returned: Returned
+
+
+Action = Admitted | Refused | AskPeer | AckPeer | OfferPeer | GiveBack
--- a/lagoonflow/quotas/borrowing.py
+++ b/lagoonflow/quotas/borrowing.py
@@ -97,7 +97,9 @@
         ask = self._asks.pop(reply.borrow_id, None)
         if ask is None:
             return False
-        self.pot.add(reply.amount_tokens, ask.until_ms)
+        self.pot.add(
+            ask.peer, reply.borrow_id, reply.amount_tokens, ask.until_ms
+        )
         self.lenders.on_reply(
             now_ms, ask.peer, reply.left_tokens, reply.is_short
         )
--- a/lagoonflow/quotas/bucket.py
+++ b/lagoonflow/quotas/bucket.py
@@ -8,12 +8,32 @@
 _MS_PER_S = 1000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+# How long lent tokens can be given back.
+GIVE_BACK_MS = 30_000
+_MAX_LOANS = 1000
+
+
+@dataclasses.dataclass(slots=True)
 class _Lent:
-    """Tokens whose place under the cap stays taken for a while."""
+    """Tokens whose place under the cap stays taken for a while.
+
+    :ivar returnable_tokens: what could have stayed in the bucket.
+    """
 
+    loan_id: str
     amount_tokens: float
     until_ms: float
+    returnable_tokens: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Loan:
+    """Lent tokens that have no place any more but may be given back."""
+
+    ticket: int
+    returnable_tokens: float
+    until_ms: float
+    return_ids: set[int] = dataclasses.field(default_factory=set)
 
 
 class Bucket:
@@ -32,6 +52,7 @@
         self.rate_tokens_per_s: float = 0
         self.cap_tokens: float = 0
         self._lent_tokens: float = 0
+        self._loans: dict[str, _Loan] = {}
         self._lent: collections.deque[_Lent] = collections.deque()
         self._headroom = HeadroomHistory()
         self._advanced_ms = now_ms
@@ -52,6 +73,7 @@
             lent = self._lent.popleft()
             self._accrue(lent.until_ms)
             self._lent_tokens -= lent.amount_tokens
+            self._open_loan(lent)
         if not self._lent:
             self._lent_tokens = 0
         self._accrue(now_ms)
@@ -63,35 +85,80 @@
         space_tokens = max(cap_tokens - self._lent_tokens, 0)
         self.balance_tokens = min(self.balance_tokens, space_tokens)
         self._headroom.observe(self.headroom_tokens)
+        for lent in self._lent:
+            space_tokens = self.headroom_tokens + lent.amount_tokens
+            lent.returnable_tokens = min(lent.returnable_tokens, space_tokens)
 
-    def charge(self, charge_id: int, amount_tokens: float) -> None:
-        """Spend tokens on a charge that may be refunded later."""
+    def charge(self, amount_tokens: float) -> int:
+        """Spend tokens; returns a ticket for ``refund``."""
         self.balance_tokens -= amount_tokens
-        self._headroom.open(charge_id, self.headroom_tokens)
+        return self._headroom.open(self.headroom_tokens)
 
-    def refund(self, charge_id: int, amount_tokens: float) -> float:
+    def refund(self, ticket: int, amount_tokens: float) -> float:
         """Close a charge and return how many tokens came back.
 
         More would exceed the cap at some time since the charge, if the
         request had been charged its real cost from the start.
         """
-        least_tokens = self._headroom.close(charge_id)
-        refund_tokens = min(amount_tokens, least_tokens)
-        self.balance_tokens += refund_tokens
-        self._headroom.lower(refund_tokens)
+        refund_tokens = min(amount_tokens, self._headroom.least(ticket))
+        self._headroom.close(ticket)
+        self._put_back(refund_tokens)
         return refund_tokens
 
-    def lend(self, amount_tokens: float, until_ms: float) -> None:
+    def lend(self, loan_id: str, amount_tokens: float, until_ms: float) -> None:
         """Deduct tokens for a peer, but keep their place for a while."""
         self.balance_tokens -= amount_tokens
         self._lent_tokens += amount_tokens
-        self._lent.append(_Lent(amount_tokens, until_ms))
+        self._lent.append(
+            _Lent(loan_id, amount_tokens, until_ms, amount_tokens)
+        )
+
+    def give_back(
+        self, loan_id: str, return_id: int, amount_tokens: float
+    ) -> float:
+        """Take unused lent tokens back and return how many fitted.
+
+        The rule is that of ``refund``: the bucket must not exceed its cap
+        at any time since the loan, if it had lent less from the start.
+        Tokens come back only after their place was freed.
+
+        :param return_id: repeated ones are ignored.
+        """
+        loan = self._loans.get(loan_id)
+        if loan is None or return_id in loan.return_ids:
+            return 0
+        loan.return_ids.add(return_id)
+        returned_tokens = min(
+            amount_tokens,
+            loan.returnable_tokens,
+            self._headroom.least(loan.ticket),
+        )
+        returned_tokens = max(returned_tokens, 0)
+        loan.returnable_tokens -= returned_tokens
+        self._put_back(returned_tokens)
+        return returned_tokens
 
     def absorb(self, amount_tokens: float) -> None:
         """Add tokens as far as they fit below the cap."""
         self.balance_tokens += max(min(amount_tokens, self.headroom_tokens), 0)
         self._headroom.observe(self.headroom_tokens)
 
+    def _put_back(self, amount_tokens: float) -> None:
+        self.balance_tokens += amount_tokens
+        self._headroom.lower(amount_tokens)
+
+    def _open_loan(self, lent: _Lent) -> None:
+        ticket = self._headroom.open(self.headroom_tokens)
+        self._loans[lent.loan_id] = _Loan(
+            ticket, lent.returnable_tokens, lent.until_ms + GIVE_BACK_MS
+        )
+        oldest_id = next(iter(self._loans))
+        oldest = self._loans[oldest_id]
+        is_due = oldest.until_ms <= lent.until_ms
+        if is_due or len(self._loans) > _MAX_LOANS:
+            self._loans.pop(oldest_id)
+            self._headroom.close(oldest.ticket)
+
     def _accrue(self, now_ms: float) -> None:
         if now_ms <= self._advanced_ms:
             return
--- a/lagoonflow/quotas/charges.py
+++ b/lagoonflow/quotas/charges.py
@@ -2,13 +2,21 @@
 
 import dataclasses
 
+from lagoonflow.quotas.pot import Spent
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Charge:
-    """Tokens that an admitted request was charged up front."""
+    """Tokens that an admitted request was charged up front.
+
+    :param ticket: what the bucket needs for a refund.
+    :param borrowed: the part that peers lent.
+    """
 
     organisation: str
     amount_tokens: float
+    ticket: int
+    borrowed: tuple[Spent, ...]
 
 
 class Charges:
@@ -23,10 +31,10 @@
         """Count the outstanding charges."""
         return len(self._charges)
 
-    def open(self, organisation: str, amount_tokens: float) -> int:
+    def open(self, charge: Charge) -> int:
         """Record a charge and return its id; ids increase."""
         self._last_id += 1
-        self._charges[self._last_id] = Charge(organisation, amount_tokens)
+        self._charges[self._last_id] = charge
         return self._last_id
 
     def close(self, charge_id: int) -> Charge | None:
--- a/lagoonflow/quotas/headroom.py
+++ b/lagoonflow/quotas/headroom.py
@@ -13,17 +13,20 @@
 
     def __init__(self) -> None:
         """Start without charges."""
+        self._last_ticket = 0
         self._outstanding: dict[int, None] = {}
         self._starts: list[int] = []
         self._least_tokens: list[float] = []
         self._lowered_tokens: float = 0
 
-    def open(self, charge_id: int, headroom_tokens: float) -> None:
-        """Start to remember for a charge; ids have to increase."""
+    def open(self, headroom_tokens: float) -> int:
+        """Start to remember; returns a ticket for ``close``."""
         self.observe(headroom_tokens)
-        self._outstanding[charge_id] = None
-        self._starts.append(charge_id)
+        self._last_ticket += 1
+        self._outstanding[self._last_ticket] = None
+        self._starts.append(self._last_ticket)
         self._least_tokens.append(headroom_tokens + self._lowered_tokens)
+        return self._last_ticket
 
     def observe(self, headroom_tokens: float) -> None:
         """Take the present headroom into account for all charges."""
@@ -36,14 +39,17 @@
             self._starts.append(start)
             self._least_tokens.append(shifted_tokens)
 
-    def close(self, charge_id: int) -> float:
-        """Forget a charge and return its least headroom, in tokens."""
-        position = bisect.bisect_right(self._starts, charge_id) - 1
+    def least(self, ticket: int) -> float:
+        """Least headroom since a ticket was opened, in tokens."""
+        position = bisect.bisect_right(self._starts, ticket) - 1
         least_tokens = self._least_tokens[position] - self._lowered_tokens
-        self._outstanding.pop(charge_id)
-        self._prune()
         return max(least_tokens, 0)
 
+    def close(self, ticket: int) -> None:
+        """Forget a ticket."""
+        self._outstanding.pop(ticket)
+        self._prune()
+
     def lower(self, refund_tokens: float) -> None:
         """Lower the headroom of all outstanding charges by a refund."""
         self._lowered_tokens += refund_tokens
--- a/lagoonflow/quotas/messages.py
+++ b/lagoonflow/quotas/messages.py
@@ -31,6 +31,20 @@
     is_short: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Returned:
+    """Gives lent tokens back that the request did not use.
+
+    :param return_id: unique among the returns of one borrow request.
+    """
+
+    borrow_id: str
+    return_id: int
+    organisation: str
+    amount_tokens: float
+    versions: Versions
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HandOver:
     """Offers the tokens of a router that shuts down to a peer.
--- a/lagoonflow/quotas/pot.py
+++ b/lagoonflow/quotas/pot.py
@@ -4,8 +4,19 @@
 import dataclasses
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spent:
+    """Borrowed tokens that were spent on a charge."""
+
+    peer: str
+    borrow_id: str
+    amount_tokens: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Part:
+    peer: str
+    borrow_id: str
     amount_tokens: float
     until_ms: float
 
@@ -27,21 +38,26 @@
         """When the first tokens run out, if there are any."""
         return min((part.until_ms for part in self._parts), default=None)
 
-    def add(self, amount_tokens: float, until_ms: float) -> None:
-        """Add tokens that run out at a time."""
+    def add(
+        self, peer: str, borrow_id: str, amount_tokens: float, until_ms: float
+    ) -> None:
+        """Add tokens of a lender that run out at a time."""
         if amount_tokens > 0:
-            self._parts.append(_Part(amount_tokens, until_ms))
+            part = _Part(peer, borrow_id, amount_tokens, until_ms)
+            self._parts.append(part)
 
-    def spend(self, amount_tokens: float) -> float:
-        """Spend tokens, oldest first, and return what is still missing."""
+    def spend(self, amount_tokens: float) -> list[Spent]:
+        """Spend up to an amount, oldest first."""
+        spent = []
         while self._parts and amount_tokens > 0:
             part = self._parts[0]
             spent_tokens = min(part.amount_tokens, amount_tokens)
             part.amount_tokens -= spent_tokens
             amount_tokens -= spent_tokens
+            spent.append(Spent(part.peer, part.borrow_id, spent_tokens))
             if part.amount_tokens <= 0:
                 self._parts.popleft()
-        return amount_tokens
+        return spent
 
     def take_due(self, now_ms: float) -> float:
         """Take out the tokens that run out now."""
--- a/lagoonflow/quotas/state.py
+++ b/lagoonflow/quotas/state.py
@@ -1,11 +1,22 @@
 """Token shares of one router, over all organisations."""
 
-from lagoonflow.quotas.actions import Action, Refused
+from collections.abc import Iterator
+
+from lagoonflow.quotas.actions import Action, GiveBack, Refused
+from lagoonflow.quotas.charges import Charge
 from lagoonflow.quotas.forecast import larger_than_burst
-from lagoonflow.quotas.messages import BorrowReply, BorrowRequest, HandOver
+from lagoonflow.quotas.messages import (
+    BorrowReply,
+    BorrowRequest,
+    HandOver,
+    Returned,
+)
 from lagoonflow.quotas.shares import ShareKeeper, no_such_organisation
 from lagoonflow.quotas.waiting import WaitingRequest
 
+# Smaller amounts are not worth a message.
+_MIN_RETURN_TOKENS = 1
+
 
 class QuotaShares(ShareKeeper):
     """Admits requests within this router's shares and what it borrows.
@@ -61,7 +72,22 @@
             return []
         account.advance(now_ms)
         unused_tokens = max(charge.amount_tokens - used_tokens, 0)
-        account.bucket.refund(charge_id, unused_tokens)
+        unused_tokens -= account.bucket.refund(charge.ticket, unused_tokens)
+        actions: list[Action] = []
+        actions.extend(self._give_back(charge_id, charge, unused_tokens))
+        if account.queue:
+            actions.extend(self._serve(now_ms, [account]))
+        return actions
+
+    def on_returned(self, now_ms: float, returned: Returned) -> list[Action]:
+        """Take tokens back that a peer borrowed but did not use."""
+        account = self._accounts.get(returned.organisation)
+        if account is None:
+            return []
+        account.advance(now_ms)
+        account.bucket.give_back(
+            returned.borrow_id, returned.return_id, returned.amount_tokens
+        )
         return self._serve(now_ms, [account]) if account.queue else []
 
     def cancel(self, now_ms: float, request_id: str) -> list[Action]:
@@ -117,3 +143,20 @@
         if account is None or self._is_held or self._is_leaving:
             return []
         return account.on_hand_over(now_ms, offer)
+
+    def _give_back(
+        self, charge_id: int, charge: Charge, unused_tokens: float
+    ) -> Iterator[GiveBack]:
+        for part in charge.borrowed:
+            amount_tokens = min(unused_tokens, part.amount_tokens)
+            unused_tokens -= amount_tokens
+            if amount_tokens < _MIN_RETURN_TOKENS:
+                continue
+            returned = Returned(
+                part.borrow_id,
+                charge_id,
+                charge.organisation,
+                amount_tokens,
+                self._versions,
+            )
+            yield GiveBack(part.peer, returned)
--- a/lagoonflow/quotas/task.py
+++ b/lagoonflow/quotas/task.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 from lagoonflow.clock import MS_PER_S, Clock, boottime_ms
@@ -11,6 +11,7 @@
     Action,
     Admitted,
     AskPeer,
+    GiveBack,
     OfferPeer,
     Refused,
 )
@@ -18,11 +19,18 @@
     BorrowReply,
     BorrowRequest,
     HandOver,
+    Returned,
     RosterAck,
 )
 from lagoonflow.quotas.state import QuotaShares
 from lagoonflow.results import Refusal
-from lagoonflow.wire.services import ACK_ROSTER, BORROW, HAND_OVER, Method
+from lagoonflow.wire.services import (
+    ACK_ROSTER,
+    BORROW,
+    HAND_OVER,
+    RETURN,
+    Method,
+)
 
 Send = Callable[[str, Method, Any], Awaitable[Any]]
 
@@ -49,7 +57,7 @@
         self.clock_ms = clock_ms
         self._send = send
         self._waiting: dict[str, asyncio.Future[Admitted | Refusal]] = {}
-        self._sending: set[asyncio.Task[None]] = set()
+        self._sending: set[asyncio.Future[Any]] = set()
         self._changed = asyncio.Event()
 
     async def take(
@@ -99,6 +107,10 @@
         """Fetch the tokens of a peer that shuts down."""
         self.perform(self.shares.on_hand_over(self.clock_ms(), offer))
 
+    def on_returned(self, returned: Returned) -> None:
+        """Take tokens back that a peer did not use."""
+        self.perform(self.shares.on_returned(self.clock_ms(), returned))
+
     def on_ack(self, ack: RosterAck) -> None:
         """Note the roster version of a peer."""
         self.perform(self.shares.on_ack(self.clock_ms(), ack))
@@ -131,7 +143,9 @@
                 case AckPeer():
                     self._start(self._acknowledge(action))
                 case OfferPeer(peer=peer, hand_over=hand_over):
-                    self._start(self._offer(peer, hand_over))
+                    self._start(self._send(peer, HAND_OVER, hand_over))
+                case GiveBack(peer=peer, returned=returned):
+                    self._start(self._send(peer, RETURN, returned))
         self._changed.set()
 
     def _decide(self, request_id: str, decision: Admitted | Refusal) -> None:
@@ -151,8 +165,8 @@
         if isinstance(decision, Admitted):
             self.settle(decision.charge_id, 0)
 
-    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        sending = asyncio.create_task(coroutine)
+    def _start(self, awaitable: Awaitable[Any]) -> None:
+        sending = asyncio.ensure_future(awaitable)
         self._sending.add(sending)
         sending.add_done_callback(self._sending.discard)
 
@@ -173,9 +187,6 @@
         if not isinstance(reply, Refusal):
             self.shares.on_ack_delivered(action.peer, action.ack)
 
-    async def _offer(self, peer: str, hand_over: HandOver) -> None:
-        await self._send(peer, HAND_OVER, hand_over)
-
     async def _sleep(self) -> None:
         now_ms = self.clock_ms()
         wake_ms = self.shares.next_wake_ms(now_ms)
--- a/lagoonflow/wire/services.py
+++ b/lagoonflow/wire/services.py
@@ -29,6 +29,7 @@
 HAND_OVER = Method(
     '/lagoonflow.Router/HandOver', quotas.HandOver, placement.Ack
 )
+RETURN = Method('/lagoonflow.Router/Return', quotas.Returned, placement.Ack)
 ACK_ROSTER = Method(
     '/lagoonflow.Router/AckRoster', quotas.RosterAck, placement.Ack
 )
--- a/tests/quotas/fleet.py
+++ b/tests/quotas/fleet.py
@@ -10,6 +10,7 @@
     AckPeer,
     Admitted,
     AskPeer,
+    GiveBack,
     OfferPeer,
 )
 from lagoonflow.quotas.state import QuotaShares
@@ -178,6 +179,10 @@
                 self._send(peer, lambda r: self._lend(r, router, request))
             case AckPeer(peer=peer, ack=ack):
                 self._send(peer, lambda r: self._ack(r, router, ack))
+            case GiveBack(peer=peer, returned=returned):
+                self._send(
+                    peer, lambda r: r.shares.on_returned(self.now_ms, returned)
+                )
             case OfferPeer(peer=peer, hand_over=offer):
                 self._send(
                     peer, lambda r: r.shares.on_hand_over(self.now_ms, offer)
--- a/tests/quotas/test_conservation.py
+++ b/tests/quotas/test_conservation.py
@@ -39,8 +39,8 @@
 class RefundsBelowCap(Bucket):
     """Refunds whatever fits below the cap now."""
 
-    def refund(self, charge_id: int, amount_tokens: float) -> float:
-        super().refund(charge_id, 0)
+    def refund(self, ticket: int, amount_tokens: float) -> float:
+        super().refund(ticket, 0)
         refund_tokens = max(min(amount_tokens, self.headroom_tokens), 0)
         self.absorb(refund_tokens)
         return refund_tokens
@@ -49,8 +49,8 @@
 class RefundsByHeadroomAlone(Bucket):
     """Does not lower the headroom of the other charges."""
 
-    def refund(self, charge_id: int, amount_tokens: float) -> float:
-        refund_tokens = super().refund(charge_id, amount_tokens)
+    def refund(self, ticket: int, amount_tokens: float) -> float:
+        refund_tokens = super().refund(ticket, amount_tokens)
         self._headroom.lower(-refund_tokens)
         return refund_tokens
 
@@ -58,10 +58,20 @@
 class LendsWithoutPlace(Bucket):
     """Gives up the place of lent tokens at once."""
 
-    def lend(self, amount_tokens: float, until_ms: float) -> None:
+    def lend(self, loan_id: str, amount_tokens: float, until_ms: float) -> None:
         self.balance_tokens -= amount_tokens
 
 
+class TakesBackBelowCap(Bucket):
+    """Takes lent tokens back whenever they fit below the cap now."""
+
+    def give_back(
+        self, loan_id: str, return_id: int, amount_tokens: float
+    ) -> float:
+        self.absorb(amount_tokens)
+        return amount_tokens
+
+
 class KeepsOverCap(Bucket):
     """Does not clip the balance when the cap shrinks."""
 
@@ -150,6 +160,7 @@
     (account, 'Bucket', RefundsBelowCap, random_histories),
     (account, 'Bucket', RefundsByHeadroomAlone, two_refunds),
     (account, 'Bucket', LendsWithoutPlace, slow_replies),
+    (account, 'Bucket', TakesBackBelowCap, random_histories),
     (account, 'Bucket', KeepsOverCap, random_histories),
     (shares, 'ShareGate', OpenGate, random_histories),
 ]
