Close the record of a loan when its request is repeated

Cause: a repeated borrow request opened a second record under the same id, and the history of headroom kept the first one for good. Seen by reading; the test fails without the change.

--- a/lagoonflow/quotas/bucket.py
+++ b/lagoonflow/quotas/bucket.py
@@ -148,6 +148,7 @@
         self._headroom.lower(amount_tokens)
 
     def _open_loan(self, lent: _Lent) -> None:
+        self._close_loan(lent.loan_id)
         ticket = self._headroom.open(self.headroom_tokens)
         self._loans[lent.loan_id] = _Loan(
             ticket, lent.returnable_tokens, lent.until_ms + GIVE_BACK_MS
@@ -156,8 +157,12 @@
         oldest = self._loans[oldest_id]
         is_due = oldest.until_ms <= lent.until_ms
         if is_due or len(self._loans) > _MAX_LOANS:
-            self._loans.pop(oldest_id)
-            self._headroom.close(oldest.ticket)
+            self._close_loan(oldest_id)
+
+    def _close_loan(self, loan_id: str) -> None:
+        loan = self._loans.pop(loan_id, None)
+        if loan is not None:
+            self._headroom.close(loan.ticket)
 
     def _accrue(self, now_ms: float) -> None:
         if now_ms <= self._advanced_ms:
--- a/tests/quotas/test_state.py
+++ b/tests/quotas/test_state.py
@@ -209,3 +209,26 @@
     assert isinstance(
         borrower.on_borrow_reply(10110, 'utility', reply)[0], Admitted
     )
+
+
+def test_unused_borrowed_tokens_go_back_to_their_lender_once() -> None:
+    borrower, lender = router('a', 'a', 'b'), router('b', 'a', 'b')
+    asks = take(borrower, 10000, 100, 11000)
+    admitted = exchange(borrower, lender, 10000, asks)[0]
+    back = borrower.settle(10500, admitted.charge_id, 0)[0]
+    # Own headroom was 60, and 15 of it accrued in the meantime.
+    assert back.returned.amount_tokens == pytest.approx(40.01)
+    for now_ms in (10500, 10510):
+        lender.on_returned(now_ms, back.returned)
+    # The lender accrued 12 of the 40 that it lent, after the place was free.
+    assert lender.balance_tokens('utility') == pytest.approx(60, abs=0.5)
+    assert borrower.balance_tokens('utility') == pytest.approx(60, abs=0.5)
+
+
+def test_repeated_borrow_request_leaves_one_loan() -> None:
+    lender = router('b', 'a', 'b')
+    request = BorrowRequest('x', 'a', 'utility', 5, Versions())
+    for now_ms in (10000, 10001, 20000, 60000):
+        lender.on_borrow_request(now_ms, request)
+    bucket = lender._accounts['utility'].bucket
+    assert len(bucket._loans) == len(bucket._headroom._outstanding) == 1
