Give surplus borrowed tokens back at once

The surplus now goes back to the lenders. While the lender still keeps the place of the loan, the tokens move into that place.

--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -317,14 +317,14 @@
 
 def main() -> None:
     """Print all results."""
-    for routers, load, skew, seed in itertools.product(
-        ROUTER_COUNTS, LOADS, (0, 0.8), SEEDS
+    print(json.dumps(decision_cost()), flush=True)
+    for routers in ROUTER_COUNTS:
+        print(json.dumps(memory_per_organisation(routers)), flush=True)
+    for load, routers, skew, seed in itertools.product(
+        LOADS, ROUTER_COUNTS, (0, 0.8), SEEDS
     ):
         for line in compare(seed, routers, load, skew):
             print(json.dumps(line), flush=True)
-    print(json.dumps(decision_cost()))
-    for routers in ROUTER_COUNTS:
-        print(json.dumps(memory_per_organisation(routers)))
 
 
 if __name__ == '__main__':
--- a/lagoonflow/quotas/account.py
+++ b/lagoonflow/quotas/account.py
@@ -2,13 +2,22 @@
 
 import dataclasses
 
-from lagoonflow.quotas.actions import Action, Admitted, AskPeer, Refused
+from lagoonflow.quotas.actions import (
+    Action,
+    Admitted,
+    AskPeer,
+    Refused,
+)
 from lagoonflow.quotas.borrowing import Borrower, Borrowing
 from lagoonflow.quotas.bucket import Bucket
 from lagoonflow.quotas.charges import Charge, Charges
 from lagoonflow.quotas.forecast import Forecast
 from lagoonflow.quotas.lenders import Ask
-from lagoonflow.quotas.messages import BorrowReply, BorrowRequest, HandOver
+from lagoonflow.quotas.messages import (
+    BorrowReply,
+    BorrowRequest,
+    HandOver,
+)
 from lagoonflow.quotas.settings import QuotaSettings
 from lagoonflow.quotas.waiting import WaitingQueue
 from lagoonflow.releases.messages import OrganisationSpec
@@ -88,7 +97,7 @@
         fit below the own cap.
         """
         self.bucket.advance(now_ms)
-        self.bucket.absorb(self.borrowing.drop_overdue(now_ms))
+        self.borrowing.keep(self.bucket, self.borrowing.drop_overdue(now_ms))
 
     def try_charge(self, request_id: str, cost_tokens: float) -> list[Action]:
         """Charge a request at once if there are tokens for it."""
@@ -111,15 +120,15 @@
         self.advance(now_ms)
         actions = [] if is_held else self._admit()
         if not self.queue:
-            self.bucket.absorb(self.borrowing.pot.take_all())
+            self.borrowing.keep(self.bucket, self.borrowing.pot.take_all())
             self._wake_by(now_ms, [])
-            return actions
+            return actions + self.borrowing.give_surplus_back()
         forecast = self._forecast(now_ms)
         actions.extend(self._refuse_hopeless(forecast))
         if not is_held:
             actions.extend(self._borrow(forecast))
         self._wake_by(now_ms, self._find_times_ms(forecast))
-        return actions
+        return actions + self.borrowing.give_surplus_back()
 
     def lend(self, now_ms: float, request: BorrowRequest) -> BorrowReply:
         """Lend what the own waiting requests do not need."""
@@ -156,7 +165,7 @@
     def offer(self, now_ms: float) -> tuple[str, HandOver] | None:
         """Offer the balance to the peer that is expected to hold least."""
         self.advance(now_ms)
-        self.bucket.absorb(self.borrowing.pot.take_all())
+        self.borrowing.keep(self.bucket, self.borrowing.pot.take_all())
         peer = self.borrowing.lenders.shortest(now_ms)
         spare_tokens = self.bucket.balance_tokens - self.queue.cost_tokens
         if peer is None or spare_tokens <= 0:
--- a/lagoonflow/quotas/borrowing.py
+++ b/lagoonflow/quotas/borrowing.py
@@ -2,13 +2,20 @@
 
 import dataclasses
 import random
+from collections.abc import Iterable
 
-from lagoonflow.quotas.actions import AskPeer
+from lagoonflow.quotas.actions import AskPeer, GiveBack
+from lagoonflow.quotas.bucket import Bucket
 from lagoonflow.quotas.lenders import Ask, Lenders
-from lagoonflow.quotas.messages import BorrowReply, BorrowRequest
-from lagoonflow.quotas.pot import Pot
+from lagoonflow.quotas.messages import BorrowReply, BorrowRequest, Returned
+from lagoonflow.quotas.pot import Pot, Spent
 from lagoonflow.streams.messages import Versions
 
+# Smaller amounts are not worth a message.
+MIN_RETURN_TOKENS = 1
+# Ids of charges are larger.
+_SURPLUS_RETURN_ID = 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Borrower:
@@ -50,6 +57,7 @@
         self._timeout_ms = timeout_ms
         self._asks: dict[str, _OpenAsk] = {}
         self._last_ask = 0
+        self._surplus: list[Spent] = []
 
     @property
     def asked_tokens(self) -> float:
@@ -61,7 +69,7 @@
         """Times at which open asks become overdue."""
         return [ask.until_ms for ask in self._asks.values()]
 
-    def drop_overdue(self, now_ms: float) -> float:
+    def drop_overdue(self, now_ms: float) -> list[Spent]:
         """Close overdue asks and return tokens that were not spent."""
         overdue = [
             borrow_id
@@ -89,6 +97,38 @@
         )
         return AskPeer(ask.peer, request)
 
+    def keep(self, bucket: Bucket, parts: Iterable[Spent]) -> None:
+        """Put tokens into a bucket; what doesn't fit is surplus."""
+        for part in parts:
+            kept_tokens = max(
+                min(part.amount_tokens, bucket.headroom_tokens), 0
+            )
+            bucket.absorb(kept_tokens)
+            rest_tokens = part.amount_tokens - kept_tokens
+            if rest_tokens >= MIN_RETURN_TOKENS:
+                self._surplus.append(
+                    dataclasses.replace(part, amount_tokens=rest_tokens)
+                )
+
+    def give_surplus_back(self) -> list[GiveBack]:
+        """Give what did not fit back to its lenders."""
+        surplus = [
+            self.give_back(part, _SURPLUS_RETURN_ID) for part in self._surplus
+        ]
+        self._surplus.clear()
+        return surplus
+
+    def give_back(self, part: Spent, return_id: int) -> GiveBack:
+        """Give tokens back to their lender."""
+        returned = Returned(
+            part.borrow_id,
+            return_id,
+            self._borrower.organisation,
+            part.amount_tokens,
+            self.versions,
+        )
+        return GiveBack(part.peer, returned)
+
     def on_reply(self, now_ms: float, reply: BorrowReply) -> bool:
         """Take borrowed tokens; late and repeated replies are dropped.
 
--- a/lagoonflow/quotas/bucket.py
+++ b/lagoonflow/quotas/bucket.py
@@ -24,6 +24,7 @@
     amount_tokens: float
     until_ms: float
     returnable_tokens: float
+    return_ids: set[int] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,10 +121,13 @@
 
         The rule is that of ``refund``: the bucket must not exceed its cap
         at any time since the loan, if it had lent less from the start.
-        Tokens come back only after their place was freed.
+        While the place of the loan is kept, the tokens move into it.
 
         :param return_id: repeated ones are ignored.
         """
+        for lent in self._lent:
+            if lent.loan_id == loan_id:
+                return self._give_back_early(lent, return_id, amount_tokens)
         loan = self._loans.get(loan_id)
         if loan is None or return_id in loan.return_ids:
             return 0
@@ -147,11 +151,28 @@
         self.balance_tokens += amount_tokens
         self._headroom.lower(amount_tokens)
 
+    def _give_back_early(
+        self, lent: _Lent, return_id: int, amount_tokens: float
+    ) -> float:
+        if return_id in lent.return_ids:
+            return 0
+        lent.return_ids.add(return_id)
+        place_tokens = min(amount_tokens, lent.amount_tokens)
+        returned_tokens = max(min(place_tokens, lent.returnable_tokens), 0)
+        lent.amount_tokens -= place_tokens
+        lent.returnable_tokens -= returned_tokens
+        self._lent_tokens -= place_tokens
+        self.balance_tokens += returned_tokens
+        return returned_tokens
+
     def _open_loan(self, lent: _Lent) -> None:
         self._close_loan(lent.loan_id)
         ticket = self._headroom.open(self.headroom_tokens)
         self._loans[lent.loan_id] = _Loan(
-            ticket, lent.returnable_tokens, lent.until_ms + GIVE_BACK_MS
+            ticket,
+            lent.returnable_tokens,
+            lent.until_ms + GIVE_BACK_MS,
+            lent.return_ids,
         )
         oldest_id = next(iter(self._loans))
         oldest = self._loans[oldest_id]
--- a/lagoonflow/quotas/pot.py
+++ b/lagoonflow/quotas/pot.py
@@ -6,7 +6,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Spent:
-    """Borrowed tokens that were spent on a charge."""
+    """Borrowed tokens that were taken out of the pot."""
 
     peer: str
     borrow_id: str
@@ -59,16 +59,22 @@
                 self._parts.popleft()
         return spent
 
-    def take_due(self, now_ms: float) -> float:
+    def take_due(self, now_ms: float) -> list[Spent]:
         """Take out the tokens that run out now."""
         due = [part for part in self._parts if part.until_ms <= now_ms]
+        if not due:
+            return []
         self._parts = collections.deque(
             part for part in self._parts if part.until_ms > now_ms
         )
-        return sum(part.amount_tokens for part in due)
+        return list(map(_spent, due))
 
-    def take_all(self) -> float:
+    def take_all(self) -> list[Spent]:
         """Take out all tokens."""
-        tokens = self.tokens
+        taken = list(map(_spent, self._parts))
         self._parts.clear()
-        return tokens
+        return taken
+
+
+def _spent(part: _Part) -> Spent:
+    return Spent(part.peer, part.borrow_id, part.amount_tokens)
--- a/lagoonflow/quotas/state.py
+++ b/lagoonflow/quotas/state.py
@@ -1,8 +1,10 @@
 """Token shares of one router, over all organisations."""
 
+import dataclasses
 from collections.abc import Iterator
 
-from lagoonflow.quotas.actions import Action, GiveBack, Refused
+from lagoonflow.quotas.actions import Action, Refused
+from lagoonflow.quotas.borrowing import MIN_RETURN_TOKENS
 from lagoonflow.quotas.charges import Charge
 from lagoonflow.quotas.forecast import larger_than_burst
 from lagoonflow.quotas.messages import (
@@ -11,12 +13,10 @@
     HandOver,
     Returned,
 )
+from lagoonflow.quotas.pot import Spent
 from lagoonflow.quotas.shares import ShareKeeper, no_such_organisation
 from lagoonflow.quotas.waiting import WaitingRequest
 
-# Smaller amounts are not worth a message.
-_MIN_RETURN_TOKENS = 1
-
 
 class QuotaShares(ShareKeeper):
     """Admits requests within this router's shares and what it borrows.
@@ -73,8 +73,10 @@
         account.advance(now_ms)
         unused_tokens = max(charge.amount_tokens - used_tokens, 0)
         unused_tokens -= account.bucket.refund(charge.ticket, unused_tokens)
-        actions: list[Action] = []
-        actions.extend(self._give_back(charge_id, charge, unused_tokens))
+        actions: list[Action] = [
+            account.borrowing.give_back(part, charge_id)
+            for part in _unused_parts(charge, unused_tokens)
+        ]
         if account.queue:
             actions.extend(self._serve(now_ms, [account]))
         return actions
@@ -144,19 +146,10 @@
             return []
         return account.on_hand_over(now_ms, offer)
 
-    def _give_back(
-        self, charge_id: int, charge: Charge, unused_tokens: float
-    ) -> Iterator[GiveBack]:
-        for part in charge.borrowed:
-            amount_tokens = min(unused_tokens, part.amount_tokens)
-            unused_tokens -= amount_tokens
-            if amount_tokens < _MIN_RETURN_TOKENS:
-                continue
-            returned = Returned(
-                part.borrow_id,
-                charge_id,
-                charge.organisation,
-                amount_tokens,
-                self._versions,
-            )
-            yield GiveBack(part.peer, returned)
+
+def _unused_parts(charge: Charge, unused_tokens: float) -> Iterator[Spent]:
+    for part in charge.borrowed:
+        amount_tokens = min(unused_tokens, part.amount_tokens)
+        unused_tokens -= amount_tokens
+        if amount_tokens >= MIN_RETURN_TOKENS:
+            yield dataclasses.replace(part, amount_tokens=amount_tokens)
--- a/tests/quotas/test_state.py
+++ b/tests/quotas/test_state.py
@@ -5,7 +5,12 @@
 import pytest
 
 from lagoonflow.quotas.actions import Admitted, AskPeer, OfferPeer, Refused
-from lagoonflow.quotas.messages import BorrowReply, BorrowRequest, RosterAck
+from lagoonflow.quotas.messages import (
+    BorrowReply,
+    BorrowRequest,
+    Returned,
+    RosterAck,
+)
 from lagoonflow.quotas.state import QuotaShares
 from lagoonflow.releases.messages import OrganisationSpec
 from lagoonflow.results import Result
@@ -232,3 +237,14 @@
         lender.on_borrow_request(now_ms, request)
     bucket = lender._accounts['utility'].bucket
     assert len(bucket._loans) == len(bucket._headroom._outstanding) == 1
+
+
+def test_surplus_goes_back_while_its_place_is_kept() -> None:
+    lender = router('b', 'a', 'b')
+    request = BorrowRequest('x', 'a', 'utility', 50, Versions())
+    reply = lender.on_borrow_request(10000, request)
+    assert reply.amount_tokens == 50
+    returned = Returned('x', 0, 'utility', 30, Versions())
+    for now_ms in (10050, 10051):
+        lender.on_returned(now_ms, returned)
+    assert lender.balance_tokens('utility') == pytest.approx(40)
