--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -17,6 +17,7 @@
     AckPeer,
     Admitted,
     AskPeer,
+    GiveBack,
     Refused,
 )
 from lagoonflow.quotas.state import QuotaShares
@@ -173,6 +174,8 @@
                     index = int(peer.split('-')[1])
                     self._routers[number].on_ack_delivered(peer, ack)
                     self._do(now_ms, index, 'on_ack', ack)
+                case GiveBack():
+                    self._give_back(now_ms, action)
                 case Refused():
                     pass
         wake_ms = self._routers[number].next_wake_ms(now_ms)
@@ -220,6 +223,14 @@
             lambda now: self._lend(now, lender, number, ask),
         )
 
+    def _give_back(self, now_ms: float, action: GiveBack) -> None:
+        self.tally.messages += 1
+        lender = int(action.peer.split('-')[1])
+        self._at(
+            now_ms + self._rng.uniform(*DELAY_MS),
+            lambda now: self._do(now, lender, 'on_returned', action.returned),
+        )
+
     def _lend(self, now_ms: float, lender: int, number: int, ask) -> None:
         reply = self._do(now_ms, lender, 'on_borrow_request', ask.request)
         self._at(
@@ -306,14 +317,14 @@
 
 def main() -> None:
     """Print all results."""
-    for routers, load, skew, seed in itertools.product(
-        ROUTER_COUNTS, LOADS, (0, 0.8), SEEDS
+    print(json.dumps(decision_cost()), flush=True)
+    for routers in ROUTER_COUNTS:
+        print(json.dumps(memory_per_organisation(routers)), flush=True)
+    for load, routers, skew, seed in itertools.product(
+        LOADS, ROUTER_COUNTS, (0, 0.8), SEEDS
     ):
         for line in compare(seed, routers, load, skew):
             print(json.dumps(line), flush=True)
-    print(json.dumps(decision_cost()))
-    for routers in ROUTER_COUNTS:
-        print(json.dumps(memory_per_organisation(routers)))
 
 
 if __name__ == '__main__':
