--- a/lagoonflow/placement/task.py
+++ b/lagoonflow/placement/task.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import contextlib
 import itertools
 from collections.abc import Callable, Iterable
 
--- a/lagoonflow/streams/following.py
+++ b/lagoonflow/streams/following.py
@@ -29,8 +29,8 @@
         checkpoint when the log holds none, in ms.
     """
 
-    wait_ms: int = 10_000
-    answer_margin_ms: int = 3_000
+    wait_ms: int = 3_000
+    answer_margin_ms: int = 2_000
     bridge_after_ms: int = 2_000
     start_empty_after_ms: int = 30_000
     checkpoint_interval_ms: int = 120_000
@@ -116,7 +116,7 @@
             case Unavailable():
                 # Large records can make a whole answer too long to accept.
                 self._limit = max(1, self._limit // LIMIT_FACTOR)
-                return (Pause(self._backoff.fail()),)
+                return (AskPeer(), Pause(self._backoff.fail()))
             case Expired():
                 self.reader.on_expired(result)
             case Batch():
--- a/lagoonflow/wiring/router.py
+++ b/lagoonflow/wiring/router.py
@@ -30,7 +30,12 @@
 from lagoonflow.telemetry.metrics import RouterMetrics
 from lagoonflow.wire.http import HttpServer, bind
 from lagoonflow.wire.server import Route
-from lagoonflow.wire.services import ACK_ROSTER, BORROW, HAND_OVER
+from lagoonflow.wire.services import (
+    ACK_ROSTER,
+    BORROW,
+    HAND_OVER,
+    RETURN,
+)
 from lagoonflow.wiring.admission import QuotaAdmission
 from lagoonflow.wiring.callrunner import CallStarter
 from lagoonflow.wiring.claims import claim_ports
@@ -105,20 +110,17 @@
         )
         self._wire(peer.port, admin.port)
         self._follow()
-        await self._serve(listener)
-        self._core.is_ready = True
-        self._core.announce_address('callers', self._front.address)
         self._core.announce_address('peer', peer)
         self._core.announce_address('admin', admin)
+        self._core.background.start('serving', self._serve_current(listener))
 
     async def stop(self) -> None:
         """Take no new requests, finish the open ones, and leave."""
         self._core.is_ready = False
         self._core.timeline.record('program', 'stopping')
-        self._context.is_stopping = True
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._settings.stop_timeout_s):
-                await self._front.stop()
+                await self._stop_front()
                 await self._starter.drain()
                 await self._quotas.shut_down()
                 await self._membership.leave()
@@ -133,6 +135,7 @@
         return (
             unary(BORROW, self._lend),
             unary(HAND_OVER, self._take_over),
+            unary(RETURN, self._take_back),
             unary(ACK_ROSTER, self._note_ack),
         )
 
@@ -197,6 +200,22 @@
         background.start('idle connections', self._sweep())
         self._membership.start()
 
+    async def _serve_current(self, listener: object) -> None:
+        """Serve callers once the releases in force are known.
+
+        Before that, the key of every caller would be an unknown one.
+        """
+        await self._core.agreed.catch_up()
+        await self._serve(listener)
+        self._core.is_ready = True
+        self._core.announce_address('callers', self._front.address)
+
+    async def _stop_front(self) -> None:
+        if self._context is not None:
+            self._context.is_stopping = True
+        if self._front is not None:
+            await self._front.stop()
+
     async def _serve(self, listener: object) -> None:
         settings = self._settings
         self._context = FrontContext(
@@ -264,6 +283,10 @@
         self._quotas.on_hand_over(hand_over)
         return Ack(self._core.agreed.versions())
 
+    async def _take_back(self, returned: Returned) -> Ack:
+        self._quotas.on_returned(returned)
+        return Ack(self._core.agreed.versions())
+
     async def _note_ack(self, ack: RosterAck) -> Ack:
         self._quotas.on_ack(ack)
         return Ack(self._core.agreed.versions())
