--- a/lagoonflow/placement/task.py
+++ b/lagoonflow/placement/task.py
@@ -67,16 +67,6 @@
                 self._execute(self._state.on_tick(self._clock()))
                 self._grant()
 
-    async def _sleep(self) -> None:
-        """Sleep for a tick, or until a request comes when none waits."""
-        if self._locates.is_waiting or self._permit_replies.is_waiting:
-            await asyncio.sleep(TICK_S)
-            return
-        self._wake.clear()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(IDLE_TICK_S):
-                await self._wake.wait()
-
     async def locate(
         self, request: messages.LocateRequest
     ) -> messages.LocateReply:
@@ -137,6 +127,16 @@
         """Act as home again: the roster is current."""
         self._state.is_caught_up = True
 
+    async def _sleep(self) -> None:
+        """Sleep for a tick, or until a request comes when none waits."""
+        if self._locates.is_waiting or self._permit_replies.is_waiting:
+            await asyncio.sleep(TICK_S)
+            return
+        self._wake.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_TICK_S):
+                await self._wake.wait()
+
     def _grant(self) -> None:
         for reply in self._permits.grants(self._clock()):
             self._permit_replies.reply(reply.permit_id, reply)
--- a/lagoonflow/wiring/router.py
+++ b/lagoonflow/wiring/router.py
@@ -15,33 +15,18 @@
 from lagoonflow.cli.settings import RouterSettings
 from lagoonflow.clock import boottime_ms
 from lagoonflow.placement.locator import Locator
-from lagoonflow.placement.messages import Ack
-from lagoonflow.quotas.messages import (
-    BorrowReply,
-    BorrowRequest,
-    HandOver,
-    RosterAck,
-)
-from lagoonflow.quotas.state import QuotaShares
-from lagoonflow.quotas.task import QuotaTask
 from lagoonflow.roster.messages import Member, Role
 from lagoonflow.streams.messages import Stream
 from lagoonflow.telemetry.logs import get_logger
 from lagoonflow.telemetry.metrics import RouterMetrics
 from lagoonflow.wire.http import HttpServer, bind
-from lagoonflow.wire.server import Route
-from lagoonflow.wire.services import (
-    ACK_ROSTER,
-    BORROW,
-    HAND_OVER,
-    RETURN,
-)
 from lagoonflow.wiring.admission import QuotaAdmission
 from lagoonflow.wiring.callrunner import CallStarter
 from lagoonflow.wiring.claims import claim_ports
 from lagoonflow.wiring.core import Core
 from lagoonflow.wiring.membership import Membership
 from lagoonflow.wiring.places import Places
+from lagoonflow.wiring.shares import TokenShares
 from lagoonflow.wiring.stopping import StopSignal
 from lagoonflow.wiring.tls import caller_context
 
@@ -85,8 +70,7 @@
         self._claims_fold = ClaimsFold()
         self._core.agreed.add(self._claims_fold)
         self._metrics = RouterMetrics()
-        self._shares = QuotaShares(settings.name, self._core.nonce)
-        self._quotas = QuotaTask(self._shares, self._core.peers.send)
+        self._shares = TokenShares(self._core)
         self._claims = ClaimsTask(
             self._claims_fold.state,
             settings.name,
@@ -105,7 +89,7 @@
         """
         listener = bind(self._settings.address)
         peer, admin = await self._core.listen(
-            self._routes(),
+            self._shares.routes(),
             self._metrics.registry,
         )
         self._wire(peer.port, admin.port)
@@ -122,7 +106,7 @@
             async with asyncio.timeout(self._settings.stop_timeout_s):
                 await self._stop_front()
                 await self._starter.drain()
-                await self._quotas.shut_down()
+                await self._shares.task.shut_down()
                 await self._membership.leave()
 
     async def close(self) -> None:
@@ -130,15 +114,6 @@
         await self._core.close()
         get_logger('program').info('Stopped.')
 
-    def _routes(self) -> tuple[Route, ...]:
-        unary = self._core.unary
-        return (
-            unary(BORROW, self._lend),
-            unary(HAND_OVER, self._take_over),
-            unary(RETURN, self._take_back),
-            unary(ACK_ROSTER, self._note_ack),
-        )
-
     def _wire(self, peer_port: int, admin_port: int) -> None:
         settings = self._settings
         member = Member(
@@ -153,8 +128,8 @@
         self._membership = Membership(
             self._core,
             member,
-            self._shares.on_pause,
-            self._caught_up,
+            self._shares.pause,
+            self._shares.caught_up,
         )
         locator = Locator(
             settings.name,
@@ -190,12 +165,11 @@
 
     def _follow(self) -> None:
         followers = self._core.agreed.followers
-        followers[Stream.ROSTER].listeners.append(self._on_roster)
-        followers[Stream.RELEASES].listeners.append(self._on_releases)
+        self._shares.follow()
         followers[Stream.CLAIMS].listeners.append(self._claims.on_folded)
         background = self._core.background
         self._core.agreed.start(background)
-        background.start('quotas', self._quotas.run())
+        background.start('quotas', self._shares.task.run())
         background.start('claims', self._claims.run())
         background.start('idle connections', self._sweep())
         self._membership.start()
@@ -220,7 +194,7 @@
         settings = self._settings
         self._context = FrontContext(
             releases=self._core.agreed.releases,
-            admission=QuotaAdmission(self._quotas, boottime_ms),
+            admission=QuotaAdmission(self._shares.task, boottime_ms),
             calls=self._starter,
             limits=CallerLimits(
                 max_body_bytes=settings.max_body_bytes,
@@ -242,51 +216,7 @@
         )
         await self._front.start()
 
-    def _on_roster(self) -> None:
-        roster = self._core.agreed.roster
-        self._quotas.perform(
-            self._shares.on_roster(
-                boottime_ms(),
-                roster.memberships,
-                roster.version,
-            ),
-        )
-
-    def _on_releases(self) -> None:
-        releases = self._core.agreed.releases
-        self._core.timeline.record(
-            'releases',
-            'in_force',
-            cause=f'releases {releases.next_offset}',
-        )
-        self._quotas.perform(
-            self._shares.on_limits(
-                boottime_ms(),
-                releases.organisations(),
-                releases.next_offset,
-            ),
-        )
-
-    def _caught_up(self) -> None:
-        self._on_roster()
-        self._quotas.perform(self._shares.on_caught_up(boottime_ms()))
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._core.connections.close_idle()
-
-    async def _lend(self, request: BorrowRequest) -> BorrowReply:
-        return self._quotas.on_borrow_request(request)
-
-    async def _take_over(self, hand_over: HandOver) -> Ack:
-        self._quotas.on_hand_over(hand_over)
-        return Ack(self._core.agreed.versions())
-
-    async def _take_back(self, returned: Returned) -> Ack:
-        self._quotas.on_returned(returned)
-        return Ack(self._core.agreed.versions())
-
-    async def _note_ack(self, ack: RosterAck) -> Ack:
-        self._quotas.on_ack(ack)
-        return Ack(self._core.agreed.versions())
--- /dev/null
+++ b/lagoonflow/wiring/shares.py
@@ -0,0 +1,103 @@
+"""Connects the token shares of a router to its peers and to the log."""
+
+from lagoonflow.clock import boottime_ms
+from lagoonflow.placement.messages import Ack
+from lagoonflow.quotas.messages import (
+    BorrowReply,
+    BorrowRequest,
+    HandOver,
+    Returned,
+    RosterAck,
+)
+from lagoonflow.quotas.state import QuotaShares
+from lagoonflow.quotas.task import QuotaTask
+from lagoonflow.streams.messages import Stream
+from lagoonflow.wire.server import Route
+from lagoonflow.wire.services import (
+    ACK_ROSTER,
+    BORROW,
+    HAND_OVER,
+    RETURN,
+)
+from lagoonflow.wiring.core import Core
+
+
+class TokenShares:
+    """The token shares of one router.
+
+    :ivar task: charges and refunds requests.
+    """
+
+    def __init__(self, core: Core) -> None:
+        """Prepare the shares; they follow the log after :meth:`follow`."""
+        self._core = core
+        self._shares = QuotaShares(core.settings.name, core.nonce)
+        self.task = QuotaTask(self._shares, core.peers.send)
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return what a router serves to other routers."""
+        unary = self._core.unary
+        return (
+            unary(BORROW, self._lend),
+            unary(HAND_OVER, self._take_over),
+            unary(RETURN, self._take_back),
+            unary(ACK_ROSTER, self._note_ack),
+        )
+
+    def follow(self) -> None:
+        """Follow the roster and the limits of the release notes."""
+        followers = self._core.agreed.followers
+        followers[Stream.ROSTER].listeners.append(self._on_roster)
+        followers[Stream.RELEASES].listeners.append(self._on_releases)
+
+    def pause(self) -> None:
+        """Admit and lend nothing until the roster is current."""
+        self._shares.on_pause()
+
+    def caught_up(self) -> None:
+        """Go on after a pause."""
+        self._on_roster()
+        self.task.perform(self._shares.on_caught_up(boottime_ms()))
+
+    def _on_roster(self) -> None:
+        roster = self._core.agreed.roster
+        self.task.perform(
+            self._shares.on_roster(
+                boottime_ms(),
+                roster.memberships,
+                roster.version,
+            ),
+        )
+
+    def _on_releases(self) -> None:
+        releases = self._core.agreed.releases
+        self._core.timeline.record(
+            'releases',
+            'in_force',
+            cause=f'releases {releases.next_offset}',
+        )
+        self.task.perform(
+            self._shares.on_limits(
+                boottime_ms(),
+                releases.organisations(),
+                releases.next_offset,
+            ),
+        )
+
+    async def _lend(self, request: BorrowRequest) -> BorrowReply:
+        return self.task.on_borrow_request(request)
+
+    async def _take_over(self, hand_over: HandOver) -> Ack:
+        self.task.on_hand_over(hand_over)
+        return self._ack()
+
+    async def _take_back(self, returned: Returned) -> Ack:
+        self.task.on_returned(returned)
+        return self._ack()
+
+    async def _note_ack(self, ack: RosterAck) -> Ack:
+        self.task.on_ack(ack)
+        return self._ack()
+
+    def _ack(self) -> Ack:
+        return Ack(self._core.agreed.versions())
