--- a/tests/support/fleet_steps.py
+++ b/tests/support/fleet_steps.py
@@ -237,6 +237,7 @@
         )
 
 
+@given(parsers.re(r'(?P<seconds>[\d.]+) s pass$'))
 @when(parsers.re(r'(?P<seconds>[\d.]+) s pass$'))
 def pass_time(seconds):
     time.sleep(float(seconds))
