--- a/lagoonflow/quotas/state.py
+++ b/lagoonflow/quotas/state.py
@@ -1,8 +1,19 @@
 """Token shares of one router, over all organisations."""
 
+import dataclasses
+from collections.abc import Iterator
+
 from lagoonflow.quotas.actions import Action, Refused
+from lagoonflow.quotas.borrowing import MIN_RETURN_TOKENS
+from lagoonflow.quotas.charges import Charge
 from lagoonflow.quotas.forecast import larger_than_burst
-from lagoonflow.quotas.messages import BorrowReply, BorrowRequest, HandOver
+from lagoonflow.quotas.messages import (
+    BorrowReply,
+    BorrowRequest,
+    HandOver,
+    Returned,
+)
+from lagoonflow.quotas.pot import Spent
 from lagoonflow.quotas.shares import ShareKeeper, no_such_organisation
 from lagoonflow.quotas.waiting import WaitingRequest
 
@@ -61,7 +72,24 @@
             return []
         account.advance(now_ms)
         unused_tokens = max(charge.amount_tokens - used_tokens, 0)
-        account.bucket.refund(charge_id, unused_tokens)
+        unused_tokens -= account.bucket.refund(charge.ticket, unused_tokens)
+        actions: list[Action] = [
+            account.borrowing.give_back(part, charge_id)
+            for part in _unused_parts(charge, unused_tokens)
+        ]
+        if account.queue:
+            actions.extend(self._serve(now_ms, [account]))
+        return actions
+
+    def on_returned(self, now_ms: float, returned: Returned) -> list[Action]:
+        """Take tokens back that a peer borrowed but did not use."""
+        account = self._accounts.get(returned.organisation)
+        if account is None:
+            return []
+        account.advance(now_ms)
+        account.bucket.give_back(
+            returned.borrow_id, returned.return_id, returned.amount_tokens
+        )
         return self._serve(now_ms, [account]) if account.queue else []
 
     def cancel(self, now_ms: float, request_id: str) -> list[Action]:
@@ -117,3 +145,11 @@
         if account is None or self._is_held or self._is_leaving:
             return []
         return account.on_hand_over(now_ms, offer)
+
+
+def _unused_parts(charge: Charge, unused_tokens: float) -> Iterator[Spent]:
+    for part in charge.borrowed:
+        amount_tokens = min(unused_tokens, part.amount_tokens)
+        unused_tokens -= amount_tokens
+        if amount_tokens >= MIN_RETURN_TOKENS:
+            yield dataclasses.replace(part, amount_tokens=amount_tokens)
--- a/tests/runners/test_state.py
+++ b/tests/runners/test_state.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lagoonflow.placement.messages import LoadRate, Tier
+from lagoonflow.placement.messages import LoadRate, PermitReply, Tier
 from lagoonflow.results import Result
 from lagoonflow.runners.engine_messages import Answer, OrderAnswer
 from lagoonflow.runners.loads import ORDER_SETTLE_MS
@@ -133,6 +133,28 @@
     assert bench.engine.loads == 2
 
 
+def test_silent_engine_hands_back_the_queue(bench):
+    bench.bid('a')
+    bench.decide('a')
+    name = bench.request('a')
+    bench.run(bench.state.on_listing(bench.now_ms, None, bench.now_ms))
+    assert name not in bench.refused, 'one silence may be a slow answer'
+    bench.announced.clear()
+    bench.run(bench.state.on_listing(bench.now_ms, None, bench.now_ms))
+    assert bench.refused[name].code is Result.STALE_LOCATION
+    assert bench.announced == ['a']
+    assert not bench.state.announcement(0, 'n', ('a',)).replicas
+    assert bench.bid('b').refusal.code is Result.NO_RUNNER
+    bench.announced.clear()
+    bench.list()
+    assert bench.announced == ['a']
+    assert bench.state.announcement(0, 'n', ('a',)).replicas
+    bench.request('a')
+    bench.engine.complete()
+    bench.list()
+    assert len(bench.started) == 1
+
+
 def test_lost_answer_is_waited_out(bench):
     bench.auto_answer = False
     bench.bid('a')
@@ -153,6 +175,7 @@
     bench.auto_answer = False
     bench.bid('a')
     bench.decide('a')
+    bench.request('a')
     first = bench.orders[-1]
     bench.answer(OrderAnswer(first.fence, Answer.LOST))
     bench.tick(ORDER_SETTLE_MS + 1)
@@ -343,3 +366,40 @@
     bench.list()
     bench.load('b')
     assert not engine.overcommits
+
+
+def test_requests_for_a_cold_model_do_not_press_on_a_warm_one(bench):
+    bench.releases.models['c'] = model_spec(memory_mb=50)
+    bench.load('a')
+    bench.bid('c')
+    bench.decide('c')
+    for _ in range(400):
+        bench.request('c', tokens=200)
+    models = ('a', 'c')
+    announcement = bench.state.announcement(bench.now_ms, 'n', models)
+    assert announcement.under_pressure == ()
+    assert bench.bid('a').wait_ms == 0
+    bench.engine.complete()
+    bench.list()
+    announcement = bench.state.announcement(bench.now_ms, 'n', models)
+    assert announcement.under_pressure == ('c',)
+
+
+def test_load_that_nobody_waits_for_gives_up_its_permit(bench):
+    bench.auto_permit = False
+    bench.bid('a')
+    bench.decide('a')
+    replica = bench.state.parts.replicas.find('a')
+    bench.tick(1_000)
+    bench.request('a', deadline_in_ms=2_000)
+    bench.tick(1_500)
+    assert bench.state.parts.replicas.find('a') is replica
+    bench.tick(1_000)
+    bench.tick()
+    assert bench.state.parts.replicas.find('a') is None
+    assert bench.state.parts.replicas.ledger.unpromised_mb == 250
+    late = PermitReply(replica.permit_id, True, 0, Versions())
+    (report,) = bench.state.on_permit(bench.now_ms, late)
+    assert report.permit_id == replica.permit_id
+    assert not report.is_loaded
+    assert not bench.orders
