Let leaving hosts and stopping routers refuse nobody; prove it

Cause: (1) 4 s after its host was listed as leaving, an agent still started 2 requests: a router left it out of its own cache, but the home, which knows of nothing but the replica, named it again. Ruled out: the lag of the host list (300 ms). The agent now drains by itself when its own host is listed as leaving. (2) A stopping router refused 1 of 92 requests with SHUTTING_DOWN between the signal and the closing of its port. The waking scenarios passed at first sight; they have not been seen failing yet.

--- a/lagoonflow/callers/context.py
+++ b/lagoonflow/callers/context.py
@@ -21,11 +21,6 @@
 from lagoonflow.telemetry.timeline import TimeLine
 
 PART = 'callers'
-STOPPING = Refusal(
-    Result.SHUTTING_DOWN,
-    'This router is shutting down.',
-    retry_after_ms=1000,
-)
 RETRY_WHEN_BUSY_MS = 1000
 
 
@@ -39,7 +34,6 @@
     """The parts that the endpoints work with.
 
     :param releases: the release notes in force.
-    :param is_stopping: new requests are refused when set.
     :param waiting: requests in work at this moment.
     """
 
@@ -50,13 +44,10 @@
     metrics: RouterMetrics
     timeline: TimeLine
     clock_ms: Callable[[], float] = boottime_ms
-    is_stopping: bool = False
     waiting: int = 0
 
     def begin(self) -> Refusal | None:
         """Count one request in, or refuse it."""
-        if self.is_stopping:
-            return STOPPING
         if self.waiting >= self.limits.max_waiting:
             return Refusal(
                 Result.TOO_MANY_WAITING,
--- a/lagoonflow/cli/settings.py
+++ b/lagoonflow/cli/settings.py
@@ -172,6 +172,10 @@
         PositiveInt,
         Parameter(help='Time until an answer has to begin, in ms.'),
     ] = 30_000
+    unready_s: Annotated[
+        PositiveFloat,
+        Parameter(help='Time between not ready and closed, in s.'),
+    ] = 1
 
     def open_addresses(self) -> tuple[tuple[str, Address], ...]:
         """Return the addresses that other processes reach, by flag."""
--- a/lagoonflow/wiring/agent.py
+++ b/lagoonflow/wiring/agent.py
@@ -23,6 +23,7 @@
 
 ROLE = Role.AGENT.value
 SWEEP_INTERVAL_S = 10
+LEAVING_INTERVAL_S = 0.25
 
 
 async def serve_agent(
@@ -93,9 +94,7 @@
         self._core.timeline.record('program', 'stopping')
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._settings.stop_timeout_s):
-                await self._calls.drain()
-                if self._runner is not None:
-                    await self._runner.drain()
+                await self._drain()
                 await self._membership.leave()
 
     async def close(self) -> None:
@@ -153,6 +152,7 @@
         self._core.agreed.start(background)
         background.start('calls', self._calls.sweep_forever())
         background.start('idle connections', self._sweep())
+        background.start('leaving host', self._watch_own_host())
         if self._runner is not None:
             background.start('home', self._home.run())
             background.start('runner', self._runner.run())
@@ -174,6 +174,21 @@
     def _rank_for_store(self) -> tuple[str, ...]:
         return self._membership.store_ranking() if self._membership else ()
 
+    async def _drain(self) -> None:
+        await self._calls.drain()
+        if self._runner is not None:
+            await self._runner.drain()
+
+    async def _watch_own_host(self) -> None:
+        """Take no new work once the platform reclaims this host."""
+        is_leaving = False
+        while not is_leaving:
+            await asyncio.sleep(LEAVING_INTERVAL_S)
+            is_leaving = self._membership.is_own_host_leaving()
+        self._core.is_ready = False
+        self._core.timeline.record('program', 'host_leaving')
+        await self._drain()
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
--- a/lagoonflow/wiring/membership.py
+++ b/lagoonflow/wiring/membership.py
@@ -33,6 +33,7 @@
         """
         self.homes = Homes(core.agreed.roster)
         self._core = core
+        self._member = member
         self._on_pause = on_pause
         self._on_caught_up = on_caught_up
         self._known: dict[str, str] = {}
@@ -91,9 +92,9 @@
             agent for agent in agents if self._task.departures.is_fit(agent)
         )
 
-    def is_leaving(self, member: Member) -> bool:
-        """Tell whether the platform is about to reclaim a host."""
-        return self._task.departures.is_leaving(member)
+    def is_own_host_leaving(self) -> bool:
+        """Tell whether the platform is about to reclaim this host."""
+        return self._task.departures.is_leaving(self._member)
 
     async def leave(self) -> None:
         """Leave the roster."""
--- a/lagoonflow/wiring/router.py
+++ b/lagoonflow/wiring/router.py
@@ -99,11 +99,16 @@
         self._core.background.start('serving', self._serve_current(listener))
 
     async def stop(self) -> None:
-        """Take no new requests, finish the open ones, and leave."""
+        """Take no new connections, finish the open requests, and leave.
+
+        The balancer has some time to see that this router is not ready;
+        what still comes meanwhile is served.
+        """
         self._core.is_ready = False
         self._core.timeline.record('program', 'stopping')
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._settings.stop_timeout_s):
+                await asyncio.sleep(self._settings.unready_s)
                 await self._stop_front()
                 await self._starter.drain()
                 await self._shares.task.shut_down()
--- /dev/null
+++ b/tests/placement/test_waking.py
@@ -0,0 +1,124 @@
+"""Waking of cold models, with real processes."""
+
+import json
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from lagoonflow.roster.homes import rank
+from lagoonflow.roster.messages import Member, Role
+from tests.support import http
+from tests.support.fleet_steps import listed, token_of
+from tests.support.program_flags import ADMIN
+from tests.support.steps import within
+from tests.support.traffic import Ask
+
+scenarios('test_waking.feature')
+
+MAX_TOKENS = 20
+AGENTS = 3
+
+
+@pytest.fixture
+def chosen():
+    """Return the names of agents that steps have chosen."""
+    return {}
+
+
+@given(parsers.re(r'engines of (?P<memory>\d+) MB$'))
+def limit_memory(cluster, memory):
+    for number in range(1, AGENTS + 1):
+        cluster.engine_flags[number] = ('--memory-mb', memory)
+
+
+@when(
+    parsers.re(
+        r'(?P<count>\d+) callers of (?P<name>\w+) ask (?P<routers>router .+)'
+        r' for (?P<model>\w+) at once$'
+    )
+)
+def burst(traffic, count, name, routers, model):
+    names = listed(routers)
+    for number in range(int(count)):
+        prompt = f'{model} {number}'
+        ask = Ask(token_of(name), model, prompt, MAX_TOKENS)
+        traffic.once('running', ask, [names[number % len(names)]])
+
+
+@when(parsers.re(r'the agent that loads (?P<model>\w+) is killed$'))
+def kill_loader(cluster, model):
+    within(10, lambda: _loaders(cluster, model))
+    cluster.process(_loaders(cluster, model)[0]).kill()
+
+
+@when(parsers.re(r'the agent that is home of (?P<model>\w+) is frozen$'))
+def freeze_home(cluster, chosen, model):
+    members = [
+        Member(f'agent-{number}', Role.AGENT, '', 0, '', '')
+        for number in range(1, AGENTS + 1)
+    ]
+    chosen['frozen'] = rank(f'model/{model}', members)[0].name.replace('-', ' ')
+    cluster.process(chosen['frozen']).freeze()
+
+
+@when('the frozen agent is woken')
+def wake_home(cluster, chosen):
+    cluster.process(chosen['frozen']).wake()
+
+
+@then(
+    parsers.re(
+        r'every running caller is answered or refused within (?P<limit>\d+) s$'
+    )
+)
+def check_settled(traffic, limit):
+    traffic.join()
+    for sent in traffic.sent('running'):
+        assert sent.is_whole or sent.refusal, sent.brief()
+        assert sent.ended_s - sent.sent_s < int(limit), sent.brief()
+
+
+@then(parsers.re(r'the engines have loaded (?P<model>\w+) once$'))
+def check_one_load(cluster, model):
+    assert _loads(cluster, model) == 1
+
+
+@then(
+    parsers.re(
+        r'the engines have loaded (?P<model>\w+) at most (?P<most>\d+) times$'
+    )
+)
+def check_loads(cluster, model, most):
+    assert 1 <= _loads(cluster, model) <= int(most)
+
+
+@then('no engine was asked for more memory than it has')
+def check_memory(cluster):
+    attempts = [one['overcommit_attempts'] for one in _counts(cluster)]
+    assert not any(attempts), attempts
+
+
+def _counts(cluster):
+    return [
+        http.request(cluster.address(name), 'GET', '/counts').json()
+        for name in cluster.names()
+        if name.startswith('engine')
+    ]
+
+
+def _loads(cluster, model):
+    return sum(one['loads'].get(model, 0) for one in _counts(cluster))
+
+
+def _loaders(cluster, model):
+    """Return the agents whose time line shows an order to load a model."""
+    found = []
+    for name in cluster.names():
+        if not name.startswith('agent'):
+            continue
+        address = cluster.process(name).addresses[ADMIN]
+        path = f'/timeline?model={model}'
+        events = json.loads(http.request(address, 'GET', path).body)
+        if any(event['event'] == 'load_ordered' for event in events):
+            found.append(name)
+    return found
