--- a/lagoonflow/wiring/router.py
+++ b/lagoonflow/wiring/router.py
@@ -190,8 +190,6 @@
         self._core.announce_address('callers', self._front.address)
 
     async def _stop_front(self) -> None:
-        if self._context is not None:
-            self._context.is_stopping = True
         if self._front is not None:
             await self._front.stop()
 
