End the call of a caller who left before its stream began

Cause: found while reading: a streamed answer's iterator is never started when the connection is closed by the time of its head, so that its call went on and the count of waiting requests never went down. The response now ends both. Shown by a test that failed first (waiting stayed 1). Ruled out: callers who leave later (covered, passed before). Authentication and admission, which stood twice, moved to the endpoint.

--- a/lagoonflow/callers/endpoint.py
+++ b/lagoonflow/callers/endpoint.py
@@ -7,11 +7,16 @@
 from starlette.responses import Response
 
 from lagoonflow.callers.context import FrontContext, new_request_id
-from lagoonflow.callers.disconnect import CallerGone
+from lagoonflow.callers.disconnect import CallerGone, unless_gone
 from lagoonflow.callers.errors import error_response
 from lagoonflow.callers.messages import Call, Charge
-from lagoonflow.callers.requests import check_headers, deadline_in_ms
+from lagoonflow.callers.requests import (
+    check_headers,
+    deadline_in_ms,
+    key_of,
+)
 from lagoonflow.keys.messages import Identity
+from lagoonflow.keys.state import authenticate
 from lagoonflow.results import Refusal, Result
 
 CALLER_GONE = Refusal(
@@ -72,12 +77,34 @@
             if not exchange.is_streaming:
                 self.context.end()
 
+    def authenticate(self, exchange: Exchange) -> Refusal | None:
+        """Note whose key the request carries, or refuse it."""
+        identity = authenticate(
+            self.context.releases,
+            key_of(exchange.request),
+        )
+        if isinstance(identity, Refusal):
+            return identity
+        exchange.identity = identity
+        return None
+
     async def admit(
         self,
         exchange: Exchange,
         call: Call,
     ) -> AdmittedCall | Refusal:
-        """Charge the organisation; open routes cost nothing."""
+        """Charge the organisation, unless the caller goes away."""
+        return await unless_gone(
+            exchange.request,
+            self._charge(exchange, call),
+        )
+
+    async def _charge(
+        self,
+        exchange: Exchange,
+        call: Call,
+    ) -> AdmittedCall | Refusal:
+        # Callers of open routes belong to no organisation.
         organisation = exchange.identity.organisation
         if not organisation:
             return AdmittedCall(call, Charge(0, 0))
--- a/lagoonflow/callers/generations.py
+++ b/lagoonflow/callers/generations.py
@@ -7,6 +7,7 @@
 import msgspec
 from starlette.requests import Request
 from starlette.responses import Response, StreamingResponse
+from starlette.types import Receive, Scope, Send
 
 from lagoonflow.callers.answers import AnswerEncoder
 from lagoonflow.callers.bodies import (
@@ -17,11 +18,12 @@
     parse_body,
     prompt_tokens_bound,
 )
+from lagoonflow.callers.context import FrontContext
 from lagoonflow.callers.disconnect import unless_gone
 from lagoonflow.callers.endpoint import AdmittedCall, Endpoint, Exchange
 from lagoonflow.callers.errors import error_body
 from lagoonflow.callers.messages import Call
-from lagoonflow.callers.requests import key_of, read_body
+from lagoonflow.callers.requests import read_body
 from lagoonflow.calls.actions import (
     DeliverFinish,
     DeliverText,
@@ -29,7 +31,6 @@
     Refuse,
 )
 from lagoonflow.calls.messages import Generation
-from lagoonflow.keys.state import authenticate
 from lagoonflow.releases.state import ReleaseFold
 from lagoonflow.results import Refusal, Result
 
@@ -90,7 +91,7 @@
         return await self._generate(exchange, CompletionBody)
 
     async def _list_models(self, exchange: Exchange) -> Response | Refusal:
-        refusal = self._authenticate(exchange)
+        refusal = self.authenticate(exchange)
         if refusal is not None:
             return refusal
         releases = self.context.releases
@@ -100,22 +101,12 @@
         )
         return Response(body, media_type=JSON_TYPE)
 
-    def _authenticate(self, exchange: Exchange) -> Refusal | None:
-        identity = authenticate(
-            self.context.releases,
-            key_of(exchange.request),
-        )
-        if isinstance(identity, Refusal):
-            return identity
-        exchange.identity = identity
-        return None
-
     async def _generate(
         self,
         exchange: Exchange,
         body_type: type[ChatBody] | type[CompletionBody],
     ) -> Response | Refusal:
-        refusal = self._authenticate(exchange)
+        refusal = self.authenticate(exchange)
         if refusal is not None:
             return refusal
         content = await read_body(exchange.request, self.context.limits)
@@ -127,10 +118,7 @@
         call = self._plan(exchange, body)
         if isinstance(call, Refusal):
             return call
-        admitted = await unless_gone(
-            exchange.request,
-            self.admit(exchange, call),
-        )
+        admitted = await self.admit(exchange, call)
         if isinstance(admitted, Refusal):
             return admitted
         return await self._run(exchange, body, admitted)
@@ -183,16 +171,35 @@
             return first.refusal
         exchange.is_streaming = True
         running = _Running(exchange, encoder, first, parts)
-        return StreamingResponse(self._events(running), media_type=SSE_TYPE)
+        return _AnswerStream(self.context, running)
+
+
+class _AnswerStream(StreamingResponse):
+    """Streams one answer; a caller who leaves early ends its call."""
 
-    async def _events(self, running: _Running) -> AsyncIterator[bytes]:
+    def __init__(self, context: FrontContext, running: _Running) -> None:
+        super().__init__(_events(running), media_type=SSE_TYPE)
+        self._context = context
+        self._parts = running.parts
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        # The iterator is never started when the caller has left by now.
         try:
-            async with contextlib.aclosing(running.parts) as parts:
-                yield _encode_event(running, running.first)
-                async for delivery in parts:
-                    yield _encode_event(running, delivery)
+            await super().__call__(scope, receive, send)
         finally:
-            self.context.end()
+            await self._parts.aclose()
+            self._context.end()
+
+
+async def _events(running: _Running) -> AsyncIterator[bytes]:
+    yield _encode_event(running, running.first)
+    async for delivery in running.parts:
+        yield _encode_event(running, delivery)
 
 
 def plan_generation(
--- a/lagoonflow/callers/plain.py
+++ b/lagoonflow/callers/plain.py
@@ -22,7 +22,7 @@
     Refuse,
 )
 from lagoonflow.calls.messages import Header, ServiceAnswer, ServiceCall
-from lagoonflow.keys.state import KeyDirectory, authenticate, without_key
+from lagoonflow.keys.state import KeyDirectory, without_key
 from lagoonflow.releases.messages import RouteSpec
 from lagoonflow.results import Refusal, Result
 
@@ -61,36 +61,17 @@
                 Result.UNKNOWN_ROUTE,
                 'No route leads to this path.',
             )
-        refusal = self._authenticate(exchange, route)
+        refusal = None if route.is_open else self.authenticate(exchange)
         if refusal is not None:
             return refusal
         call = await self._plan(exchange, route)
         if isinstance(call, Refusal):
             return call
-        admitted = await unless_gone(
-            exchange.request,
-            self.admit(exchange, call),
-        )
+        admitted = await self.admit(exchange, call)
         if isinstance(admitted, Refusal):
             return admitted
         return await self._run(exchange, admitted)
 
-    def _authenticate(
-        self,
-        exchange: Exchange,
-        route: RouteSpec,
-    ) -> Refusal | None:
-        if route.is_open:
-            return None
-        identity = authenticate(
-            self.context.releases,
-            key_of(exchange.request),
-        )
-        if isinstance(identity, Refusal):
-            return identity
-        exchange.identity = identity
-        return None
-
     async def _plan(
         self,
         exchange: Exchange,
--- /dev/null
+++ b/tests/callers/test_front.py
@@ -0,0 +1,254 @@
+"""The HTTP front in process, with fakes below it."""
+
+import asyncio
+import contextlib
+
+import msgspec
+import pytest
+
+from lagoonflow.callers.context import FrontContext
+from lagoonflow.callers.front import build_front
+from lagoonflow.callers.messages import Charge
+from lagoonflow.callers.requests import CallerLimits
+from lagoonflow.calls.actions import DeliverFinish, DeliverText, Refuse
+from lagoonflow.calls.messages import Finish, Usage
+from lagoonflow.keys.state import digest
+from lagoonflow.releases.lookups import KeyState
+from lagoonflow.releases.messages import KeySpec, ModelSpec
+from lagoonflow.results import Refusal, Result
+from lagoonflow.telemetry.metrics import RouterMetrics
+from lagoonflow.telemetry.timeline import TimeLine
+
+KEY = 'lf_a_key_of_water'
+ANSWER = (DeliverText(' one', 1), DeliverText(' two', 1))
+FINISH = DeliverFinish(Finish('length', Usage(3, 2)))
+
+
+class Releases:
+    """One key and one model."""
+
+    def key_by_digest(self, wanted):
+        found = KeyState('k', KeySpec('water', digest(KEY)), False)
+        return found if wanted == digest(KEY) else None
+
+    def model(self, name):
+        return ModelSpec('v1', 'm-v1', 100) if name == 'm' else None
+
+    def adapter(self, name):
+        return None
+
+    def models(self):
+        return {'m': self.model('m')}
+
+    def adapters(self):
+        return {}
+
+    def route_for(self, path):
+        return None
+
+
+class Admission:
+    """Admits everything, and notes what was used."""
+
+    def __init__(self):
+        self.settled = []
+
+    async def take(self, request_id, organisation, cost_tokens, deadline_ms):
+        return Charge(1, cost_tokens)
+
+    def settle(self, charge, used_tokens):
+        self.settled.append(used_tokens)
+
+
+class Calls:
+    """Answers with fixed parts; it can wait before them."""
+
+    def __init__(self, *parts, wait=None):
+        self.parts = parts
+        self.wait = wait
+        self.ended = 0
+
+    async def run(self, call):
+        try:
+            if self.wait is not None:
+                await self.wait.wait()
+            for part in self.parts:
+                yield part
+        finally:
+            self.ended += 1
+
+
+def build(*parts, wait=None, **limits):
+    return FrontContext(
+        Releases(),
+        Admission(),
+        Calls(*parts, wait=wait),
+        CallerLimits(**limits),
+        RouterMetrics(),
+        TimeLine('router-1'),
+    )
+
+
+class Caller:
+    """Speaks ASGI to the front."""
+
+    def __init__(self, context, is_closed=False):
+        self.app = build_front(context)
+        self.is_closed = is_closed
+        self.gone = asyncio.Event()
+        self.sent = []
+
+    async def post(self, path, body, key=KEY, headers=(), method='POST'):
+        content = body if isinstance(body, bytes) else msgspec.json.encode(body)
+        scope = {
+            'type': 'http',
+            'method': method,
+            'path': path,
+            'raw_path': path.encode(),
+            'query_string': b'',
+            'headers': [
+                *((b'authorization', f'Bearer {key}'.encode()),) * bool(key),
+                *headers,
+            ],
+            'http_version': '1.1',
+            'scheme': 'http',
+            'server': ('127.0.0.1', 80),
+            'client': ('127.0.0.1', 1),
+            'root_path': '',
+        }
+        pending = [{'type': 'http.request', 'body': content}]
+
+        async def receive():
+            if pending:
+                return pending.pop()
+            await self.gone.wait()
+            return {'type': 'http.disconnect'}
+
+        async def send(message):
+            if self.is_closed:
+                raise OSError('the connection is closed')
+            self.sent.append(message)
+
+        await self.app(scope, receive, send)
+        return self.sent[0]['status'], b''.join(
+            one.get('body', b'') for one in self.sent[1:]
+        )
+
+
+def chat(**more):
+    message = {'role': 'user', 'content': 'hello'}
+    return {'model': 'm', 'messages': [message], **more}
+
+
+async def test_a_whole_answer_is_settled_by_its_usage():
+    context = build(*ANSWER, FINISH)
+    status, body = await Caller(context).post('/v1/chat/completions', chat())
+    answer = msgspec.json.decode(body)
+    assert status == 200
+    assert answer['choices'][0]['message']['content'] == ' one two'
+    assert context.admission.settled == [5]
+    assert context.waiting == 0
+
+
+async def test_a_stream_ends_with_done():
+    context = build(*ANSWER, FINISH)
+    caller = Caller(context)
+    status, body = await caller.post('/v1/chat/completions', chat(stream=True))
+    assert status == 200
+    assert body.endswith(b'data: [DONE]\n\n')
+    assert context.waiting == 0
+
+
+async def test_a_refusal_in_a_stream_is_its_last_event():
+    refusal = Refusal(Result.STREAM_BROKEN, 'lost', not_run=False)
+    context = build(*ANSWER, Refuse(refusal))
+    caller = Caller(context)
+    _, body = await caller.post('/v1/chat/completions', chat(stream=True))
+    assert b'STREAM_BROKEN' in body
+    assert b'[DONE]' not in body
+
+
+@pytest.mark.parametrize(
+    ('path', 'body', 'key', 'headers', 'code', 'status'),
+    [
+        ('/v1/chat/completions', b'{', KEY, (), 'MALFORMED_BODY', 400),
+        (
+            '/v1/chat/completions',
+            {'model': 'm'},
+            KEY,
+            (),
+            'MALFORMED_BODY',
+            400,
+        ),
+        ('/v1/completions', chat(), KEY, (), 'MALFORMED_BODY', 400),
+        (
+            '/v1/completions',
+            {'model': 'x', 'prompt': ''},
+            KEY,
+            (),
+            'UNKNOWN_MODEL',
+            404,
+        ),
+        ('/v1/chat/completions', chat(), '', (), 'KEY_MISSING', 401),
+        ('/v1/chat/completions', chat(), 'lf_no_key', (), 'KEY_UNKNOWN', 401),
+        ('/nowhere', b'', KEY, (), 'UNKNOWN_ROUTE', 404),
+        ('/v1/completions', b'x' * 300, KEY, (), 'BODY_TOO_LARGE', 413),
+        (
+            '/v1/completions',
+            b'',
+            KEY,
+            ((b'x', b'y' * 600),),
+            'HEADERS_TOO_LARGE',
+            431,
+        ),
+        (
+            '/v1/completions',
+            b'',
+            KEY,
+            ((b'lagoonflow-deadline-ms', b'soon'),),
+            'MALFORMED_HEADER',
+            400,
+        ),
+    ],
+)
+async def test_wrong_requests_have_their_code(
+    path, body, key, headers, code, status
+):
+    context = build(max_body_bytes=200, max_header_bytes=500)
+    found, answer = await Caller(context).post(path, body, key, headers)
+    error = msgspec.json.decode(answer)['error']
+    assert (found, error['name'], error['not_run']) == (status, code, True)
+    assert context.waiting == 0
+    assert key not in answer.decode() or not key
+
+
+async def test_too_many_waiting_requests_are_refused():
+    context = build(max_waiting=0)
+    status, answer = await Caller(context).post('/v1/completions', b'')
+    assert status == 503
+    assert b'TOO_MANY_WAITING' in answer
+    assert b'retry_after_ms":1000' in answer
+
+
+@pytest.mark.parametrize('is_streaming', [True, False])
+async def test_a_caller_who_leaves_ends_its_call(is_streaming):
+    wait = asyncio.Event()
+    context = build(*ANSWER, FINISH, wait=wait)
+    caller = Caller(context)
+    body = chat(stream=is_streaming)
+    asking = asyncio.create_task(caller.post('/v1/chat/completions', body))
+    await asyncio.sleep(0.01)
+    caller.gone.set()
+    await asking
+    assert context.calls.ended == 1
+    assert context.waiting == 0
+    assert len(context.admission.settled) == 1
+
+
+async def test_a_caller_who_left_before_the_stream_began_ends_its_call():
+    context = build(*ANSWER, FINISH)
+    caller = Caller(context, is_closed=True)
+    with contextlib.suppress(Exception):
+        await caller.post('/v1/chat/completions', chat(stream=True))
+    assert context.calls.ended == 1
+    assert context.waiting == 0
--- a/tests/roster/test_leaving.py
+++ b/tests/roster/test_leaving.py
@@ -128,4 +128,3 @@
         ):
             return name
     raise AssertionError('no agent runs news')
-
