Move the launcher of processes out of the tests

Cause: the demo and the benchmarks start fleets too and imported it from the tests. It is scaffolding as before; the tests' style rules go on applying.

--- a/Makefile
+++ b/Makefile
@@ -14,13 +14,13 @@
 	$(BIN)/python -m pytest -q -n 4 --dist loadscope
 
 codestyle: install
-	$(BIN)/ruff format --check lagoonflow standins tests benchmarks demo.py
-	$(BIN)/ruff check lagoonflow standins tests benchmarks demo.py
+	$(BIN)/ruff format --check lagoonflow standins loopback tests benchmarks demo.py
+	$(BIN)/ruff check lagoonflow standins loopback tests benchmarks demo.py
 	$(BIN)/flake8 lagoonflow standins demo.py
 
 format: install
-	$(BIN)/ruff check --fix lagoonflow standins tests benchmarks demo.py
-	$(BIN)/ruff format lagoonflow standins tests benchmarks demo.py
+	$(BIN)/ruff check --fix lagoonflow standins loopback tests benchmarks demo.py
+	$(BIN)/ruff format lagoonflow standins loopback tests benchmarks demo.py
 
 demo: install
 	$(BIN)/python demo.py
--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -18,8 +18,8 @@
 from benchmarks.storm.arrivals import Phases, organisations
 from benchmarks.storm.deployments import TAQUARI, Deployment
 from benchmarks.storm.fleet import release_note
-from tests.support.cluster import Cluster
-from tests.support.processes import Process, ProcessSet
+from loopback.cluster import Cluster
+from loopback.processes import Process, ProcessSet
 
 KB = 1024
 SETTLE_S = 8
--- a/benchmarks/storm/fleet.py
+++ b/benchmarks/storm/fleet.py
@@ -14,9 +14,9 @@
     local_checkpoints,
     store_flags,
 )
-from tests.support import http
-from tests.support.processes import ROOT, Process, ProcessSet
-from tests.support.program_flags import (
+from loopback import http
+from loopback.processes import ROOT, Process, ProcessSet
+from loopback.program_flags import (
     Backends,
     Place,
     Platform,
--- a/benchmarks/storm/runs.py
+++ b/benchmarks/storm/runs.py
@@ -21,8 +21,8 @@
 from benchmarks.storm.load import RouterClient, replay
 from benchmarks.storm.outcomes import Measures, Outcome
 from benchmarks.storm.world import EngineWatcher
-from tests.support import http
-from tests.support.processes import ProcessSet
+from loopback import http
+from loopback.processes import ProcessSet
 
 LAGOONFLOW = 'lagoonflow'
 POLICIES = (LAGOONFLOW, *Policy)
--- a/demo.py
+++ b/demo.py
@@ -9,9 +9,9 @@
 import tempfile
 import time
 
-from tests.support import http
-from tests.support.cluster import Cluster
-from tests.support.processes import ProcessSet
+from loopback import http
+from loopback.cluster import Cluster
+from loopback.processes import ProcessSet
 
 WATER_KEY = 'lf_demo_water_utility'
 BOOKING_KEY = 'lf_demo_booking_platform'
--- /dev/null
+++ b/loopback/__init__.py
@@ -0,0 +1,1 @@
+"""Starts stand-ins and programs on loopback, for demo, benchmarks, tests."""
--- a/tests/support/cluster.py
+++ b/loopback/cluster.py
@@ -3,9 +3,9 @@
 import subprocess
 import sys
 
-from tests.support import http
-from tests.support.processes import ROOT, Process, ProcessSet
-from tests.support.program_flags import (
+from loopback import http
+from loopback.processes import ROOT, Process, ProcessSet
+from loopback.program_flags import (
     ADMIN,
     ADMIN_PATHS,
     CALLERS,
@@ -17,7 +17,7 @@
     agent_flags,
     router_flags,
 )
-from tests.support.relay import Relay
+from loopback.relay import Relay
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 CTL_TIMEOUT_S = 30
--- a/tests/support/processes.py
+++ b/loopback/processes.py
@@ -12,7 +12,7 @@
 STOP_TIMEOUT_S = 8
 POLL_S = 0.01
 MAIN = 'main'
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 
 
 class StartError(Exception):
--- a/tests/calls/fleet.py
+++ b/tests/calls/fleet.py
@@ -21,7 +21,7 @@
 from lagoonflow.wire.links import Endpoint
 from lagoonflow.wire.peers import Peers
 from lagoonflow.wire.server import GrpcServer
-from tests.support.relay import Relay
+from loopback.relay import Relay
 
 POLICY = CallPolicy(
     keep_alive_ms=50, progress_timeout_ms=300, least_progress_timeout_ms=300
--- a/tests/calls/test_at_most_once.py
+++ b/tests/calls/test_at_most_once.py
@@ -11,10 +11,10 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from lagoonflow.keys.state import digest
+from loopback import http as support
+from loopback.cluster import LOG, SERVICE
 from standins.tokens import TokenSource, expected_tokens
 from tests.releases import notes
-from tests.support import http as support
-from tests.support.cluster import LOG, SERVICE
 from tests.support.steps import step, within
 
 scenarios('test_at_most_once.feature')
--- a/tests/cli/test_fleet.py
+++ b/tests/cli/test_fleet.py
@@ -3,7 +3,7 @@
 import pytest
 from pytest_bdd import parsers, scenarios, then, when
 
-from tests.support.cluster import LOG
+from loopback.cluster import LOG
 from tests.support.steps import within
 
 scenarios('test_fleet.feature')
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from tests.support.cluster import Cluster
-from tests.support.processes import ProcessSet
+from loopback.cluster import Cluster
+from loopback.processes import ProcessSet
 
 pytest_plugins = ['tests.support.steps', 'tests.support.fleet_steps']
 
--- a/tests/keys/test_secrecy.py
+++ b/tests/keys/test_secrecy.py
@@ -5,9 +5,9 @@
 
 from pytest_bdd import parsers, scenarios, then, when
 
-from tests.support import http
+from loopback import http
+from loopback.program_flags import ADMIN_PATHS
 from tests.support.fleet_steps import listed, programs, token_of
-from tests.support.program_flags import ADMIN_PATHS
 from tests.support.steps import step
 
 scenarios('test_secrecy.feature')
--- a/tests/placement/test_waking.py
+++ b/tests/placement/test_waking.py
@@ -7,9 +7,9 @@
 
 from lagoonflow.roster.homes import rank
 from lagoonflow.roster.messages import Member, Role
-from tests.support import http
+from loopback import http
+from loopback.program_flags import ADMIN
 from tests.support.fleet_steps import listed, token_of
-from tests.support.program_flags import ADMIN
 from tests.support.steps import within
 from tests.support.traffic import Ask
 
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -19,7 +19,7 @@
     OrderRefused,
     OrderUnknown,
 )
-from tests.support.http import counts, set_faults
+from loopback.http import counts, set_faults
 
 FAST = ('--disk-load-ms', '50', '--memory-load-ms', '20', '--memory-mb', '1000')
 
--- a/tests/platform/test_generation.py
+++ b/tests/platform/test_generation.py
@@ -16,8 +16,8 @@
     GenerationFailure,
 )
 from lagoonflow.platform.messages.orders import Order
+from loopback.http import counts, set_faults
 from standins.tokens import count_tokens, expected_text
-from tests.support.http import counts, set_faults
 
 FIRST_MS = 2000
 PROGRESS_MS = 500
--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -5,7 +5,7 @@
 from lagoonflow.platform.hosts import HostListClient
 from lagoonflow.platform.messages.common import Unavailable
 from lagoonflow.platform.messages.hosts import Host, HostList
-from tests.support.http import request, set_faults
+from loopback.http import request, set_faults
 
 ENTRY = {'address': '127.0.0.1', 'port': 7, 'zone': 'z', 'role': 'agent'}
 
--- a/tests/platform/test_log.py
+++ b/tests/platform/test_log.py
@@ -12,7 +12,7 @@
     Batch,
     Expired,
 )
-from tests.support.http import set_faults
+from loopback.http import set_faults
 
 
 async def read_values(client, offset=0):
--- a/tests/platform/test_plain.py
+++ b/tests/platform/test_plain.py
@@ -11,7 +11,7 @@
     PlainUnknown,
 )
 from lagoonflow.platform.plain import PlainClient
-from tests.support.http import counts, set_faults
+from loopback.http import counts, set_faults
 
 TIMEOUT_MS = 2000
 
--- a/tests/releases/test_in_force.py
+++ b/tests/releases/test_in_force.py
@@ -6,7 +6,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from tests.support import http
+from loopback import http
 from tests.support.fleet_steps import (
     listed,
     model_change,
--- a/tests/releases/test_publishing.py
+++ b/tests/releases/test_publishing.py
@@ -7,8 +7,8 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from tests.support import http
-from tests.support.cluster import LOG
+from loopback import http
+from loopback.cluster import LOG
 from tests.support.steps import step, within
 
 scenarios('test_publishing.feature')
--- a/tests/roster/test_leaving.py
+++ b/tests/roster/test_leaving.py
@@ -6,8 +6,8 @@
 import pytest
 from pytest_bdd import parsers, scenarios, then, when
 
-from tests.support import http
-from tests.support.program_flags import ADMIN
+from loopback import http
+from loopback.program_flags import ADMIN
 from tests.support.steps import answers, within
 
 scenarios('test_leaving.feature')
--- a/tests/runners/test_engine_port.py
+++ b/tests/runners/test_engine_port.py
@@ -21,8 +21,8 @@
 from lagoonflow.runners.task import RunnerTask
 from lagoonflow.streams.messages import Versions
 from lagoonflow.wire import services
+from loopback.http import counts, set_faults
 from tests.runners.fakes import FakeReleases, adapter_spec, model_spec
-from tests.support.http import counts, set_faults
 
 pytestmark = pytest.mark.process
 FLAGS = (
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from loopback.http import counts, request
 from standins.tokens import expected_text
-from tests.support.http import counts, request
 from tests.support.steps import within
 
 FLAGS = ('--local-checkpoints', 'm@1:memory', '--memory-load-ms', '1')
--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -2,7 +2,7 @@
 
 import functools
 
-from tests.support.http import counts, request, set_faults
+from loopback.http import counts, request, set_faults
 
 
 def fetch(address, name='c'):
--- a/tests/support/fleet_steps.py
+++ b/tests/support/fleet_steps.py
@@ -9,9 +9,9 @@
 import pytest
 from pytest_bdd import given, parsers, then, when
 
-from tests.support import http
-from tests.support.cluster import Cluster
-from tests.support.program_flags import CALLERS
+from loopback import http
+from loopback.cluster import Cluster
+from loopback.program_flags import CALLERS
 from tests.support.steps import PROGRAMS, step, within
 from tests.support.traffic import Ask, Traffic, numbered
 
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -11,7 +11,7 @@
 import pytest
 from pytest_bdd import given, parsers, then, when
 
-from tests.support import http
+from loopback import http
 
 PART = r'(?P<part>(?:the )?[a-z]+(?: [a-z]+)?(?: \d+)?)'
 PROGRAMS = ('router ', 'agent ')
--- a/tests/support/test_standins.py
+++ b/tests/support/test_standins.py
@@ -6,8 +6,8 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from tests.support import http
-from tests.support.processes import ProcessSet, StartError
+from loopback import http
+from loopback.processes import ProcessSet, StartError
 from tests.support.steps import within
 
 scenarios('test_standins.feature')
--- a/tests/support/traffic.py
+++ b/tests/support/traffic.py
@@ -6,8 +6,8 @@
 import time
 from collections.abc import Callable, Iterable, Iterator
 
+from loopback import http
 from standins.tokens import expected_text
-from tests.support import http
 
 JOIN_TIMEOUT_S = 60
 MODEL_VERSION = 'v1'
--- a/tests/support/version_watch.py
+++ b/tests/support/version_watch.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from tests.support import http
+from loopback import http
 
 POLL_S = 0.05
 TIMEOUT_S = 1
