--- a/lagoonflow/roster/task.py
+++ b/lagoonflow/roster/task.py
@@ -5,7 +5,11 @@
 
 from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.results import Refusal
-from lagoonflow.roster.departures import Departures, HostState
+from lagoonflow.roster.departures import (
+    Departures,
+    DepartureSettings,
+    HostState,
+)
 from lagoonflow.roster.messages import Joined, Left, Member, RosterChange
 from lagoonflow.roster.pause import PauseDetector
 from lagoonflow.roster.state import RosterFold
@@ -27,6 +31,7 @@
         the fold, or a refusal when the log is unavailable.
     :param read_hosts: reads the platform's host list.
     :param on_pause: called after the process did not run for a while.
+    :param settings: timing of the reports of members that are gone.
     """
 
     def __init__(
@@ -36,9 +41,14 @@
         append: Append,
         read_hosts: ReadHosts,
         on_pause: Callable[[], None],
+        settings: DepartureSettings | None = None,
     ) -> None:
         """Prepare; nothing is sent before ``run``."""
-        self.departures = Departures(member.name, member.host)
+        self.departures = Departures(
+            member.name,
+            member.host,
+            settings,
+        )
         self._member = member
         self._fold = fold
         self._append = append
--- a/lagoonflow/telemetry/admin.py
+++ b/lagoonflow/telemetry/admin.py
@@ -37,7 +37,6 @@
     reason: str
     version: str
     streams: dict[str, StreamStatus] = dataclasses.field(default_factory=dict)
-    details: dict[str, object] = dataclasses.field(default_factory=dict)
 
 
 StatusSource = Callable[[], ProcessStatus]
--- a/lagoonflow/wiring/agent_parts.py
+++ b/lagoonflow/wiring/agent_parts.py
@@ -23,9 +23,10 @@
 from lagoonflow.runners.state import RunnerState
 from lagoonflow.runners.task import RunnerTask
 from lagoonflow.wire import services
+from lagoonflow.wire.address import server_of
 from lagoonflow.wire.server import Route
 from lagoonflow.wiring.agent_events import AgentEvents
-from lagoonflow.wiring.core import Core, server_of
+from lagoonflow.wiring.core import Core
 from lagoonflow.wiring.gatekeeper import serve_attempts
 
 
--- a/lagoonflow/wiring/core.py
+++ b/lagoonflow/wiring/core.py
@@ -3,7 +3,6 @@
 import uuid
 from collections.abc import Collection
 from typing import Any
-from urllib.parse import urlsplit
 
 import prometheus_client as prometheus
 
@@ -22,7 +21,7 @@
     StreamStatus,
 )
 from lagoonflow.telemetry.timeline import TimeLine
-from lagoonflow.wire.address import Address
+from lagoonflow.wire.address import Address, server_of
 from lagoonflow.wire.http import HttpServer, bind
 from lagoonflow.wire.peers import Peers
 from lagoonflow.wire.server import GrpcServer, Route
@@ -73,7 +72,6 @@
         )
         self.peers = HearingPeers(self.connections, self.agreed.hear)
         self.is_ready = False
-        self.details: dict[str, Any] = {}
         self._hosts = HostListClient(server_of(settings.hosts_url))
         self._grpc: GrpcServer | None = None
         self._admin: HttpServer | None = None
@@ -132,7 +130,6 @@
                 )
                 for stream, follower in self.agreed.followers.items()
             },
-            details=self.details,
         )
 
     async def close(self) -> None:
@@ -143,8 +140,3 @@
         if self._admin is not None:
             await self._admin.stop()
         self.connections.close()
-
-
-def server_of(url: str) -> str:
-    """Return the HOST:PORT part of a URL."""
-    return urlsplit(url).netloc
--- a/lagoonflow/wiring/membership.py
+++ b/lagoonflow/wiring/membership.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from lagoonflow.clock import MS_PER_S
+from lagoonflow.roster.departures import DepartureSettings
 from lagoonflow.roster.homes import Homes
 from lagoonflow.roster.messages import Member, Role
 from lagoonflow.roster.task import RosterTask
@@ -45,6 +47,9 @@
             core.agreed.roster_writer(f'{member.name}-{core.nonce}').append,
             core.read_hosts,
             self._pause,
+            DepartureSettings(
+                list_lag_ms=core.settings.host_list_lag_s * MS_PER_S,
+            ),
         )
         self._running: asyncio.Task[None] | None = None
 
