--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: install demo test codestyle format bench soak
+.PHONY: install demo test codestyle format bench
 
 $(VENV)/installed: pyproject.toml
 	python3 -m venv $(VENV)
@@ -27,6 +27,3 @@
 
 bench: install
 	$(BIN)/python -m benchmarks --deployment $(or $(DEPLOYMENT),taquari)
-
-soak: install
-	$(BIN)/python -m pytest -q -p no:xdist tests/soak --seed $(or $(SEED),1)
