Check calls of plain services again when their turn comes

Cause: found by reading: a call that had waited for its turn ran though its key was withdrawn meanwhile. Before: the new test had no way to ask for the check; without the check the second call ran. After: refused KEY_WITHDRAWN, not run, and its slot is free again.

--- a/lagoonflow/calls/service_work.py
+++ b/lagoonflow/calls/service_work.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
 from lagoonflow.calls.messages import (
@@ -54,10 +54,18 @@
     """Runs calls in the order of their arrival."""
 
     def __init__(
-        self, client: ServiceClient, limits: ServiceLimits | None = None
+        self,
+        client: ServiceClient,
+        limits: ServiceLimits | None = None,
+        recheck: Callable[[AttemptRequest], Refusal | None] | None = None,
     ) -> None:
-        """Start with no call."""
+        """Start with no call.
+
+        :param recheck: returns why a call that has waited may not run, such
+            as a key that was withdrawn meanwhile.
+        """
         self._client = client
+        self._recheck = recheck
         self._limits = limits or ServiceLimits()
         self._slots = asyncio.Semaphore(self._limits.max_running)
         self._waiting: set[AttemptId] = set()
@@ -96,10 +104,12 @@
         finally:
             is_withdrawn = request.attempt not in self._waiting
             self._waiting.discard(request.attempt)
+        refusal = self._recheck(request) if self._recheck else None
         if is_withdrawn:
+            refusal = Refusal(Result.REVOKED, 'the attempt was revoked')
+        if refusal is not None:
             self._slots.release()
-            return Refusal(Result.REVOKED, 'the attempt was revoked')
-        return None
+        return refusal
 
     async def _run(self, request: AttemptRequest) -> AsyncIterator[WorkEvent]:
         yield Started()
--- a/lagoonflow/wiring/agent.py
+++ b/lagoonflow/wiring/agent.py
@@ -109,7 +109,7 @@
             versions=self._core.agreed.versions,
             clock_ms=boottime_ms,
             generations=GenerationWork(runner) if runner else None,
-            services=parts.build_services(self._settings),
+            services=parts.build_services(self._settings, self._core),
         )
 
     def _routes(self) -> tuple[Route, ...]:
--- a/lagoonflow/wiring/agent_parts.py
+++ b/lagoonflow/wiring/agent_parts.py
@@ -27,7 +27,7 @@
 from lagoonflow.wire.server import Route
 from lagoonflow.wiring.agent_events import AgentEvents
 from lagoonflow.wiring.core import Core
-from lagoonflow.wiring.gatekeeper import serve_attempts
+from lagoonflow.wiring.gatekeeper import Gatekeeper, serve_attempts
 
 
 def build_home(
@@ -91,13 +91,18 @@
     )
 
 
-def build_services(settings: AgentSettings) -> dict[str, ServiceWork]:
+def build_services(
+    settings: AgentSettings,
+    core: Core,
+) -> dict[str, ServiceWork]:
     """Build what runs calls of the plain service, if there is one."""
     if not settings.service:
         return {}
     client = PlainClient(server_of(settings.service_url))
     limits = ServiceLimits(max_running=settings.max_running)
-    return {settings.service: ServiceWork(PlainServicePort(client), limits)}
+    recheck = Gatekeeper(core.agreed).check
+    port = PlainServicePort(client)
+    return {settings.service: ServiceWork(port, limits, recheck)}
 
 
 def call_routes(core: Core, calls: AgentCalls) -> tuple[Route, ...]:
--- a/tests/calls/test_service_work.py
+++ b/tests/calls/test_service_work.py
@@ -107,3 +107,21 @@
     client.gate.set()
     await running
     assert client.calls == 1
+
+
+async def test_a_call_that_waited_is_checked_again(client):
+    withdrawn = Refusal(Result.KEY_WITHDRAWN, 'withdrawn')
+    limits = ServiceLimits(max_running=1, max_waiting=1)
+    refusals = [None, withdrawn]
+    work = ServiceWork(client, limits, lambda _: refusals.pop(0))
+    first = asyncio.create_task(events_of(work, request(1)))
+    await asyncio.sleep(0)
+    second = asyncio.create_task(events_of(work, request(2)))
+    client.gate.set()
+    await first
+    assert await second == [Refused(withdrawn)]
+    assert client.calls == 1
+    refusals.append(None)
+    assert (await events_of(work, request(3)))[-1] == Finished(
+        first.result()[-1].finish
+    )
