Put the withdrawal scenarios back to 2000 tokens a second

Cause: they had been raised to 20000 while every wait for tokens was bounded, which refused requests inside the rate.

--- a/tests/keys/test_withdrawal.feature
+++ b/tests/keys/test_withdrawal.feature
@@ -3,7 +3,7 @@
 
   Background:
     Given a fleet of 2 routers and 2 agents
-    And the organisations water and dossiers at 20000 tokens/s with a burst of 20000
+    And the organisations water and dossiers at 2000 tokens/s with a burst of 20000
 
   @guarantee_08
   Scenario: Running answers end whole, later requests are refused everywhere
