Ask the fitness of cached places only; remove code that nothing calls

Cause: found on re-reading the change: for every request the router asked the host list about every agent in the ranking of the model (4,800 at the target) though only the cached places matter; only a miss needs the ranking. Ruled out: a change of behaviour; the excluded agents are the same among the places that can be picked.

--- a/lagoonflow/cli/types.py
+++ b/lagoonflow/cli/types.py
@@ -15,7 +15,6 @@
     '{text!r} is not a name. Use lower-case letters, digits, dots,'
     ' hyphens and underscores, at most 64. Example: zone-a'
 )
-BAD_DURATION = '{text!r} is not a positive number of {unit}.'
 
 
 def parse_address(text: str) -> Address:
@@ -61,14 +60,3 @@
     if not NAME_PATTERN.fullmatch(text):
         raise ValueError(BAD_NAME.format(text=text))
     return text
-
-
-def parse_positive(text: str, unit: str = 'ms') -> int:
-    """Parse a positive whole number.
-
-    :raises ValueError: with a message for the operator.
-    """
-    number = int(text) if text.isascii() and text.isdecimal() else 0
-    if number < 1:
-        raise ValueError(BAD_DURATION.format(text=text, unit=unit))
-    return number
--- a/lagoonflow/placement/actions.py
+++ b/lagoonflow/placement/actions.py
@@ -6,7 +6,6 @@
     BidRequest,
     Decision,
     LocateReply,
-    PermitReply,
 )
 
 
@@ -40,11 +39,4 @@
     peer: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReplyPermit:
-    """Answers one waiting permit request."""
-
-    reply: PermitReply
-
-
 HomeAction = ReplyLocate | AskBid | SendDecision | Probe
--- a/lagoonflow/placement/cache.py
+++ b/lagoonflow/placement/cache.py
@@ -78,6 +78,10 @@
         pair = random.sample(fresh, min(2, len(fresh)))
         return min(pair, key=lambda cached: cached.wait_ms(now_ms)).place
 
+    def agents(self, model: str) -> tuple[str, ...]:
+        """Return the agents that are cached for a model."""
+        return tuple(self._places.get(model, ()))
+
     def forget(self, model: str, agent: str) -> None:
         """Drop a place that an agent has called stale."""
         self._places.get(model, {}).pop(agent, None)
--- a/lagoonflow/placement/locator.py
+++ b/lagoonflow/placement/locator.py
@@ -80,7 +80,10 @@
             deadline_in_ms,
             self.versions(),
             router=self._router,
-            stale_agents=(*stale_agents, *self._unfit(target.model)),
+            stale_agents=(
+                *stale_agents,
+                *self._unfit(self._ranking(target.model)),
+            ),
         )
         return await self._ask_homes(request)
 
@@ -93,7 +96,7 @@
         self._cache.on_done(model, agent)
 
     def _pick(self, model: str, excluded: Collection[str]) -> Place | None:
-        unfit = self._unfit(model)
+        unfit = self._unfit(self._cache.agents(model))
         return self._cache.pick(
             self._clock(),
             model,
@@ -101,10 +104,8 @@
             (*excluded, *unfit),
         )
 
-    def _unfit(self, model: str) -> tuple[str, ...]:
-        return tuple(
-            agent for agent in self._ranking(model) if not self._is_fit(agent)
-        )
+    def _unfit(self, agents: Sequence[str]) -> tuple[str, ...]:
+        return tuple(agent for agent in agents if not self._is_fit(agent))
 
     async def _ask_homes(
         self,
--- a/lagoonflow/placement/permits.py
+++ b/lagoonflow/placement/permits.py
@@ -89,12 +89,6 @@
         wait_ms = max(1, round(self._next_start_ms - now_ms))
         return PermitReply(permit_id, False, wait_ms, self.versions)
 
-    def next_grant_in_ms(self, now_ms: int) -> int | None:
-        """Time until the next grant; ``None`` if it waits for a load."""
-        if not self._waiting or len(self._running) >= self.parallel:
-            return None
-        return max(0, round(self._next_start_ms - now_ms))
-
     def on_finished(self, now_ms: int, message: LoadFinished) -> None:
         """Free the place of a load, and back off if loads turn slow."""
         self._running.pop(message.permit_id, None)
--- a/lagoonflow/releases/messages.py
+++ b/lagoonflow/releases/messages.py
@@ -14,13 +14,6 @@
     ROUTE = 'route'
 
 
-class RouteKind(enum.StrEnum):
-    """What a route leads to."""
-
-    MODELS = 'models'
-    SERVICE = 'service'
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ModelSpec:
     """One model.
@@ -86,6 +79,3 @@
     is_open: bool = False
     is_idempotent: bool = False
     cost_tokens: float = 1
-
-
-Spec = ModelSpec | AdapterSpec | OrganisationSpec | KeySpec | RouteSpec
--- a/lagoonflow/roster/homes.py
+++ b/lagoonflow/roster/homes.py
@@ -30,11 +30,6 @@
     return _first(rank(_MODEL_PREFIX + model, fold.engine_agents()))
 
 
-def weight_store_home(fold: RosterFold) -> Member | None:
-    """Home of the weight store, or ``None`` without engine agents."""
-    return _first(rank(WEIGHT_STORE_SUBJECT, fold.engine_agents()))
-
-
 class Homes:
     """Rankings of one fold, cached until its version changes."""
 
--- a/lagoonflow/runners/loads.py
+++ b/lagoonflow/runners/loads.py
@@ -80,10 +80,6 @@
             return asked_at_ms >= order.lost_at_ms + ORDER_SETTLE_MS
         return False
 
-    def has_lost(self) -> bool:
-        """Tell whether any order waits for a listing."""
-        return any(order.is_lost for order in self._orders.values())
-
     def clear(self) -> None:
         """Forget all orders, after the engine has restarted."""
         self._orders.clear()
