--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -19,8 +19,8 @@
 from benchmarks.storm.deployments import TAQUARI
 from benchmarks.storm.fleet import keys_of, release_note
 from benchmarks.storm.outcomes import percentile
-from lagoonflow.platform.exchange import HttpRequest
-from lagoonflow.platform.http import HttpClient
+from lagoonflow.clients.exchange import HttpRequest
+from lagoonflow.clients.http import HttpClient
 from loopback.cluster import Cluster
 from loopback.processes import ProcessSet
 
--- a/benchmarks/storm/baselines.py
+++ b/benchmarks/storm/baselines.py
@@ -18,7 +18,7 @@
 from benchmarks.storm.arrivals import Arrival, Organisation
 from benchmarks.storm.deployments import Deployment
 from benchmarks.storm.load import Answer
-from lagoonflow.platform.http import HttpAnswer, HttpClient, HttpRequest
+from lagoonflow.clients.http import HttpAnswer, HttpClient, HttpRequest
 from standins.tokens import expected_text
 
 POLL_INTERVAL_S = 0.05
--- a/benchmarks/storm/load.py
+++ b/benchmarks/storm/load.py
@@ -10,7 +10,7 @@
 from benchmarks.storm.arrivals import Arrival
 from benchmarks.storm.outcomes import Outcome
 from benchmarks.storm.world import EngineWatcher
-from lagoonflow.platform.http import HttpClient, HttpRequest
+from lagoonflow.clients.http import HttpClient, HttpRequest
 from standins.tokens import expected_text
 
 OK = 200
--- a/benchmarks/storm/world.py
+++ b/benchmarks/storm/world.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from benchmarks.storm.deployments import Deployment
-from lagoonflow.platform.http import HttpAnswer, HttpClient, HttpRequest
+from lagoonflow.clients.http import HttpAnswer, HttpClient, HttpRequest
 
 POLL_INTERVAL_S = 0.1
 DISK_SHARE = 0.25
--- a/lagoonflow/calls/claims_task.py
+++ b/lagoonflow/calls/claims_task.py
@@ -10,8 +10,8 @@
 from lagoonflow.calls.claim_records import ClaimKey, Outcome, OutcomeKind
 from lagoonflow.calls.claims import Claim, ClaimsState
 from lagoonflow.calls.settling import ClaimSettler, IsMember
+from lagoonflow.clients.messages.log import Appended
 from lagoonflow.clock import MS_PER_S
-from lagoonflow.platform.messages.log import Appended
 from lagoonflow.results import Refusal, Result
 from lagoonflow.streams.envelope import Record
 
--- a/lagoonflow/calls/service_port.py
+++ b/lagoonflow/calls/service_port.py
@@ -3,13 +3,13 @@
 from collections.abc import AsyncIterator
 
 from lagoonflow.calls.messages import Header, ServiceAnswer, ServiceCall
-from lagoonflow.platform.messages.plain import (
+from lagoonflow.clients.messages.plain import (
     PlainAnswer,
     PlainCall,
     PlainNotSent,
     PlainUnknown,
 )
-from lagoonflow.platform.plain import PlainClient
+from lagoonflow.clients.plain import PlainClient
 from lagoonflow.results import Refusal, Result
 
 CALL_TIMEOUT_MS = 30_000
--- a/lagoonflow/cli/fleet_commands.py
+++ b/lagoonflow/cli/fleet_commands.py
@@ -14,8 +14,8 @@
 from lagoonflow.cli.exits import ExitStatus
 from lagoonflow.cli.output import print_json, print_table, printable
 from lagoonflow.cli.reading import read_stream
-from lagoonflow.platform.exchange import HttpAnswer, HttpRequest
-from lagoonflow.platform.http import HttpClient
+from lagoonflow.clients.exchange import HttpAnswer, HttpRequest
+from lagoonflow.clients.http import HttpClient
 from lagoonflow.results import Refusal
 from lagoonflow.roster.state import RosterFold
 from lagoonflow.streams.messages import Stream
--- a/lagoonflow/cli/reading.py
+++ b/lagoonflow/cli/reading.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator
 from typing import TypeVar
 
-from lagoonflow.platform.log import LogClient
+from lagoonflow.clients.log import LogClient
 from lagoonflow.results import Refusal, Result
 from lagoonflow.streams.appender import StreamAppender
 from lagoonflow.streams.following import FollowerSettings
--- /dev/null
+++ b/lagoonflow/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the stand-ins: log, host list, weight store, engine."""
--- a/lagoonflow/platform/engine.py
+++ b/lagoonflow/clients/engine.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncGenerator
 from typing import TypeVar
 
-from lagoonflow.platform.exchange import (
+from lagoonflow.clients.exchange import (
     DEFAULT_TIMEOUT_MS,
     HttpAnswer,
     HttpFailure,
@@ -13,19 +13,19 @@
     describe_status,
     post_json,
 )
-from lagoonflow.platform.generation import GenerationStream
-from lagoonflow.platform.http import HttpClient
-from lagoonflow.platform.messages.common import Unavailable
-from lagoonflow.platform.messages.generation import (
+from lagoonflow.clients.generation import GenerationStream
+from lagoonflow.clients.http import HttpClient
+from lagoonflow.clients.messages.common import Unavailable
+from lagoonflow.clients.messages.generation import (
     Cancelled,
     Generate,
     GenerationEvent,
 )
-from lagoonflow.platform.messages.listing import (
+from lagoonflow.clients.messages.listing import (
     Listing,
     LoadReport,
 )
-from lagoonflow.platform.messages.orders import (
+from lagoonflow.clients.messages.orders import (
     Order,
     OrderAccepted,
     OrderRefusal,
--- a/lagoonflow/platform/exchange.py
+++ b/lagoonflow/clients/exchange.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from lagoonflow.platform.messages.common import Headers
+from lagoonflow.clients.messages.common import Headers
 
 MS_PER_S = 1000
 DEFAULT_TIMEOUT_MS = 2000
--- a/lagoonflow/platform/generation.py
+++ b/lagoonflow/clients/generation.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from lagoonflow.platform.exchange import DECODE_ERRORS, HttpFailure, HttpRequest
-from lagoonflow.platform.http import HttpClient, HttpStream
-from lagoonflow.platform.messages.generation import (
+from lagoonflow.clients.exchange import DECODE_ERRORS, HttpFailure, HttpRequest
+from lagoonflow.clients.http import HttpClient, HttpStream
+from lagoonflow.clients.messages.generation import (
     Chunk,
     Finished,
     GenerationEvent,
--- a/lagoonflow/platform/hosts.py
+++ b/lagoonflow/clients/hosts.py
@@ -1,14 +1,14 @@
 """Client of the platform's list of hosts."""
 
-from lagoonflow.platform.exchange import (
+from lagoonflow.clients.exchange import (
     HttpFailure,
     HttpRequest,
     decode_json,
     describe_status,
 )
-from lagoonflow.platform.http import HttpClient
-from lagoonflow.platform.messages.common import Unavailable
-from lagoonflow.platform.messages.hosts import HostList
+from lagoonflow.clients.http import HttpClient
+from lagoonflow.clients.messages.common import Unavailable
+from lagoonflow.clients.messages.hosts import HostList
 
 OK = 200
 
--- a/lagoonflow/platform/http.py
+++ b/lagoonflow/clients/http.py
@@ -12,12 +12,12 @@
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
-from lagoonflow.platform.connection import (
+from lagoonflow.clients.connection import (
     OneRequestConnection,
     SendState,
     send_state,
 )
-from lagoonflow.platform.exchange import (
+from lagoonflow.clients.exchange import (
     MS_PER_S,
     HttpAnswer,
     HttpFailure,
--- a/lagoonflow/platform/log.py
+++ b/lagoonflow/clients/log.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lagoonflow.platform.exchange import (
+from lagoonflow.clients.exchange import (
     DEFAULT_TIMEOUT_MS,
     HttpAnswer,
     HttpFailure,
@@ -12,9 +12,9 @@
     post_json,
     retry_after_ms,
 )
-from lagoonflow.platform.http import HttpClient
-from lagoonflow.platform.messages.common import Unavailable
-from lagoonflow.platform.messages.log import (
+from lagoonflow.clients.http import HttpClient
+from lagoonflow.clients.messages.common import Unavailable
+from lagoonflow.clients.messages.log import (
     Appended,
     AppendRefused,
     AppendResult,
--- a/lagoonflow/platform/messages/log.py
+++ b/lagoonflow/clients/messages/log.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lagoonflow.platform.messages.common import Unavailable
+from lagoonflow.clients.messages.common import Unavailable
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagoonflow/platform/messages/plain.py
+++ b/lagoonflow/clients/messages/plain.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lagoonflow.platform.messages.common import Headers
+from lagoonflow.clients.messages.common import Headers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagoonflow/platform/plain.py
+++ b/lagoonflow/clients/plain.py
@@ -1,9 +1,9 @@
 """Forwards calls to a plain service."""
 
-from lagoonflow.platform.exchange import HttpFailure, HttpRequest
-from lagoonflow.platform.http import HttpClient
-from lagoonflow.platform.messages.common import Headers
-from lagoonflow.platform.messages.plain import (
+from lagoonflow.clients.exchange import HttpFailure, HttpRequest
+from lagoonflow.clients.http import HttpClient
+from lagoonflow.clients.messages.common import Headers
+from lagoonflow.clients.messages.plain import (
     PlainAnswer,
     PlainCall,
     PlainNotSent,
--- a/lagoonflow/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Clients of the platform: log, host list, weight store, engine."""
--- a/lagoonflow/releases/publish.py
+++ b/lagoonflow/releases/publish.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from lagoonflow.clients.messages.log import Appended
 from lagoonflow.clock import Clock
-from lagoonflow.platform.messages.log import Appended
 from lagoonflow.releases.changes import NOTE_KIND, NoteBody
 from lagoonflow.releases.note import Note
 from lagoonflow.releases.state import (
--- a/lagoonflow/runners/engine_port.py
+++ b/lagoonflow/runners/engine_port.py
@@ -4,12 +4,12 @@
 from collections.abc import AsyncGenerator
 
 from lagoonflow.calls.messages import AttemptId, Usage
+from lagoonflow.clients.engine import EngineClient
+from lagoonflow.clients.messages import generation as engine_streams
+from lagoonflow.clients.messages import listing as engine_listing
+from lagoonflow.clients.messages import orders as engine_orders
+from lagoonflow.clients.messages.common import Unavailable
 from lagoonflow.placement.messages import Tier
-from lagoonflow.platform.engine import EngineClient
-from lagoonflow.platform.messages import generation as engine_streams
-from lagoonflow.platform.messages import listing as engine_listing
-from lagoonflow.platform.messages import orders as engine_orders
-from lagoonflow.platform.messages.common import Unavailable
 from lagoonflow.runners.engine_messages import (
     Answer,
     EngineState,
--- a/lagoonflow/streams/appender.py
+++ b/lagoonflow/streams/appender.py
@@ -4,12 +4,12 @@
 import random
 from collections.abc import Callable
 
-from lagoonflow.clock import MS_PER_S, Clock, boottime_ms
-from lagoonflow.platform.messages.log import (
+from lagoonflow.clients.messages.log import (
     Appended,
     AppendResult,
     AppendUnknown,
 )
+from lagoonflow.clock import MS_PER_S, Clock, boottime_ms
 from lagoonflow.results import Refusal, Result
 from lagoonflow.streams.appending import (
     AppendQueue,
--- a/lagoonflow/streams/appending.py
+++ b/lagoonflow/streams/appending.py
@@ -4,8 +4,8 @@
 import random
 from collections.abc import Iterable
 
-from lagoonflow.platform.messages.common import Unavailable
-from lagoonflow.platform.messages.log import (
+from lagoonflow.clients.messages.common import Unavailable
+from lagoonflow.clients.messages.log import (
     Appended,
     AppendRefused,
     AppendResult,
@@ -14,7 +14,7 @@
     Expired,
     ReadResult,
 )
-from lagoonflow.platform.messages.log import Record as StoredRecord
+from lagoonflow.clients.messages.log import Record as StoredRecord
 from lagoonflow.streams.backoff import Backoff
 from lagoonflow.streams.envelope import decode_envelope
 
--- a/lagoonflow/streams/following.py
+++ b/lagoonflow/streams/following.py
@@ -3,8 +3,8 @@
 import dataclasses
 import random
 
-from lagoonflow.platform.messages.common import Unavailable
-from lagoonflow.platform.messages.log import Batch, Expired, ReadResult
+from lagoonflow.clients.messages.common import Unavailable
+from lagoonflow.clients.messages.log import Batch, Expired, ReadResult
 from lagoonflow.streams.backoff import Backoff
 from lagoonflow.streams.reading import StreamReader
 from lagoonflow.streams.schedule import CheckpointSchedule
--- a/lagoonflow/streams/outages.py
+++ b/lagoonflow/streams/outages.py
@@ -2,8 +2,8 @@
 
 import structlog
 
-from lagoonflow.platform.messages.common import Unavailable
-from lagoonflow.platform.messages.log import ReadResult
+from lagoonflow.clients.messages.common import Unavailable
+from lagoonflow.clients.messages.log import ReadResult
 from lagoonflow.streams.messages import Stream
 
 LOG_LOST = 'streams: the log service does not answer'
--- a/lagoonflow/streams/ports.py
+++ b/lagoonflow/streams/ports.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-from lagoonflow.platform.messages.log import AppendResult, ReadResult
+from lagoonflow.clients.messages.log import AppendResult, ReadResult
 from lagoonflow.streams.messages import PullReply, PullRequest
 
 Pull = Callable[[PullRequest], Awaitable[PullReply | None]]
--- a/lagoonflow/streams/reading.py
+++ b/lagoonflow/streams/reading.py
@@ -1,6 +1,6 @@
 """Decides where a process reads its stream next, across gaps."""
 
-from lagoonflow.platform.messages.log import Batch, Expired
+from lagoonflow.clients.messages.log import Batch, Expired
 from lagoonflow.streams.checkpoints import decode_checkpoint
 from lagoonflow.streams.messages import (
     LogRecord,
--- a/lagoonflow/streams/task.py
+++ b/lagoonflow/streams/task.py
@@ -7,9 +7,9 @@
 
 import structlog
 
+from lagoonflow.clients.messages.common import Unavailable
+from lagoonflow.clients.messages.log import Appended, ReadResult
 from lagoonflow.clock import MS_PER_S, Clock, boottime_ms
-from lagoonflow.platform.messages.common import Unavailable
-from lagoonflow.platform.messages.log import Appended, ReadResult
 from lagoonflow.results import Refusal
 from lagoonflow.streams.appender import StreamAppender
 from lagoonflow.streams.envelope import Record, decode_envelope
--- a/lagoonflow/wiring/agent_parts.py
+++ b/lagoonflow/wiring/agent_parts.py
@@ -4,6 +4,8 @@
 from lagoonflow.calls.service_port import PlainServicePort
 from lagoonflow.calls.service_work import ServiceLimits, ServiceWork
 from lagoonflow.cli.settings import AgentSettings
+from lagoonflow.clients.engine import EngineClient
+from lagoonflow.clients.plain import PlainClient
 from lagoonflow.clock import boottime_ms
 from lagoonflow.placement.home import HomeState
 from lagoonflow.placement.messages import (
@@ -16,8 +18,6 @@
 from lagoonflow.placement.permits import StorePermits, StoreSettings
 from lagoonflow.placement.settings import HomeSettings
 from lagoonflow.placement.task import HomeTask
-from lagoonflow.platform.engine import EngineClient
-from lagoonflow.platform.plain import PlainClient
 from lagoonflow.runners.engine_port import ClientPort
 from lagoonflow.runners.settings import RunnerSettings
 from lagoonflow.runners.state import RunnerState
--- a/lagoonflow/wiring/agreed.py
+++ b/lagoonflow/wiring/agreed.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from lagoonflow.platform.messages.common import Unavailable
+from lagoonflow.clients.messages.common import Unavailable
 from lagoonflow.releases.state import ReleaseFold
 from lagoonflow.results import Refusal
 from lagoonflow.roster.state import RosterFold
--- a/lagoonflow/wiring/core.py
+++ b/lagoonflow/wiring/core.py
@@ -9,9 +9,9 @@
 from lagoonflow.cli.environment import Environment
 from lagoonflow.cli.settings import CommonSettings
 from lagoonflow.cli.version import package_version
-from lagoonflow.platform.hosts import HostListClient
-from lagoonflow.platform.log import LogClient
-from lagoonflow.platform.messages.common import Unavailable
+from lagoonflow.clients.hosts import HostListClient
+from lagoonflow.clients.log import LogClient
+from lagoonflow.clients.messages.common import Unavailable
 from lagoonflow.results import Refusal, Result
 from lagoonflow.roster.departures import HostState
 from lagoonflow.roster.state import RosterFold
--- a/lagoonflow/wiring/directory.py
+++ b/lagoonflow/wiring/directory.py
@@ -1,6 +1,6 @@
 """Where the other processes are: from the roster, else the host list."""
 
-from lagoonflow.platform.messages.hosts import Host, HostList
+from lagoonflow.clients.messages.hosts import Host, HostList
 from lagoonflow.roster.departures import HostState
 from lagoonflow.roster.messages import Member, Role
 from lagoonflow.roster.state import RosterFold
--- a/tests/calls/test_claims_task.py
+++ b/tests/calls/test_claims_task.py
@@ -11,8 +11,8 @@
 from lagoonflow.calls.claims_fold import ClaimsFold
 from lagoonflow.calls.claims_task import ClaimPorts, ClaimsTask, Won
 from lagoonflow.calls.messages import Finish, ServiceAnswer
+from lagoonflow.clients.messages.log import Appended
 from lagoonflow.clock import boottime_ms
-from lagoonflow.platform.messages.log import Appended
 from lagoonflow.results import Refusal, Result
 from lagoonflow.streams.envelope import encode_record
 from lagoonflow.streams.messages import LogRecord
--- a/tests/platform/test_engine.py
+++ b/tests/clients/test_engine.py
@@ -5,14 +5,14 @@
 
 import pytest
 
-from lagoonflow.platform.engine import EngineClient
-from lagoonflow.platform.messages.common import Unavailable
-from lagoonflow.platform.messages.listing import (
+from lagoonflow.clients.engine import EngineClient
+from lagoonflow.clients.messages.common import Unavailable
+from lagoonflow.clients.messages.listing import (
     ListedAdapter,
     ListedCheckpoint,
     Listing,
 )
-from lagoonflow.platform.messages.orders import (
+from lagoonflow.clients.messages.orders import (
     Order,
     OrderAccepted,
     OrderRefusal,
--- a/tests/platform/test_fuzz.py
+++ b/tests/clients/test_fuzz.py
@@ -8,22 +8,22 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from lagoonflow.platform.exchange import (
+from lagoonflow.clients.exchange import (
     HttpAnswer,
     HttpFailure,
     HttpRequest,
     decode_json,
 )
-from lagoonflow.platform.generation import GenerationStream
-from lagoonflow.platform.http import HttpClient
-from lagoonflow.platform.log import LogClient
-from lagoonflow.platform.messages.generation import (
+from lagoonflow.clients.generation import GenerationStream
+from lagoonflow.clients.http import HttpClient
+from lagoonflow.clients.log import LogClient
+from lagoonflow.clients.messages.generation import (
     Chunk,
     Finished,
     GenerationFailed,
 )
-from lagoonflow.platform.messages.listing import Listing
-from lagoonflow.platform.messages.log import (
+from lagoonflow.clients.messages.listing import Listing
+from lagoonflow.clients.messages.log import (
     AppendResult,
     Batch,
     ReadResult,
--- a/tests/platform/test_generation.py
+++ b/tests/clients/test_generation.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from lagoonflow.platform.engine import EngineClient
-from lagoonflow.platform.messages.generation import (
+from lagoonflow.clients.engine import EngineClient
+from lagoonflow.clients.messages.generation import (
     Cancelled,
     Chunk,
     Finished,
@@ -15,7 +15,7 @@
     GenerationFailed,
     GenerationFailure,
 )
-from lagoonflow.platform.messages.orders import Order
+from lagoonflow.clients.messages.orders import Order
 from loopback.http import counts, set_faults
 from standins.tokens import count_tokens, expected_text
 
--- a/tests/platform/test_hosts.py
+++ b/tests/clients/test_hosts.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from lagoonflow.platform.hosts import HostListClient
-from lagoonflow.platform.messages.common import Unavailable
-from lagoonflow.platform.messages.hosts import Host, HostList
+from lagoonflow.clients.hosts import HostListClient
+from lagoonflow.clients.messages.common import Unavailable
+from lagoonflow.clients.messages.hosts import Host, HostList
 from loopback.http import request, set_faults
 
 ENTRY = {'address': '127.0.0.1', 'port': 7, 'zone': 'z', 'role': 'agent'}
--- a/tests/platform/test_http.py
+++ b/tests/clients/test_http.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from lagoonflow.platform.exchange import HttpAnswer, HttpFailure, HttpRequest
-from lagoonflow.platform.http import HttpClient
+from lagoonflow.clients.exchange import HttpAnswer, HttpFailure, HttpRequest
+from lagoonflow.clients.http import HttpClient
 
 LATE_S = 0.3
 
--- a/tests/platform/test_log.py
+++ b/tests/clients/test_log.py
@@ -3,9 +3,9 @@
 import asyncio
 import time
 
-from lagoonflow.platform.log import LogClient
-from lagoonflow.platform.messages.common import Unavailable
-from lagoonflow.platform.messages.log import (
+from lagoonflow.clients.log import LogClient
+from lagoonflow.clients.messages.common import Unavailable
+from lagoonflow.clients.messages.log import (
     Appended,
     AppendRefused,
     AppendUnknown,
--- a/tests/platform/test_plain.py
+++ b/tests/clients/test_plain.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from lagoonflow.platform.messages.plain import (
+from lagoonflow.clients.messages.plain import (
     PlainAnswer,
     PlainCall,
     PlainNotSent,
     PlainUnknown,
 )
-from lagoonflow.platform.plain import PlainClient
+from lagoonflow.clients.plain import PlainClient
 from loopback.http import counts, set_faults
 
 TIMEOUT_MS = 2000
--- a/tests/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of lagoonflow.platform."""
--- a/tests/runners/test_engine_port.py
+++ b/tests/runners/test_engine_port.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lagoonflow.calls.messages import AttemptId, AttemptRequest, Generation
+from lagoonflow.clients.engine import EngineClient
 from lagoonflow.clock import boottime_ms
 from lagoonflow.placement.messages import (
     Ack,
@@ -13,7 +14,6 @@
     PermitReply,
 )
 from lagoonflow.placement.peers import Peers
-from lagoonflow.platform.engine import EngineClient
 from lagoonflow.runners.engine_port import ClientPort
 from lagoonflow.runners.events import Finished, Started
 from lagoonflow.runners.settings import RunnerSettings
--- a/tests/streams/memory_log.py
+++ b/tests/streams/memory_log.py
@@ -3,8 +3,8 @@
 import asyncio
 import json
 
-from lagoonflow.platform.messages.common import Unavailable
-from lagoonflow.platform.messages.log import (
+from lagoonflow.clients.messages.common import Unavailable
+from lagoonflow.clients.messages.log import (
     Appended,
     AppendRefused,
     AppendUnknown,
--- a/tests/streams/test_appending.py
+++ b/tests/streams/test_appending.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lagoonflow.platform.messages.common import Unavailable
-from lagoonflow.platform.messages.log import (
+from lagoonflow.clients.messages.common import Unavailable
+from lagoonflow.clients.messages.log import (
     Appended,
     AppendRefused,
     AppendUnknown,
--- a/tests/streams/test_convergence.py
+++ b/tests/streams/test_convergence.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lagoonflow.platform.messages.log import Batch, Expired
+from lagoonflow.clients.messages.log import Batch, Expired
 from lagoonflow.streams.messages import PullRequest, Stream, Versions
 from lagoonflow.streams.reading import StreamReader
 from tests.streams.list_fold import ListFold
--- a/tests/streams/test_extent.py
+++ b/tests/streams/test_extent.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lagoonflow.platform.messages.log import Batch, Expired, Record
+from lagoonflow.clients.messages.log import Batch, Expired, Record
 from lagoonflow.streams.extent import Extent, Gap
 from lagoonflow.streams.messages import LogRecord
 from lagoonflow.streams.reading import StreamReader
--- a/tests/streams/test_task.py
+++ b/tests/streams/test_task.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lagoonflow.platform.messages.log import Appended
+from lagoonflow.clients.messages.log import Appended
 from lagoonflow.results import Refusal, Result
 from lagoonflow.streams.appender import StreamAppender
 from lagoonflow.streams.envelope import Record
