--- /dev/null
+++ b/lagoonflow/backends/choosing.py
@@ -0,0 +1,271 @@
+"""Chooses the backend server for a request, or where to wake its model."""
+
+import dataclasses
+
+import xxhash
+
+from lagoonflow.backends.fleet import Fleet
+from lagoonflow.backends.messages import BackendServer
+from lagoonflow.declared.messages import EngineSpec, Service
+from lagoonflow.gossip.messages import AgentState, HeldState
+from lagoonflow.relay.messages import Call
+from lagoonflow.waking.keeper import load_time_ms
+
+# Cost of reading one prompt token, in ms; from the engines' stated rate of
+# 38.4 tokens a ms.
+PROMPT_TOKEN_MS = 0.026
+# Cost of one more request in a batch, in ms: each slows the others' tokens.
+BATCH_SHARE_MS = 4
+# Cost of one request at a plain service, as part of its slots, in ms.
+PLAIN_SLOT_MS = 20
+# Cost of a request that waits before a full batch, in ms.
+QUEUED_MS = 40
+# Cost of leaving the availability zone, in ms.
+ZONE_MS = 5
+# Puts servers that failed lately behind all others, in ms.
+AVOIDED_MS = 20_000
+# An adapter is ready after about this time, in ms.
+ADAPTER_MS = 20
+# Time between an agent's decision and its order in force, in ms.
+ORDER_MS = 40
+# Dropping a model that is used once a second costs as much as this wait.
+KEEP_VALUE_MS = 600
+# No idle model can make way; running requests must end first, in ms.
+BUSY_VICTIM_MS = 3000
+# A denied wish is not repeated at the same runner, in ms.
+DENIED_MS = 30_000
+# Spreads equal choices over the runners, alike at all routers, in ms.
+SPREAD_MS = 60
+# A wake that was asked for is kept to against small differences, in ms.
+ASKED_MS = 400
+# Another replica is woken when it saves at least this much, in ms.
+WAKE_GAIN_MS = 300
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Send the request to a server now."""
+
+    server: BackendServer
+    cost_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wake:
+    """Wait for a model or an adapter that a runner is told to load."""
+
+    server: BackendServer
+    ready_in_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Nowhere:
+    """No server can take the request.
+
+    :param reason: one sentence for a person.
+    """
+
+    reason: str
+
+
+Choice = Send | Wake | Nowhere
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """What a request needs of a server.
+
+    :param excluded: servers that have failed it.
+    :param asked: server that was asked to wake its model.
+    """
+
+    call: Call
+    service: Service
+    excluded: frozenset[str] = frozenset()
+    asked: str = ''
+
+
+class Chooser:
+    """Compares servers by the time until a request would be answered.
+
+    :param zone: availability zone of this router.
+    """
+
+    def __init__(self, fleet: Fleet, zone: str) -> None:
+        """Choose from a fleet."""
+        self._fleet = fleet
+        self._zone = zone
+
+    def choose(self, need: Need, now_ms: float) -> Choice:
+        """Return the best choice."""
+        servers = [
+            server
+            for server in self._fleet.roster.usable(need.service.name)
+            if server.instance not in need.excluded
+        ]
+        if not servers:
+            return Nowhere('no backend server is available')
+        engine = need.service.engine
+        if engine is None or not need.call.model:
+            return self._choose_plain(servers, now_ms)
+        if need.call.model not in engine.models:
+            return Nowhere('the model is not declared')
+        return self._choose_runner(need, engine, servers, now_ms)
+
+    def prompt_keys(self, call: Call) -> list[str]:
+        """Keys of the prompt parts, as kept for a model and adapter."""
+        prefix = f'{call.model}/{call.adapter}'
+        return [f'{prefix}/{part.part_id}' for part in call.prompt]
+
+    def _choose_plain(
+        self, servers: list[BackendServer], now_ms: float
+    ) -> Choice:
+        costs = [
+            (self._plain_cost_ms(server, now_ms), server.instance, server)
+            for server in servers
+        ]
+        cost_ms, _, server = min(costs, key=lambda one: one[:2])
+        return Send(server, cost_ms)
+
+    def _choose_runner(
+        self,
+        need: Need,
+        engine: EngineSpec,
+        servers: list[BackendServer],
+        now_ms: float,
+    ) -> Choice:
+        sends: list[Send] = []
+        wakes: list[Wake] = []
+        for server in servers:
+            choice = self._weigh(need, engine, server, now_ms)
+            if isinstance(choice, Send):
+                sends.append(choice)
+            elif choice is not None:
+                wakes.append(choice)
+        send = min(sends, key=_send_rank, default=None)
+        wake = min(wakes, key=_wake_rank, default=None)
+        if send is None and wake is None:
+            return Nowhere('no runner can load the model')
+        if send is None:
+            return wake
+        if wake is None or wake.ready_in_ms + WAKE_GAIN_MS >= send.cost_ms:
+            return send
+        return wake
+
+    def _weigh(
+        self,
+        need: Need,
+        engine: EngineSpec,
+        server: BackendServer,
+        now_ms: float,
+    ) -> Send | Wake | None:
+        call = need.call
+        base_ms = self._runner_cost_ms(call, engine, server, now_ms)
+        state = self._fleet.agent(server, now_ms)
+        held = _find(self._fleet.held(server, now_ms), call.model)
+        if held is not None:
+            if not call.adapter or call.adapter in held.adapters:
+                return Send(server, base_ms)
+            if state is None or not state.can_order:
+                return None
+            ready_ms = ADAPTER_MS + _denied_ms(state, call)
+            return Wake(server, base_ms + ready_ms)
+        if state is None or not state.can_order:
+            return None
+        wake_ms = self._wake_cost_ms(call.model, engine, state)
+        if need.asked == server.instance:
+            wake_ms -= ASKED_MS
+        denied_ms = _denied_ms(state, call)
+        spread_ms = _spread_ms(call.model, server.instance)
+        total_ms = base_ms + wake_ms + denied_ms + spread_ms
+        return Wake(server, total_ms)
+
+    def _wake_cost_ms(
+        self, name: str, engine: EngineSpec, state: AgentState
+    ) -> float:
+        model = engine.models[name]
+        if state.loading == name:
+            return state.order_ready_in_ms
+        load_ms, _ = load_time_ms(model, state)
+        wait_ms = state.order_ready_in_ms + ORDER_MS
+        for planned in state.planned:
+            if planned == name:
+                break
+            other = engine.models.get(planned)
+            if other is not None:
+                wait_ms += load_time_ms(other, state)[0] + ORDER_MS
+        missing_mb = model.weights_mb - state.free_mb
+        if missing_mb > 0:
+            wait_ms += _displacing_ms(state.held, engine, missing_mb)
+        return wait_ms + load_ms
+
+    def _runner_cost_ms(
+        self,
+        call: Call,
+        engine: EngineSpec,
+        server: BackendServer,
+        now_ms: float,
+    ) -> float:
+        pressure = self._fleet.pressure(server, now_ms)
+        keys = self.prompt_keys(call)
+        kept = self._fleet.has_parts(server.instance, keys)
+        unread = sum(part.tokens for part in call.prompt[kept:])
+        waiting = max(pressure - engine.slots, 0)
+        cost_ms = (
+            unread * PROMPT_TOKEN_MS
+            + pressure * BATCH_SHARE_MS
+            + waiting * QUEUED_MS
+        )
+        return cost_ms + self._common_cost_ms(server, now_ms)
+
+    def _plain_cost_ms(self, server: BackendServer, now_ms: float) -> float:
+        pressure = self._fleet.pressure(server, now_ms)
+        share = pressure / max(server.slots, 1)
+        return share * PLAIN_SLOT_MS + self._common_cost_ms(server, now_ms)
+
+    def _common_cost_ms(self, server: BackendServer, now_ms: float) -> float:
+        cost_ms = 0 if server.zone == self._zone else ZONE_MS
+        health = self._fleet.health(server.instance)
+        if health.is_avoided(now_ms):
+            cost_ms += AVOIDED_MS
+        return cost_ms + health.failure_rate * 100
+
+
+def _displacing_ms(
+    held: tuple[HeldState, ...], engine: EngineSpec, missing_mb: float
+) -> float:
+    """Cost of the idle models that must make way."""
+    cost_ms = 0.0
+    for victim in sorted(held, key=lambda one: (one.running, one.keep_value)):
+        if missing_mb <= 0:
+            return cost_ms
+        if victim.running:
+            return cost_ms + BUSY_VICTIM_MS
+        declared = engine.models.get(victim.name)
+        missing_mb -= declared.weights_mb if declared else 0
+        cost_ms += ORDER_MS + victim.keep_value * KEEP_VALUE_MS
+    return cost_ms if missing_mb <= 0 else cost_ms + BUSY_VICTIM_MS
+
+
+def _denied_ms(state: AgentState, call: Call) -> float:
+    for denial in state.denials:
+        if (denial.model, denial.adapter) == (call.model, call.adapter):
+            return DENIED_MS
+    return 0
+
+
+def _find(held: tuple[HeldState, ...], name: str) -> HeldState | None:
+    return next((one for one in held if one.name == name), None)
+
+
+def _spread_ms(model: str, instance: str) -> float:
+    digest = xxhash.xxh3_64_intdigest(f'{model} {instance}')
+    return digest % 1000 / 1000 * SPREAD_MS
+
+
+def _send_rank(send: Send) -> tuple[float, str]:
+    return send.cost_ms, send.server.instance
+
+
+def _wake_rank(wake: Wake) -> tuple[float, str]:
+    return wake.ready_in_ms, wake.server.instance
--- /dev/null
+++ b/lagoonflow/backends/fleet.py
@@ -0,0 +1,208 @@
+"""What a router knows of the backend servers, from all its sources."""
+
+import collections
+import dataclasses
+
+from lagoonflow.backends.health import ServerHealth
+from lagoonflow.backends.messages import BackendServer
+from lagoonflow.backends.roster import BackendRoster
+from lagoonflow.gossip.messages import AgentState, HeldState
+from lagoonflow.relay.messages import Load
+
+# Agents repeat their state at least once a second, in ms.
+AGENT_FRESH_MS = 2500
+# A load that a server stated is used for this long, in ms.
+LOAD_FRESH_MS = 1000
+# Time constant of the smoothed request rate of a model, in ms.
+DEMAND_MEMORY_MS = 12_000
+# Prompt parts that are remembered for each server.
+MOST_PARTS = 512
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Dated:
+    at_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatedAgent(_Dated):
+    """An agent's state and when it came."""
+
+    state: AgentState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatedLoad(_Dated):
+    """A stated load and when it came."""
+
+    load: Load
+
+
+@dataclasses.dataclass(slots=True)
+class _Rate:
+    per_s: float
+    updated_ms: float
+
+
+class Fleet:
+    """Backend servers with what they hold and how busy they are."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.roster = BackendRoster()
+        self._health: dict[str, ServerHealth] = {}
+        self._agents: dict[str, DatedAgent] = {}
+        self._loads: dict[str, DatedLoad] = {}
+        self._running: dict[str, collections.Counter[str]] = {}
+        self._sends: dict[str, collections.deque[float]] = {}
+        self._rates: dict[str, _Rate] = {}
+        self._parts: dict[str, collections.OrderedDict[str, float]] = {}
+
+    # Facts.
+
+    def hear(self, state: AgentState, now_ms: float) -> bool:
+        """Take an agent's state; tells whether what it holds changed."""
+        before = self._agents.get(state.instance)
+        self._agents[state.instance] = DatedAgent(now_ms, state)
+        if before is None:
+            return True
+        old = before.state
+        return (
+            _names(old.held) != _names(state.held)
+            or old.loading != state.loading
+            or old.denials != state.denials
+            or old.planned != state.planned
+        )
+
+    def note_load(self, instance: str, load: Load, now_ms: float) -> None:
+        """Take the load that a server stated in an answer."""
+        self._loads[instance] = DatedLoad(now_ms, load)
+
+    def note_demand(self, model: str, now_ms: float) -> None:
+        """Count a request for a model."""
+        rate = self._rates.get(model)
+        if rate is None:
+            rate = self._rates[model] = _Rate(0, now_ms)
+        _decay(rate, now_ms)
+        rate.per_s += 1000 / DEMAND_MEMORY_MS
+
+    def begin(self, instance: str, name: str, now_ms: float) -> None:
+        """Count a request that is being sent.
+
+        :param name: model, with its adapter after a slash.
+        """
+        self.health(instance).inflight += 1
+        counter = self._running.setdefault(instance, collections.Counter())
+        counter[name] += 1
+        self._sends.setdefault(instance, collections.deque(maxlen=128)).append(
+            now_ms
+        )
+
+    def end(self, instance: str, name: str) -> None:
+        """Count a request as ended."""
+        self.health(instance).inflight -= 1
+        counter = self._running.get(instance)
+        if counter is not None:
+            counter[name] -= 1
+            if counter[name] <= 0:
+                counter.pop(name)
+
+    def remember_prompt(self, instance: str, keys: list[str]) -> None:
+        """Note which prompt parts a server has read."""
+        parts = self._parts.setdefault(instance, collections.OrderedDict())
+        for key in keys:
+            parts[key] = 0
+            parts.move_to_end(key)
+        while len(parts) > MOST_PARTS:
+            parts.popitem(last=False)
+
+    def forget(self, instances: list[str]) -> None:
+        """Drop what is known of servers that are gone."""
+        for instance in instances:
+            for known in (
+                self._agents,
+                self._loads,
+                self._running,
+                self._sends,
+                self._parts,
+            ):
+                known.pop(instance, None)
+
+    # Questions.
+
+    def health(self, instance: str) -> ServerHealth:
+        """Return the record of a server's answers."""
+        return self._health.setdefault(instance, ServerHealth())
+
+    def agent(self, server: BackendServer, now_ms: float) -> AgentState | None:
+        """Return the state of a server's agent when it is fresh."""
+        dated = self._agents.get(server.instance)
+        if dated is None or now_ms - dated.at_ms > AGENT_FRESH_MS:
+            return None
+        return dated.state
+
+    def held(
+        self, server: BackendServer, now_ms: float
+    ) -> tuple[HeldState, ...]:
+        """Return what a server holds, by its agent or by its entry."""
+        state = self.agent(server, now_ms)
+        if state is not None:
+            return state.held
+        return tuple(
+            HeldState(model.name, tuple(model.adapters))
+            for model in server.models
+        )
+
+    def pressure(self, server: BackendServer, now_ms: float) -> float:
+        """Requests that are running or waiting at a server."""
+        inflight = self.health(server.instance).inflight
+        dated = self._agents.get(server.instance)
+        if dated is not None and now_ms - dated.at_ms < AGENT_FRESH_MS:
+            known = dated.state.active + dated.state.queued
+            return max(known + self._sent_since(server, dated.at_ms), inflight)
+        stated = self._loads.get(server.instance)
+        if stated is not None and now_ms - stated.at_ms < LOAD_FRESH_MS:
+            load = stated.load
+            fresh = 1 - (now_ms - stated.at_ms) / LOAD_FRESH_MS
+            known = (load.running + load.waiting) * fresh
+            return max(known + self._sent_since(server, stated.at_ms), inflight)
+        return inflight
+
+    def has_parts(self, instance: str, keys: list[str]) -> int:
+        """Count the leading prompt parts that a server has read."""
+        parts = self._parts.get(instance, {})
+        count = 0
+        for key in keys:
+            if key not in parts:
+                break
+            count += 1
+        return count
+
+    def running(self, instance: str) -> dict[str, int]:
+        """This router's requests at a server, by model and adapter."""
+        return dict(self._running.get(instance, {}))
+
+    def demand(self, now_ms: float) -> dict[str, float]:
+        """Requests a second by model, smoothed."""
+        found: dict[str, float] = {}
+        for model, rate in list(self._rates.items()):
+            _decay(rate, now_ms)
+            if rate.per_s < 0.001:
+                self._rates.pop(model)
+            else:
+                found[model] = rate.per_s
+        return found
+
+    def _sent_since(self, server: BackendServer, at_ms: float) -> int:
+        sends = self._sends.get(server.instance, ())
+        return sum(sent_ms > at_ms for sent_ms in sends)
+
+
+def _names(held: tuple[HeldState, ...]) -> set[tuple[str, tuple[str, ...]]]:
+    return {(one.name, one.adapters) for one in held}
+
+
+def _decay(rate: _Rate, now_ms: float) -> None:
+    elapsed_ms = now_ms - rate.updated_ms
+    rate.per_s *= 0.5 ** (elapsed_ms / DEMAND_MEMORY_MS)
+    rate.updated_ms = now_ms
--- /dev/null
+++ b/lagoonflow/backends/health.py
@@ -0,0 +1,57 @@
+"""How backend servers have answered this router lately."""
+
+import dataclasses
+
+# First time for which a server that failed is avoided, in ms; doubled with
+# each further failure.
+FIRST_PENALTY_MS = 400
+LONGEST_PENALTY_MS = 4000
+# Weight of the newest answer in the failure rate.
+SMOOTHING = 0.15
+# A server that fails more often than this is used only when others are not
+# there.
+FAILING_RATE = 0.25
+# Time after which the failure rate is halved without answers, in ms.
+FORGET_MS = 3000
+
+
+@dataclasses.dataclass(slots=True)
+class ServerHealth:
+    """What this router has seen of one server.
+
+    :ivar inflight: requests that this router has there.
+    :ivar failure_rate: smoothed share of failed requests.
+    """
+
+    inflight: int = 0
+    failure_rate: float = 0
+    failures_in_row: int = 0
+    avoided_until_ms: float = 0
+    updated_at_ms: float = 0
+
+    def succeed(self, now_ms: float) -> None:
+        """Note a good answer."""
+        self._decay(now_ms)
+        self.failures_in_row = 0
+        self.avoided_until_ms = 0
+        self.failure_rate *= 1 - SMOOTHING
+
+    def fail(self, now_ms: float) -> None:
+        """Note a failed request; avoids the server for a growing time."""
+        self._decay(now_ms)
+        self.failures_in_row += 1
+        self.failure_rate += SMOOTHING * (1 - self.failure_rate)
+        doublings = min(self.failures_in_row - 1, 10)
+        penalty_ms = min(FIRST_PENALTY_MS * 2**doublings, LONGEST_PENALTY_MS)
+        self.avoided_until_ms = now_ms + penalty_ms
+
+    def is_avoided(self, now_ms: float) -> bool:
+        """Whether others should be preferred."""
+        self._decay(now_ms)
+        is_penalised = now_ms < self.avoided_until_ms
+        return is_penalised or self.failure_rate > FAILING_RATE
+
+    def _decay(self, now_ms: float) -> None:
+        elapsed_ms = now_ms - self.updated_at_ms
+        self.updated_at_ms = now_ms
+        self.failure_rate *= 0.5 ** (elapsed_ms / FORGET_MS)
--- /dev/null
+++ b/lagoonflow/backends/roster.py
@@ -0,0 +1,122 @@
+"""Which backend servers may get requests."""
+
+import dataclasses
+
+from lagoonflow.backends.messages import BackendServer
+
+# The platform restores entries that lapsed during an outage within this time
+# after the store's return, in ms.
+LAPSE_GRACE_MS = 2000
+# A store that has answered without trouble for this long is steady, in ms.
+STEADY_AFTER_MS = 3000
+# More entries dropped at once than this look like a lapse, not like crashes.
+MOST_DROPPED_AT_ONCE = 2
+# Work at a server that leaves at short notice must end before it is gone.
+SHORT_NOTICE_MARGIN_MS = 100
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    """A backend server, and when its removal takes effect."""
+
+    server: BackendServer
+    seen_at_ms: float
+    removed_at_ms: float | None = None
+
+
+class BackendRoster:
+    """Follows the registered backend servers.
+
+    An entry that disappears while the store is in trouble, or just after,
+    is kept until the store has had time to restore it.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._entries: dict[str, _Entry] = {}
+        self._trouble_at_ms = float('-inf')
+
+    def note_store_trouble(self, now_ms: float) -> None:
+        """Note that the store did not answer."""
+        self._trouble_at_ms = now_ms
+
+    def put(self, server: BackendServer, now_ms: float) -> bool:
+        """Add or update an entry; tells whether anything changed.
+
+        Reports of an earlier start under the same id are ignored.
+        """
+        entry = self._entries.get(server.instance)
+        if entry is not None and server.started_ms < entry.server.started_ms:
+            return False
+        self._entries[server.instance] = _Entry(server, now_ms)
+        return entry is None or entry.server != server
+
+    def drop(self, instance: str, now_ms: float) -> None:
+        """Remove an entry, or let it lapse while the store is not steady."""
+        entry = self._entries.get(instance)
+        if entry is None or entry.removed_at_ms is not None:
+            return
+        trouble_age_ms = now_ms - self._trouble_at_ms
+        if trouble_age_ms < STEADY_AFTER_MS:
+            entry.removed_at_ms = now_ms + LAPSE_GRACE_MS
+        else:
+            self._entries.pop(instance)
+
+    def replace(self, servers: list[BackendServer], now_ms: float) -> None:
+        """Take a whole listing."""
+        for server in servers:
+            self.put(server, now_ms)
+        listed = {server.instance for server in servers}
+        missing = [name for name in self._entries if name not in listed]
+        self.drop_many(missing, now_ms)
+
+    def drop_many(self, instances: list[str], now_ms: float) -> None:
+        """Remove entries that disappeared together."""
+        sudden = [
+            name
+            for name in instances
+            if name in self._entries
+            and not self._entries[name].server.is_leaving
+        ]
+        if len(sudden) > MOST_DROPPED_AT_ONCE:
+            self.note_store_trouble(now_ms)
+        for name in instances:
+            self.drop(name, now_ms)
+
+    def has_due(self, now_ms: float) -> bool:
+        """Whether removals take effect now."""
+        return any(
+            entry.removed_at_ms is not None and entry.removed_at_ms <= now_ms
+            for entry in self._entries.values()
+        )
+
+    def expire(self, now_ms: float) -> list[BackendServer]:
+        """Remove entries that were not restored in time; returns them."""
+        due = [
+            name
+            for name, entry in self._entries.items()
+            if entry.removed_at_ms is not None and entry.removed_at_ms <= now_ms
+        ]
+        return [self._entries.pop(name).server for name in due]
+
+    def get(self, instance: str) -> BackendServer | None:
+        """Return a server by its id."""
+        entry = self._entries.get(instance)
+        return None if entry is None else entry.server
+
+    def all(self) -> list[BackendServer]:
+        """Return all entries, leaving ones too."""
+        return [entry.server for entry in self._entries.values()]
+
+    def usable(self, service: str) -> list[BackendServer]:
+        """Return the servers of a service that take new requests."""
+        newest: dict[str, BackendServer] = {}
+        for entry in self._entries.values():
+            server = entry.server
+            if server.service != service or server.is_leaving:
+                continue
+            rival = newest.get(server.address)
+            # An address belongs to the server that started last.
+            if rival is None or rival.started_ms < server.started_ms:
+                newest[server.address] = server
+        return list(newest.values())
--- /dev/null
+++ b/lagoonflow/cli/platform_process.py
@@ -0,0 +1,76 @@
+"""Entry points of router and agent on the users' platform."""
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable
+
+from lagoonflow.cli.environment import Environment
+from lagoonflow.cli.exits import ExitStatus
+from lagoonflow.platform.settings import (
+    SETTINGS_VARIABLE,
+    PlatformSettingError,
+    PlatformSettings,
+    read_settings,
+)
+from lagoonflow.telemetry.stdout import configure_output
+
+HINT = 'Set {name} to the path of the settings file.'
+
+Serve = Callable[[PlatformSettings], Awaitable[None]]
+
+
+def launch(serve: Serve, environment: Environment) -> ExitStatus:
+    """Read the settings file and serve until a signal comes."""
+    path = environment.variables.get(SETTINGS_VARIABLE, '')
+    if not path:
+        environment.complain(HINT.format(name=SETTINGS_VARIABLE))
+        return ExitStatus.USAGE
+    try:
+        settings = read_settings(path)
+    except (OSError, PlatformSettingError) as error:
+        environment.complain(f'{path}: {error}')
+        return ExitStatus.USAGE
+    configure_output(settings.node)
+    try:
+        asyncio.run(serve(settings))
+    except OSError as error:
+        environment.complain(f'An address cannot be used: {error}')
+        return ExitStatus.ERROR
+    except KeyboardInterrupt:
+        return ExitStatus.INTERRUPTED
+    return ExitStatus.SUCCESS
+
+
+async def serve_router(settings: PlatformSettings) -> None:
+    """Run a router."""
+    from lagoonflow.wiring.platform_router import PlatformRouter
+
+    await PlatformRouter(settings).run()
+
+
+async def serve_agent(settings: PlatformSettings) -> None:
+    """Run an agent."""
+    from lagoonflow.wiring.platform_agent import PlatformAgent
+
+    await PlatformAgent(settings).run()
+
+
+ROLES = {'router': serve_router, 'agent': serve_agent}
+
+
+def main(
+    arguments: list[str] | None = None,
+    environment: Environment | None = None,
+) -> ExitStatus:
+    """Run the role that is named on the command line."""
+    environment = environment or Environment()
+    tokens = sys.argv[1:] if arguments is None else arguments
+    serve = ROLES.get(tokens[0]) if len(tokens) == 1 else None
+    if serve is None:
+        environment.complain(f'Name one role: {", ".join(ROLES)}.')
+        return ExitStatus.USAGE
+    return launch(serve, environment)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/lagoonflow/declared/__init__.py
@@ -0,0 +1,1 @@
+"""The declared state: what operators have put in force."""
--- /dev/null
+++ b/lagoonflow/declared/following.py
@@ -0,0 +1,97 @@
+"""Follows a keyed topic of the metadata store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import structlog
+
+from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.declared.records import (
+    HistoryLost,
+    KeyedStore,
+    RecordPage,
+    StoreFailure,
+)
+
+# Delay before a failed read is repeated; doubled up to the longest, in ms.
+FIRST_DELAY_MS = 150
+LONGEST_DELAY_MS = 900
+# Records that come one by one are gathered for this long, in ms.
+GATHER_MS = 40
+
+OnPage = Callable[[RecordPage, bool, float], None]
+OnFailure = Callable[[StoreFailure], None]
+
+
+class TopicFollower:
+    """Reads a topic from its newest records on.
+
+    :param wait_ms: longest time that one read waits for records.
+    :param on_page: gets each page, whether it is a whole listing, and when
+        it was asked for.
+    :param on_failure: gets each failure.
+    """
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        topic: str,
+        wait_ms: int,
+        on_page: OnPage,
+        on_failure: OnFailure,
+    ) -> None:
+        """Prepare; ``run`` reads."""
+        self._store = store
+        self._topic = topic
+        self._wait_ms = wait_ms
+        self._on_page = on_page
+        self._on_failure = on_failure
+        self._offset: int | None = None
+        self._failures = 0
+        self._log = structlog.get_logger(part='store')
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            asked_at_ms = boottime_ms()
+            is_whole = self._offset is None
+            page = await self._read()
+            match page:
+                case StoreFailure():
+                    await self._note_failure(page)
+                case HistoryLost():
+                    self._log.info('history expired', topic=self._topic)
+                    self._offset = None
+                case RecordPage():
+                    self._note_answer()
+                    self._offset = page.next_offset
+                    self._on_page(page, is_whole, asked_at_ms)
+                    if page.records:
+                        await asyncio.sleep(GATHER_MS / MS_PER_S)
+
+    async def _read(self) -> RecordPage | HistoryLost | StoreFailure:
+        if self._offset is None:
+            return await self._store.newest(self._topic)
+        wait_ms = 0 if self._failures else self._wait_ms
+        return await self._store.read(self._topic, self._offset, wait_ms)
+
+    def _note_answer(self) -> None:
+        if self._failures:
+            self._log.info(
+                'store regained', topic=self._topic, failures=self._failures
+            )
+        self._failures = 0
+
+    async def _note_failure(self, failure: StoreFailure) -> None:
+        if not self._failures:
+            self._log.warning(
+                'store lost', topic=self._topic, reason=failure.reason
+            )
+        self._failures += 1
+        self._on_failure(failure)
+        delay_ms = min(
+            FIRST_DELAY_MS * 2 ** min(self._failures - 1, 8),
+            LONGEST_DELAY_MS,
+        )
+        await asyncio.sleep(delay_ms * random.uniform(0.7, 1.1) / MS_PER_S)
--- /dev/null
+++ b/lagoonflow/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Small datagrams by which routers and agents keep each other informed."""
--- /dev/null
+++ b/lagoonflow/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 over TCP, for callers, backend servers and the metadata store."""
--- /dev/null
+++ b/lagoonflow/http1/channel.py
@@ -0,0 +1,161 @@
+"""A TCP connection that speaks HTTP/1.1 through ``h11``, in either role."""
+
+import asyncio
+from collections.abc import Callable
+
+import h11
+
+# Unread bytes above which the peer is made to wait.
+READ_AHEAD_BYTES = 262_144
+
+
+class ConnectionGoneError(Exception):
+    """The peer closed or reset the connection, or broke the protocol."""
+
+
+class Channel(asyncio.Protocol):
+    """Feeds received bytes to ``h11`` and waits for its events.
+
+    :param role: ``h11.SERVER`` or ``h11.CLIENT``.
+    :param head_limit_bytes: longest head that is accepted.
+    :param on_peer_closed: called once when the peer closes or resets.
+    """
+
+    def __init__(
+        self,
+        role: type,
+        head_limit_bytes: int,
+        on_peer_closed: Callable[[], None] | None = None,
+    ) -> None:
+        """Start unconnected; asyncio connects it."""
+        self.http = h11.Connection(role, head_limit_bytes)
+        self.is_open = False
+        self.has_peer_closed = False
+        self.unread_bytes = 0
+        self.received_bytes = 0
+        self.transport: asyncio.Transport | None = None
+        self._on_peer_closed = on_peer_closed
+        self._arrival: asyncio.Future[None] | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._is_paused = False
+
+    # asyncio.Protocol.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = transport
+        self.is_open = True
+
+    def data_received(self, data: bytes) -> None:
+        """Hand bytes to ``h11`` and wake who waits for them."""
+        self.unread_bytes += len(data)
+        self.received_bytes += len(data)
+        self.http.receive_data(data)
+        _resolve(self._arrival)
+        if self.unread_bytes > READ_AHEAD_BYTES and not self._is_paused:
+            self._is_paused = True
+            self.transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """Note an orderly end; the transport closes itself."""
+        self.http.receive_data(b'')
+        self._note_peer_closed()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end of the connection."""
+        self.is_open = False
+        self._note_peer_closed()
+        _resolve(self._writable)
+
+    def pause_writing(self) -> None:
+        """Make ``send`` wait; the peer reads slowly."""
+        if self._writable is None:
+            loop = asyncio.get_running_loop()
+            self._writable = loop.create_future()
+
+    def resume_writing(self) -> None:
+        """Let ``send`` go on."""
+        _resolve(self._writable)
+        self._writable = None
+
+    # For tasks.
+
+    async def next_event(self) -> h11.Event | type:
+        """Return the next event of ``h11``.
+
+        :raises ConnectionGoneError: when there will be none.
+        """
+        while True:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ConnectionGoneError(str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            if self.has_peer_closed:
+                raise ConnectionGoneError('closed by the peer')
+            await self._wait_for_bytes()
+
+    async def wait_for_request(self) -> None:
+        """Return once bytes of the next request are there.
+
+        :raises ConnectionGoneError: when there will be none.
+        """
+        while not self.http.trailing_data[0]:
+            if self.has_peer_closed:
+                raise ConnectionGoneError('closed by the peer')
+            await self._wait_for_bytes()
+
+    async def send(self, *events: h11.Event) -> None:
+        """Write events at once, then wait while the peer reads slowly.
+
+        :raises ConnectionGoneError: when the connection is closed.
+        """
+        self.write(*events)
+        if self._writable is not None:
+            await asyncio.shield(self._writable)
+
+    def write(self, *events: h11.Event) -> None:
+        """Write events without waiting.
+
+        :raises ConnectionGoneError: when the connection is closed.
+        """
+        if not self.is_open or self.transport.is_closing():
+            raise ConnectionGoneError('connection is closed')
+        parts = [self.http.send(event) or b'' for event in events]
+        self.transport.write(b''.join(parts))
+
+    def close(self) -> None:
+        """Close after what was written; may be called more than once."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close at once; what is not yet sent is dropped."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    async def _wait_for_bytes(self) -> None:
+        self.unread_bytes = 0
+        if self._is_paused:
+            self._is_paused = False
+            self.transport.resume_reading()
+        self._arrival = asyncio.get_running_loop().create_future()
+        try:
+            await self._arrival
+        finally:
+            self._arrival = None
+
+    def _note_peer_closed(self) -> None:
+        if self.has_peer_closed:
+            return
+        self.has_peer_closed = True
+        _resolve(self._arrival)
+        if self._on_peer_closed is not None:
+            self._on_peer_closed()
+
+
+def _resolve(waiter: asyncio.Future[None] | None) -> None:
+    if waiter is not None and not waiter.done():
+        waiter.set_result(None)
--- /dev/null
+++ b/lagoonflow/http1/client.py
@@ -0,0 +1,297 @@
+"""Client connections to one server, kept open between requests."""
+
+import asyncio
+import collections
+import dataclasses
+import re
+import socket
+from collections.abc import Callable
+
+import h11
+
+from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.http1.channel import Channel, ConnectionGoneError
+from lagoonflow.http1.messages import (
+    AnswerHead,
+    ExchangeError,
+    Headers,
+    RequestHead,
+    Stage,
+)
+
+# Longest head of an answer; the callers' own limit is configured.
+HEAD_LIMIT_BYTES = 65_536
+# A server closes an idle connection on its own clock; a request sent in the
+# last part of that time can cross the close.
+IDLE_MARGIN_MS = 700
+# Idle time after which a connection is not trusted without a stated limit.
+IDLE_LIMIT_MS = 4000
+# Kernel limit for bytes that stay unacknowledged, in ms.
+USER_TIMEOUT_MS = 3000
+KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An answer with its body."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class ClientConnection:
+    """One connection and the exchange that runs on it."""
+
+    def __init__(self, channel: Channel) -> None:
+        """Take a connected channel."""
+        self.channel = channel
+        self.idle_until_ms = 0.0
+        self._may_be_kept = False
+        self._wants_close = False
+        self._idle_limit_ms = IDLE_LIMIT_MS
+        self._skipped: list[h11.Request] = []
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether a request may be sent on it now."""
+        channel = self.channel
+        is_quiet = not channel.has_peer_closed and not channel.unread_bytes
+        return (
+            channel.is_open and is_quiet and boottime_ms() < self.idle_until_ms
+        )
+
+    async def send(self, head: RequestHead, body: bytes) -> None:
+        """Send a whole request.
+
+        :raises ExchangeError: at stage ``SENT``: some bytes may have left.
+        """
+        request = h11.Request(
+            method=head.method,
+            target=head.target,
+            headers=list(head.headers),
+        )
+        try:
+            await self._send_events(request, body)
+        except ConnectionGoneError as error:
+            raise ExchangeError(Stage.SENT, str(error)) from error
+
+    async def read_head(
+        self,
+        is_expected: Callable[[AnswerHead], bool] = lambda _head: True,
+    ) -> AnswerHead:
+        """Return the head of the answer, past answers to other requests.
+
+        :param is_expected: whether an answer belongs to the request.
+        :raises ExchangeError: at stage ``SENT``.
+        """
+        try:
+            while True:
+                head = await self._next_head()
+                if is_expected(head):
+                    self._note_head(head)
+                    return head
+                await self._skip_answer()
+        except ConnectionGoneError as error:
+            raise ExchangeError(Stage.SENT, str(error)) from error
+
+    async def read_part(self) -> bytes | None:
+        """Return the next part of the body; ``None`` at its marked end.
+
+        :raises ExchangeError: at stage ``ANSWERING``.
+        """
+        try:
+            event = await self.channel.next_event()
+        except ConnectionGoneError as error:
+            raise ExchangeError(Stage.ANSWERING, str(error)) from error
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self._finish()
+            return None
+        raise ExchangeError(Stage.ANSWERING, 'closed by the server')
+
+    async def read_body(self, limit_bytes: int) -> bytes:
+        """Return the whole body.
+
+        :raises ExchangeError: at stage ``ANSWERING``.
+        """
+        pieces = bytearray()
+        while (part := await self.read_part()) is not None:
+            pieces += part
+            if len(pieces) > limit_bytes:
+                raise ExchangeError(Stage.ANSWERING, 'answer too long')
+        return bytes(pieces)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the exchange ended so that another may follow."""
+        return self._may_be_kept and self.is_usable
+
+    def close(self) -> None:
+        """Drop the connection at once."""
+        self.channel.abort()
+
+    async def _send_events(self, request: h11.Request, body: bytes) -> None:
+        self._may_be_kept = False
+        self._skipped = [request]
+        events: list[h11.Event] = [request]
+        if body:
+            events.append(h11.Data(data=body))
+        await self.channel.send(*events, h11.EndOfMessage())
+
+    async def _next_head(self) -> AnswerHead:
+        while True:
+            event = await self.channel.next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise ConnectionGoneError('no answer')
+            headers = tuple(event.headers.raw_items())
+            return AnswerHead(event.status_code, event.reason, headers)
+
+    async def _skip_answer(self) -> None:
+        """Read past an answer that belongs to an earlier request."""
+        while not isinstance(
+            event := await self.channel.next_event(), h11.EndOfMessage
+        ):
+            if not isinstance(event, h11.Data):
+                raise ConnectionGoneError('no answer')
+        rest, has_ended = self.channel.http.trailing_data
+        if has_ended:
+            raise ConnectionGoneError('closed by the server')
+        # h11 expects one answer for a request; a fresh state machine that
+        # believes the request sent reads the next one.
+        fresh = h11.Connection(h11.CLIENT, HEAD_LIMIT_BYTES)
+        fresh.send(self._skipped[0])
+        if fresh.our_state is h11.SEND_BODY:
+            length = _stated_length(self._skipped[0])
+            if length:
+                fresh.send(h11.Data(data=bytes(length)))
+            fresh.send(h11.EndOfMessage())
+        if rest:
+            fresh.receive_data(rest)
+        self.channel.http = fresh
+
+    def _note_head(self, head: AnswerHead) -> None:
+        limit_ms = IDLE_LIMIT_MS
+        stated = KEEP_ALIVE_TIMEOUT.search(head.get(b'keep-alive') or b'')
+        if stated:
+            limit_ms = int(stated.group(1)) * MS_PER_S - IDLE_MARGIN_MS
+        self._idle_limit_ms = limit_ms
+        options = (head.get(b'connection') or b'').lower()
+        self._wants_close = b'close' in options
+
+    def _finish(self) -> None:
+        http = self.channel.http
+        rest, has_ended = http.trailing_data
+        is_done = http.our_state is h11.DONE and http.their_state is h11.DONE
+        if self._wants_close or not is_done or rest or has_ended:
+            return
+        http.start_next_cycle()
+        self.channel.unread_bytes = 0
+        self.idle_until_ms = boottime_ms() + self._idle_limit_ms
+        self._may_be_kept = True
+
+
+class ConnectionPool:
+    """Keeps idle connections to one address."""
+
+    def __init__(self, address: str, most_idle: int = 32) -> None:
+        """Connect to an ``IP:port`` on demand.
+
+        :param most_idle: idle connections that are kept at most.
+        """
+        self.address = address
+        self.opened = 0
+        self._most_idle = most_idle
+        self._idle: collections.deque[ClientConnection] = collections.deque()
+
+    def take_idle(self) -> ClientConnection | None:
+        """Return the most recently used idle connection, if one is usable."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable:
+                return connection
+            connection.close()
+        return None
+
+    async def connect(self, timeout_ms: float) -> ClientConnection:
+        """Open a new connection.
+
+        :raises ExchangeError: at stage ``CONNECTING``.
+        """
+        host, _, port = self.address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                transport, channel = await loop.create_connection(
+                    _client_channel, host, int(port)
+                )
+        except TimeoutError as error:
+            reason = 'no connection in time'
+            raise ExchangeError(Stage.CONNECTING, reason) from error
+        except OSError as error:
+            raise ExchangeError(Stage.CONNECTING, str(error)) from error
+        _limit_silence(transport)
+        return ClientConnection(channel)
+
+    def give_back(self, connection: ClientConnection) -> None:
+        """Keep a connection for later, or close it."""
+        if connection.is_reusable and len(self._idle) < self._most_idle:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+
+async def call(
+    pool: ConnectionPool,
+    head: RequestHead,
+    body: bytes,
+    timeout_ms: float,
+    limit_bytes: int = 16_777_216,
+) -> WholeAnswer:
+    """Send one request and read its whole answer.
+
+    :raises ExchangeError: when no whole answer came.
+    """
+    connection = pool.take_idle()
+    stage = Stage.SENT if connection else Stage.CONNECTING
+    try:
+        async with asyncio.timeout(timeout_ms / MS_PER_S):
+            if connection is None:
+                connection = await pool.connect(timeout_ms)
+                stage = Stage.SENT
+            await connection.send(head, body)
+            answer = await connection.read_head()
+            content = await connection.read_body(limit_bytes)
+    except TimeoutError as error:
+        raise ExchangeError(stage, 'no answer in time') from error
+    finally:
+        if connection is not None:
+            pool.give_back(connection)
+    return WholeAnswer(answer.status, answer.headers, content)
+
+
+def _client_channel() -> Channel:
+    return Channel(h11.CLIENT, HEAD_LIMIT_BYTES)
+
+
+def _limit_silence(transport: asyncio.Transport) -> None:
+    """Let the kernel end connections whose peer has fallen silent."""
+    raw = transport.get_extra_info('socket')
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def _stated_length(request: h11.Request) -> int:
+    for name, text in request.headers:
+        if name == b'content-length':
+            return int(text)
+    return 0
--- /dev/null
+++ b/lagoonflow/http1/server.py
@@ -0,0 +1,301 @@
+"""Serves HTTP/1.1 to callers; one request at a time on a connection."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+import h11
+
+from lagoonflow.clock import MS_PER_S
+from lagoonflow.http1.channel import Channel, ConnectionGoneError
+from lagoonflow.http1.messages import Headers, RequestHead
+
+TIMEOUT_STATUS = 408
+TOO_LARGE_STATUS = 413
+BAD_REQUEST_STATUS = 400
+LISTEN_BACKLOG = 1024
+CLOSE_HEADER = ((b'connection', b'close'),)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """What a caller may send, and how long it may take.
+
+    :param header_timeout_ms: time from the first byte to the whole head.
+    :param idle_timeout_ms: time without a request on an open connection.
+    """
+
+    head_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3000
+    idle_timeout_ms: int = 15_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A whole request of a caller."""
+
+    head: RequestHead
+    body: bytes
+
+
+class _BadRequestError(Exception):
+    """The request is refused before it is handled."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class Reply:
+    """Writes the answer to one request.
+
+    All methods raise ``ConnectionGoneError`` when the caller has left.
+    """
+
+    def __init__(self, channel: Channel, *, closes: bool) -> None:
+        """Answer on a channel.
+
+        :param closes: whether the connection ends after the answer.
+        """
+        self.has_started = False
+        self.is_whole = False
+        self._channel = channel
+        self._closes = closes
+
+    async def start(self, status: int, reason: bytes, headers: Headers) -> None:
+        """Send the head of the answer."""
+        self.has_started = True
+        await self._channel.send(self._head(status, reason, headers))
+
+    async def part(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if data:
+            await self._channel.send(h11.Data(data=data))
+
+    async def end(self) -> None:
+        """Mark the end of the body."""
+        self._channel.write(h11.EndOfMessage())
+        self.is_whole = True
+
+    async def whole(
+        self, status: int, reason: bytes, headers: Headers, body: bytes
+    ) -> None:
+        """Send a whole answer at once."""
+        self.has_started = True
+        length = (b'content-length', str(len(body)).encode())
+        head = self._head(status, reason, (*headers, length))
+        events: list[h11.Event] = [head]
+        if body:
+            events.append(h11.Data(data=body))
+        self._channel.write(*events, h11.EndOfMessage())
+        self.is_whole = True
+
+    def _head(
+        self, status: int, reason: bytes, headers: Headers
+    ) -> h11.Response:
+        extra = CLOSE_HEADER if self._closes else ()
+        return h11.Response(
+            status_code=status, reason=reason, headers=[*headers, *extra]
+        )
+
+
+Handler = Callable[[CallerRequest, Reply], Awaitable[None]]
+Refuse = Callable[[Reply, int, str], Awaitable[None]]
+
+
+class HttpServer:
+    """Accepts connections and runs a handler for each request.
+
+    :param handler: answers a request; cancelled when its caller leaves.
+    :param refuse: answers a request that can't be read.
+    :param limits: read anew for each connection.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        refuse: Refuse,
+        limits: Callable[[], ServerLimits],
+    ) -> None:
+        """Prepare; ``listen`` binds."""
+        self.is_stopping = False
+        self._handler = handler
+        self._refuse = refuse
+        self._limits = limits
+        self._server: asyncio.Server | None = None
+        self._connections: set[_CallerConnection] = set()
+
+    async def listen(self, address: str) -> None:
+        """Bind an ``IP:port``.
+
+        :raises OSError: when the address can't be used.
+        """
+        host, _, port = address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, host, int(port), backlog=LISTEN_BACKLOG
+        )
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket and all connections without a request."""
+        self.is_stopping = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    async def wait_until_closed(self, timeout_ms: float) -> None:
+        """Wait until all connections have ended, or the time is over."""
+        tasks = {one.task for one in self._connections if one.task is not None}
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_ms / MS_PER_S)
+
+    @property
+    def busy_connections(self) -> int:
+        """Connections on which a request is read or handled."""
+        return sum(conn.is_busy for conn in self._connections)
+
+    @property
+    def open_connections(self) -> int:
+        """All connections."""
+        return len(self._connections)
+
+    def _accept(self) -> Channel:
+        connection = _CallerConnection(self, self._limits())
+        self._connections.add(connection)
+        task = asyncio.get_running_loop().create_task(connection.serve())
+        connection.task = task
+        task.add_done_callback(lambda _: self._connections.discard(connection))
+        return connection.channel
+
+    async def handle(self, request: CallerRequest, reply: Reply) -> None:
+        """Run the handler."""
+        await self._handler(request, reply)
+
+    async def refuse(self, reply: Reply, status: int, reason: str) -> None:
+        """Answer a request that can't be read."""
+        await self._refuse(reply, status, reason)
+
+
+class _CallerConnection:
+    """One connection of a caller."""
+
+    def __init__(self, server: HttpServer, limits: ServerLimits) -> None:
+        self.is_busy = False
+        self.task: asyncio.Task[None] | None = None
+        self._server = server
+        self._limits = limits
+        self.channel = Channel(
+            h11.SERVER, limits.head_bytes, self._note_caller_left
+        )
+
+    async def serve(self) -> None:
+        try:
+            await self._serve_requests()
+        except (ConnectionGoneError, asyncio.CancelledError):
+            self.channel.abort()
+        except h11.LocalProtocolError:
+            self.channel.abort()
+            raise
+        finally:
+            self.channel.close()
+
+    def close_if_idle(self) -> None:
+        if not self.is_busy and self.task is not None:
+            self.task.cancel()
+
+    def _note_caller_left(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+
+    async def _serve_requests(self) -> None:
+        while await self._serve_one():
+            self.channel.http.start_next_cycle()
+
+    async def _serve_one(self) -> bool:
+        """Serve one request; tells whether another may follow."""
+        closes = self._server.is_stopping
+        try:
+            request = await self._read_request()
+        except _BadRequestError as error:
+            await self._refuse_unread(error)
+            return False
+        if request is None:
+            return False
+        closes = self._server.is_stopping
+        reply = Reply(self.channel, closes=closes)
+        await self._server.handle(request, reply)
+        if not reply.is_whole:
+            self.channel.abort()
+            return False
+        self.is_busy = False
+        http = self.channel.http
+        return http.our_state is h11.DONE and http.their_state is h11.DONE
+
+    async def _refuse_unread(self, error: _BadRequestError) -> None:
+        reply = Reply(self.channel, closes=True)
+        if self.channel.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            with contextlib.suppress(h11.LocalProtocolError):
+                await self._server.refuse(reply, error.status, str(error))
+
+    async def _read_request(self) -> CallerRequest | None:
+        head = await self._read_head()
+        if head is None:
+            return None
+        stated = head.get(b'content-length')
+        if stated is not None and int(stated) > self._limits.body_bytes:
+            raise _BadRequestError(TOO_LARGE_STATUS, 'body too large')
+        if self.channel.http.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            await self.channel.send(interim)
+        return CallerRequest(head, await self._read_body())
+
+    async def _read_head(self) -> RequestHead | None:
+        idle_s = self._limits.idle_timeout_ms / MS_PER_S
+        try:
+            async with asyncio.timeout(idle_s):
+                await self.channel.wait_for_request()
+        except TimeoutError:
+            return None
+        self.is_busy = True
+        try:
+            async with asyncio.timeout(
+                self._limits.header_timeout_ms / MS_PER_S
+            ):
+                event = await self._next_event()
+        except TimeoutError as error:
+            reason = 'head not received in time'
+            raise _BadRequestError(TIMEOUT_STATUS, reason) from error
+        if not isinstance(event, h11.Request):
+            return None
+        headers = tuple(event.headers.raw_items())
+        return RequestHead(event.method, event.target, headers)
+
+    async def _read_body(self) -> bytes:
+        pieces = bytearray()
+        idle_s = self._limits.idle_timeout_ms / MS_PER_S
+        while True:
+            try:
+                async with asyncio.timeout(idle_s):
+                    event = await self._next_event()
+            except TimeoutError as error:
+                reason = 'body not received in time'
+                raise _BadRequestError(TIMEOUT_STATUS, reason) from error
+            if not isinstance(event, h11.Data):
+                return bytes(pieces)
+            pieces += event.data
+            if len(pieces) > self._limits.body_bytes:
+                raise _BadRequestError(TOO_LARGE_STATUS, 'body too large')
+
+    async def _next_event(self) -> h11.Event | type:
+        try:
+            return await self.channel.next_event()
+        except ConnectionGoneError as error:
+            cause = error.__cause__
+            if isinstance(cause, h11.RemoteProtocolError):
+                raise _BadRequestError(
+                    cause.error_status_hint or BAD_REQUEST_STATUS, str(cause)
+                ) from error
+            raise
--- /dev/null
+++ b/lagoonflow/platform/headers.py
@@ -0,0 +1,164 @@
+"""Headers of callers' requests and of backend servers' answers."""
+
+from lagoonflow.http1.messages import (
+    AnswerHead,
+    Headers,
+    RequestHead,
+    without,
+)
+from lagoonflow.relay.messages import Answer, Call, Load, PromptPart, Target
+
+# Concern one connection only.
+HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    ),
+)
+# Set by the system alone; dropped when a caller sends them.
+OWN_REQUEST_HEADERS = frozenset(
+    (
+        b'authorization',
+        b'tenant',
+        b'expect',
+        b'expect-instance',
+        b'expect-version',
+        b'deadline-ms',
+        b'request-priority',
+        b'hold',
+        b'pin-ms',
+        b'kv-backup',
+        b'kv-fetch',
+        b'kv-from',
+        b'content-length',
+    ),
+)
+KEY_SCHEME = b'token'
+EVENT_STREAM = b'text/event-stream'
+NOT_RUN_STATUS = 421
+RESUME_HEADER = b'last-event-id'
+
+
+def decode_call(head: RequestHead, body: bytes) -> Call:
+    """Decode a caller's request; malformed values count as absent."""
+    host = (head.get(b'host') or b'').decode('latin-1').lower()
+    target = head.target.decode('latin-1')
+    model, _, adapter = _text(head, b'model').partition('/')
+    tokens_in, _, tokens_out = _text(head, b'token-usage').partition(',')
+    return Call(
+        request_id=_text(head, b'attempt-id'),
+        host=host.partition(':')[0],
+        path=target.partition('?')[0],
+        head=head,
+        body=body,
+        key=_key(head.get(b'authorization')),
+        deadline_ms=_number(_text(head, b'deadline-ms')),
+        model=model,
+        adapter=adapter,
+        input_tokens=int(_number(tokens_in) or 0),
+        output_tokens=int(_number(tokens_out) or 0),
+        prompt=_prompt(_text(head, b'prompt-prefix')),
+        resume_after=_text(head, RESUME_HEADER),
+    )
+
+
+def encode_call(call: Call, target: Target) -> RequestHead:
+    """Return the head of a call as one backend server gets it."""
+    dropped = HOP_BY_HOP | OWN_REQUEST_HEADERS | _named_options(call.head)
+    if target.resume_after:
+        dropped |= {RESUME_HEADER}
+    headers = without(call.head.headers, dropped)
+    headers.append((b'Deadline-Ms', str(target.deadline_ms).encode()))
+    headers.append((b'Expect-Instance', target.instance.encode()))
+    if target.organisation:
+        headers.append((b'Tenant', target.organisation.encode()))
+    if target.urgency is not None:
+        headers.append((b'Request-Priority', str(target.urgency).encode()))
+    if target.resume_after:
+        headers.append((b'Last-Event-Id', target.resume_after.encode()))
+    if call.body or _states_body(call.head):
+        headers.append((b'Content-Length', str(len(call.body)).encode()))
+    return RequestHead(call.head.method, call.head.target, tuple(headers))
+
+
+def answers_call(call: Call, head: AnswerHead) -> bool:
+    """Tell whether an answer belongs to a call.
+
+    Rejections and answers of faulty servers may lack the id.
+    """
+    answered_id = head.get(b'attempt-id')
+    return answered_id is None or answered_id == call.request_id.encode()
+
+
+def decode_answer(head: AnswerHead) -> Answer:
+    """Decode the head of a backend server's answer."""
+    content_type = (head.get(b'content-type') or b'').lower()
+    return Answer(
+        head=head,
+        was_not_run=(
+            head.get(b'not-executed') is not None
+            or head.status == NOT_RUN_STATUS
+        ),
+        is_sealed=head.get(b'server-seal') is not None,
+        is_encoded=head.get(b'content-encoding') is not None,
+        is_event_stream=content_type.startswith(EVENT_STREAM),
+        load=_load(head.get(b'instance-load')),
+    )
+
+
+def forwarded_answer_headers(head: AnswerHead) -> Headers:
+    """Return the headers of an answer that the caller gets."""
+    options = _named_options(head)
+    return tuple(without(head.headers, HOP_BY_HOP | options))
+
+
+def _text(head: RequestHead, name: bytes) -> str:
+    return (head.get(name) or b'').decode('latin-1').strip()
+
+
+def _key(authorization: bytes | None) -> str:
+    scheme, _, key = (authorization or b'').strip().partition(b' ')
+    if scheme.lower() != KEY_SCHEME:
+        return ''
+    return key.strip().decode('latin-1')
+
+
+def _number(text: str) -> float | None:
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if 0 <= number < float('inf') else None
+
+
+def _prompt(text: str) -> tuple[PromptPart, ...]:
+    parts: list[PromptPart] = []
+    for item in filter(None, text.split(',')):
+        part_id, _, tokens = item.strip().partition(':')
+        parts.append(PromptPart(part_id, int(_number(tokens) or 0)))
+    return tuple(parts)
+
+
+def _load(raw: bytes | None) -> Load | None:
+    numbers = (raw or b'').split(b',')
+    if len(numbers) != 3 or not all(one.strip().isdigit() for one in numbers):
+        return None
+    return Load(*(int(one) for one in numbers))
+
+
+def _named_options(head: RequestHead | AnswerHead) -> frozenset[bytes]:
+    """Headers that the ``Connection`` header declares hop-by-hop."""
+    named = (head.get(b'connection') or b'').lower().split(b',')
+    return frozenset(option.strip() for option in named if option.strip())
+
+
+def _states_body(head: RequestHead) -> bool:
+    chunked = head.get(b'transfer-encoding') is not None
+    return chunked or head.get(b'content-length') is not None
--- /dev/null
+++ b/lagoonflow/platform/settings.py
@@ -0,0 +1,134 @@
+"""The settings file that the platform writes for each process."""
+
+import dataclasses
+import pathlib
+from collections.abc import Mapping
+
+SETTINGS_VARIABLE = 'LAGOONFLOW_BOOT'
+COMMENT = '#'
+
+
+class PlatformSettingError(Exception):
+    """A field of the settings file is missing or malformed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What a process learns from the settings file.
+
+    :param node: name of this process's host.
+    :param frontend: address for callers; empty when the role has none.
+    :param ready: address for readiness checks; empty when there is none.
+    :param peer_port: port for messages between the system's processes.
+    :param store: address of the metadata store.
+    :param runner: address of the runner on this host; empty elsewhere.
+    :param service: service of that runner.
+    :param change_in_force_ms: time within which a change must be in force.
+    :param withdrawal_ms: time after which a withdrawn key must not work;
+        0 when there is no such bound.
+    :param stop_grace_ms: time from SIGTERM to SIGKILL.
+    :param drain_ms: time in which work for a leaving server must stop.
+    :param repeat_ratio: repeated sends allowed for each request.
+    :param repeat_extra: repeated sends allowed beside, over all routers.
+    :param repeat_window_ms: window in which they are counted.
+    """
+
+    node: str
+    zone: str
+    host: str
+    frontend: str
+    ready: str
+    peer_port: int
+    store: str
+    runner: str
+    service: str
+    change_in_force_ms: int
+    withdrawal_ms: int
+    stop_grace_ms: int
+    drain_ms: int
+    repeat_ratio: float
+    repeat_extra: float
+    repeat_window_ms: int
+    heartbeat_ms: int
+
+
+def read_settings(path: str) -> PlatformSettings:
+    """Read and check the settings file.
+
+    :raises PlatformSettingError: with the field that is wrong.
+    :raises OSError: when the file can't be read.
+    """
+    return parse_settings(pathlib.Path(path).read_text('utf-8'))
+
+
+def parse_settings(text: str) -> PlatformSettings:
+    """Parse lines of the form ``a.b=value``.
+
+    :raises PlatformSettingError: with the field that is wrong.
+    """
+    fields = _Fields(dict(_split_lines(text)))
+    ports = fields.text('internal_ports').split(',')
+    return PlatformSettings(
+        node=fields.text('node_name'),
+        zone=fields.text('zone'),
+        host=fields.text('ip'),
+        frontend=fields.text('listen.frontend', ''),
+        ready=fields.text('listen.ready', ''),
+        peer_port=_whole('internal_ports', ports[0]),
+        store=fields.text('platform.address'),
+        runner=fields.text('app', ''),
+        service=fields.text('service', ''),
+        change_in_force_ms=fields.whole('bounds.config_apply_ms', 2000),
+        withdrawal_ms=_withdrawal_ms(fields),
+        stop_grace_ms=fields.whole('bounds.grace_s', 8) * 1000,
+        drain_ms=fields.whole('bounds.drain_ms', 2000),
+        repeat_ratio=fields.number('bounds.retry_budget_ratio', 0.2),
+        repeat_extra=fields.number('bounds.budget_extra_retries', 20),
+        repeat_window_ms=fields.whole('bounds.budget_window_s', 10) * 1000,
+        heartbeat_ms=fields.whole('heartbeat_ms', 1200),
+    )
+
+
+def _withdrawal_ms(fields: '_Fields') -> int:
+    if fields.text('bounds.revoke_strict', 'false') != 'true':
+        return 0
+    return fields.whole('bounds.revoke_ms', 5000)
+
+
+def _split_lines(text: str):
+    for line in text.splitlines():
+        name, equals, value = line.partition('=')
+        if equals and not name.lstrip().startswith(COMMENT):
+            yield name.strip(), value.strip()
+
+
+class _Fields:
+    """Typed access to the fields of the file."""
+
+    def __init__(self, fields: Mapping[str, str]) -> None:
+        self._fields = fields
+
+    def text(self, name: str, default: str | None = None) -> str:
+        value = self._fields.get(name, default)
+        if value is None:
+            raise PlatformSettingError(f'{name} is missing')
+        return value
+
+    def whole(self, name: str, default: int) -> int:
+        return int(self.number(name, default))
+
+    def number(self, name: str, default: float) -> float:
+        text = self._fields.get(name, '')
+        if not text:
+            return default
+        try:
+            return float(text)
+        except ValueError as error:
+            message = f'{name} is no number: {text!r}'
+            raise PlatformSettingError(message) from error
+
+
+def _whole(name: str, text: str) -> int:
+    if not text.isdecimal():
+        raise PlatformSettingError(f'{name} is no port: {text!r}')
+    return int(text)
--- /dev/null
+++ b/lagoonflow/platform/store.py
@@ -0,0 +1,177 @@
+"""The platform's metadata store: logs and keyed topics over HTTP."""
+
+import base64
+import struct
+import urllib.parse
+
+import msgspec
+
+from lagoonflow.declared.records import (
+    HistoryLost,
+    KeyedRecord,
+    RecordPage,
+    StoreFailure,
+)
+from lagoonflow.http1.client import ConnectionPool, WholeAnswer, call
+from lagoonflow.http1.messages import ExchangeError, Headers, RequestHead
+
+CONFIGURATION_TOPIC = 'keyed.op'
+CONFIGURATION_KEY = 'config'
+SERVERS_TOPIC = 'keyed.servers'
+MEMBERS_TOPIC = 'keyed.lagoonflow-members'
+
+OK = 200
+GONE = 410
+# Beyond the time that a long poll asks for, until it counts as silent.
+POLL_SLACK_MS = 800
+# The store answers in a few ms; a silent one is given up after this time.
+CALL_TIMEOUT_MS = 1500
+READ_BYTES = 1_048_576
+PARTITION = 0
+_PAGE_HEAD = struct.Struct('>QQ')
+_LENGTH = struct.Struct('>I')
+
+
+class _NewestItem(msgspec.Struct):
+    key: str
+    value: str = ''
+
+
+class _NewestBody(msgspec.Struct):
+    items: list[_NewestItem]
+    end_offset: int
+    has_more: bool = False
+
+
+class _AppendBody(msgspec.Struct):
+    offset: int
+
+
+class StoreClient:
+    """Calls the metadata store.
+
+    :param address: ``IP:port`` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Connect on demand."""
+        self._pool = ConnectionPool(address)
+        self._host: Headers = ((b'host', address.encode()),)
+
+    async def newest(self, topic: str) -> RecordPage | StoreFailure:
+        """Return the newest record of each key of a keyed topic."""
+        records: list[KeyedRecord] = []
+        next_offset: int | None = None
+        after = ''
+        while True:
+            target = f'/log-newest?topic={topic}&part={PARTITION}{after}'
+            body = await self._get_json(target, _NewestBody)
+            if isinstance(body, StoreFailure):
+                return body
+            for item in body.items:
+                value = base64.b64decode(item.value) or None
+                records.append(KeyedRecord(item.key, value))
+            if next_offset is None:
+                # Pages are no snapshot: later changes are read again.
+                next_offset = body.end_offset
+            if not body.has_more or not body.items:
+                return RecordPage(tuple(records), next_offset)
+            last_key = urllib.parse.quote(body.items[-1].key, safe='')
+            after = f'&after={last_key}'
+
+    async def read(
+        self, topic: str, offset: int, wait_ms: int
+    ) -> RecordPage | HistoryLost | StoreFailure:
+        """Return the records of a keyed topic from an offset.
+
+        :param wait_ms: how long to wait for the first record.
+        """
+        target = (
+            f'/log-read?topic={topic}&part={PARTITION}&from={offset}'
+            f'&max_size={READ_BYTES}&wait_ms={wait_ms}'
+        )
+        answer = await self._call(b'GET', target, b'', wait_ms + POLL_SLACK_MS)
+        if isinstance(answer, StoreFailure):
+            return answer
+        if answer.status == GONE:
+            return HistoryLost()
+        if answer.status != OK:
+            return StoreFailure(f'status {answer.status}')
+        try:
+            return _decode_page(answer.body, offset)
+        except (struct.error, ValueError) as error:
+            return StoreFailure(f'malformed page: {error}')
+
+    async def append(
+        self, topic: str, key: str, value: bytes
+    ) -> int | StoreFailure:
+        """Append a record to a keyed topic and return its offset."""
+        encoded = key.encode()
+        record = bytes([len(encoded)]) + encoded + value
+        target = f'/log-append?topic={topic}&part={PARTITION}'
+        answer = await self._call(
+            b'POST',
+            target,
+            _LENGTH.pack(len(record)) + record,
+            CALL_TIMEOUT_MS,
+        )
+        if isinstance(answer, StoreFailure):
+            return answer
+        if answer.status != OK:
+            return StoreFailure(f'status {answer.status}')
+        body = _decode_json(answer.body, _AppendBody)
+        return body if isinstance(body, StoreFailure) else body.offset
+
+    async def _get_json(self, target: str, kind: type):
+        answer = await self._call(b'GET', target, b'', CALL_TIMEOUT_MS)
+        if isinstance(answer, StoreFailure):
+            return answer
+        if answer.status != OK:
+            return StoreFailure(f'status {answer.status}')
+        return _decode_json(answer.body, kind)
+
+    async def _call(
+        self, method: bytes, target: str, body: bytes, timeout_ms: float
+    ) -> WholeAnswer | StoreFailure:
+        headers = self._host
+        if method == b'POST':
+            length = (b'content-length', str(len(body)).encode())
+            headers = (*headers, length)
+        head = RequestHead(method, target.encode(), headers)
+        try:
+            return await call(self._pool, head, body, timeout_ms)
+        except ExchangeError as error:
+            return StoreFailure(str(error), may_have_run=method == b'POST')
+
+
+def _decode_json(body: bytes, kind: type):
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        return StoreFailure(f'malformed answer: {error}', may_have_run=True)
+
+
+def _decode_page(body: bytes, offset: int) -> RecordPage:
+    _PAGE_HEAD.unpack_from(body)
+    records: list[KeyedRecord] = []
+    place = _PAGE_HEAD.size
+    next_offset = offset
+    while place + _LENGTH.size <= len(body):
+        (length,) = _LENGTH.unpack_from(body, place)
+        place += _LENGTH.size
+        if place + length > len(body):
+            break
+        next_offset += 1
+        record = _decode_record(body[place : place + length])
+        if record is not None:
+            records.append(record)
+        place += length
+    return RecordPage(tuple(records), next_offset)
+
+
+def _decode_record(raw: bytes) -> KeyedRecord | None:
+    if not raw or len(raw) < 1 + raw[0]:
+        return None
+    key_end = 1 + raw[0]
+    key = raw[1:key_end].decode('utf-8', 'replace')
+    return KeyedRecord(key, raw[key_end:] or None)
--- /dev/null
+++ b/lagoonflow/quotas/shared.py
@@ -0,0 +1,169 @@
+"""One token bucket for the whole fleet, kept by every router.
+
+Routers tell each other what they have charged in total. A router that is not
+heard from is assumed to use its equal share, and assumes the same of the
+others, so that the parts of a split fleet together stay within the rate.
+"""
+
+import dataclasses
+
+MS_PER_S = 1000
+# Reports come several times a second; a peer is silent after this time.
+SILENT_AFTER_MS = 1000
+# Longest time of the full rate that may be owed after late reports, in s.
+MOST_DEBT_S = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limit:
+    """Rate and burst of an organisation over the whole fleet."""
+
+    rate_tokens_per_s: float
+    burst_tokens: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    """What another router has reported.
+
+    :ivar started_ms: start of its process; its totals count from there.
+    """
+
+    heard_at_ms: float
+    started_ms: int
+    charged_tokens: dict[str, float]
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    limit: Limit
+    level_tokens: float
+    advanced_ms: float
+    charged_tokens: float = 0
+
+
+class SharedMeter:
+    """Charges requests against the fleet's buckets.
+
+    :param now_ms: time of the start, on a clock that counts suspended time.
+    """
+
+    def __init__(self, now_ms: float) -> None:
+        """Start with empty buckets, so that a restart grants no burst."""
+        self._started_ms = now_ms
+        self._members: frozenset[str] = frozenset()
+        self._peers: dict[str, _Peer] = {}
+        self._buckets: dict[str, _Bucket] = {}
+
+    def set_members(self, others: frozenset[str]) -> None:
+        """Set which other routers belong to the fleet."""
+        self._members = others
+        for name in list(self._peers):
+            if name not in others:
+                self._peers.pop(name)
+
+    def set_limits(self, limits: dict[str, Limit], now_ms: float) -> None:
+        """Put limits in force; a smaller burst takes effect at once."""
+        for name, limit in limits.items():
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                self._buckets[name] = _Bucket(limit, 0, self._started_ms)
+                continue
+            self._advance(bucket, now_ms)
+            bucket.limit = limit
+            bucket.level_tokens = min(bucket.level_tokens, limit.burst_tokens)
+        for name in list(self._buckets):
+            if name not in limits:
+                self._buckets.pop(name)
+
+    def charge(
+        self, organisation: str, tokens: float, now_ms: float
+    ) -> float | None:
+        """Charge a request; returns ``None`` when it is admitted.
+
+        :returns: the time until it would be admitted, in ms.
+        """
+        bucket = self._buckets.get(organisation)
+        if bucket is None or bucket.limit.rate_tokens_per_s <= 0:
+            return None
+        self._advance(bucket, now_ms)
+        # A request above the burst can only start from a full bucket.
+        needed_tokens = min(tokens, bucket.limit.burst_tokens)
+        missing_tokens = needed_tokens - bucket.level_tokens
+        if missing_tokens > 0:
+            rate_tokens_per_s = bucket.limit.rate_tokens_per_s
+            return missing_tokens / rate_tokens_per_s * MS_PER_S
+        bucket.level_tokens -= tokens
+        bucket.charged_tokens += tokens
+        return None
+
+    def refund(self, organisation: str, tokens: float) -> None:
+        """Give back the charge of a request that was not run."""
+        bucket = self._buckets.get(organisation)
+        if bucket is None:
+            return
+        bucket.charged_tokens -= tokens
+        bucket.level_tokens = min(
+            bucket.level_tokens + tokens, bucket.limit.burst_tokens
+        )
+
+    def totals(self) -> dict[str, float]:
+        """Tokens charged here since the start, for the other routers."""
+        return {
+            name: bucket.charged_tokens
+            for name, bucket in self._buckets.items()
+            if bucket.charged_tokens
+        }
+
+    def hear(
+        self,
+        peer_name: str,
+        started_ms: int,
+        totals: dict[str, float],
+        now_ms: float,
+    ) -> None:
+        """Take the totals of another router."""
+        peer = self._peers.get(peer_name)
+        self._advance_all(now_ms)
+        is_fresh = (
+            peer is not None
+            and peer.started_ms == started_ms
+            and now_ms - peer.heard_at_ms < SILENT_AFTER_MS
+        )
+        if is_fresh:
+            for name, total in totals.items():
+                spent = total - peer.charged_tokens.get(name, 0)
+                self._spend(name, spent)
+        self._peers[peer_name] = _Peer(now_ms, started_ms, dict(totals))
+
+    def silent_peers(self, now_ms: float) -> int:
+        """Count the other routers that were not heard from lately."""
+        heard = sum(
+            now_ms - peer.heard_at_ms < SILENT_AFTER_MS
+            for peer in self._peers.values()
+        )
+        return max(len(self._members) - heard, 0)
+
+    def _spend(self, organisation: str, tokens: float) -> None:
+        bucket = self._buckets.get(organisation)
+        if bucket is None:
+            return
+        least = -bucket.limit.rate_tokens_per_s * MOST_DEBT_S
+        level_tokens = bucket.level_tokens - tokens
+        level_tokens = min(level_tokens, bucket.limit.burst_tokens)
+        bucket.level_tokens = max(level_tokens, least)
+
+    def _advance_all(self, now_ms: float) -> None:
+        for bucket in self._buckets.values():
+            self._advance(bucket, now_ms)
+
+    def _advance(self, bucket: _Bucket, now_ms: float) -> None:
+        elapsed_ms = max(now_ms - bucket.advanced_ms, 0)
+        bucket.advanced_ms = now_ms
+        routers = len(self._members) + 1
+        heard = (routers - self.silent_peers(now_ms)) / routers
+        gained = bucket.limit.rate_tokens_per_s * heard * elapsed_ms / MS_PER_S
+        cap_tokens = bucket.limit.burst_tokens * heard
+        if bucket.level_tokens < cap_tokens:
+            level_tokens = bucket.level_tokens + gained
+            bucket.level_tokens = min(level_tokens, cap_tokens)
--- /dev/null
+++ b/lagoonflow/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relaying callers' requests to backend servers, byte for byte."""
--- /dev/null
+++ b/lagoonflow/relay/events.py
@@ -0,0 +1,64 @@
+"""Splits an event stream into whole events."""
+
+_ENDS = (b'\n\n', b'\r\n\r\n')
+_ID_FIELD = b'id:'
+
+
+class EventSplitter:
+    """Holds back the part of a stream that is no whole event yet.
+
+    :ivar last_id: id of the last whole event; empty before the first.
+    """
+
+    def __init__(self, last_id: str = '') -> None:
+        """Start after an event, or at the beginning."""
+        self.last_id = last_id
+        self._rest = bytearray()
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes after the last whole event."""
+        return bytes(self._rest)
+
+    def take(self, data: bytes) -> bytes:
+        """Take bytes and return the events that they complete.
+
+        Events up to ``last_id`` were delivered before and are left out.
+        """
+        self._rest += data
+        out = bytearray()
+        while (end := _event_end(self._rest)) is not None:
+            event = bytes(self._rest[:end])
+            del self._rest[:end]
+            event_id = _event_id(event)
+            if event_id and not _follows(event_id, self.last_id):
+                continue
+            self.last_id = event_id or self.last_id
+            out += event
+        return bytes(out)
+
+    def drop_rest(self) -> None:
+        """Forget the incomplete event of a broken stream."""
+        self._rest.clear()
+
+
+def _event_end(buffer: bytearray) -> int | None:
+    ends = [
+        place + len(mark) for mark in _ENDS if (place := buffer.find(mark)) >= 0
+    ]
+    return min(ends, default=None)
+
+
+def _event_id(event: bytes) -> str:
+    for line in event.splitlines():
+        if line.startswith(_ID_FIELD):
+            return line[len(_ID_FIELD) :].strip().decode('latin-1')
+    return ''
+
+
+def _follows(event_id: str, last_id: str) -> bool:
+    if not last_id:
+        return True
+    if event_id.isdecimal() and last_id.isdecimal():
+        return int(event_id) > int(last_id)
+    return event_id != last_id
--- /dev/null
+++ b/lagoonflow/relay/journal.py
@@ -0,0 +1,117 @@
+"""One log line and the metrics of each call."""
+
+import dataclasses
+
+import prometheus_client as prometheus
+import structlog
+
+from lagoonflow.backends.choosing import Send, Wake
+from lagoonflow.declared.view import DeclaredView
+from lagoonflow.relay.admission import Ticket
+from lagoonflow.relay.messages import Call
+from lagoonflow.relay.refusals import status_of
+from lagoonflow.results import Refusal
+
+MS_PER_S = 1000
+LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.5, 0.8, 1.5, 2.5, 5, 10, 20)
+
+
+@dataclasses.dataclass(slots=True)
+class CallRecord:
+    """What was decided about one call, in order."""
+
+    call: Call
+    arrived_ms: float
+    ticket: Ticket | None = None
+    outcome: str = 'delivered'
+    refusal: Refusal | None = None
+    steps: list[str] = dataclasses.field(default_factory=list)
+
+    def note_choice(self, choice: Send | Wake, now_ms: float) -> None:
+        """Note a choice with the cost that decided it."""
+        verb = 'send' if isinstance(choice, Send) else 'wake'
+        cost_ms = (
+            choice.cost_ms if isinstance(choice, Send) else choice.ready_in_ms
+        )
+        at_ms = int(now_ms - self.arrived_ms)
+        server = choice.server.instance
+        self.steps.append(f'{at_ms}ms {verb} {server} cost={int(cost_ms)}ms')
+
+    def note_send(self, instance: str, outcome: object, now_ms: float) -> None:
+        """Note how a send ended."""
+        at_ms = int(now_ms - self.arrived_ms)
+        reason = getattr(outcome, 'reason', '')
+        kind = type(outcome).__name__
+        self.steps.append(f'{at_ms}ms {kind} {instance} {reason}'.rstrip())
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Note a refusal."""
+        self.refusal = refusal
+        self.outcome = refusal.code.name
+
+    def finish(self, outcome: str) -> None:
+        """Note another end."""
+        self.outcome = outcome
+
+
+class CallJournal:
+    """Writes one line for each call and counts it."""
+
+    def __init__(self, registry: prometheus.CollectorRegistry) -> None:
+        """Register the metrics."""
+        self._log = structlog.get_logger(part='call')
+        self._calls = prometheus.Counter(
+            'lagoonflow_calls',
+            'Calls by route kind and outcome.',
+            ['kind', 'outcome'],
+            registry=registry,
+        )
+        self._latency = prometheus.Histogram(
+            'lagoonflow_call_seconds',
+            'Time from the whole request to the end of its answer.',
+            ['kind'],
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+
+    def write(
+        self, record: CallRecord, now_ms: float, view: DeclaredView
+    ) -> None:
+        """Write the line of a call that has ended."""
+        ticket = record.ticket
+        kind = 'none' if ticket is None else ticket.route.kind.value
+        took_ms = now_ms - record.arrived_ms
+        self._calls.labels(kind, record.outcome.partition(':')[0]).inc()
+        self._latency.labels(kind).observe(took_ms / MS_PER_S)
+        fields: dict[str, object] = {
+            'request': record.call.request_id,
+            'outcome': record.outcome,
+            'took_ms': int(took_ms),
+            'version': view.version,
+            'proof_age_ms': _age(view, record.arrived_ms),
+            'steps': record.steps,
+        }
+        if record.call.model:
+            fields['model'] = record.call.model
+            fields['adapter'] = record.call.adapter
+        if ticket is not None:
+            fields['route'] = ticket.route.name
+            fields['urgency'] = ticket.urgency
+            if ticket.organisation is not None:
+                fields['organisation'] = ticket.organisation.name
+        if record.refusal is not None:
+            fields['status'] = status_of(record.refusal)[0]
+            fields['reason'] = record.refusal.reason
+            fields['not_run'] = record.refusal.not_run
+            fields['retry_after_ms'] = record.refusal.retry_after_ms
+        self._log.info('ended', **fields)
+
+    def count_unread(self, status: int, reason: str) -> None:
+        """Count a request that could not be read."""
+        self._calls.labels('none', f'unread {status}').inc()
+        self._log.info('request not read', status=status, reason=reason)
+
+
+def _age(view: DeclaredView, now_ms: float) -> int:
+    age_ms = view.age_ms(now_ms)
+    return int(age_ms) if age_ms < float('inf') else -1
--- /dev/null
+++ b/lagoonflow/relay/refusals.py
@@ -0,0 +1,61 @@
+"""How a refusal is told to a caller."""
+
+import msgspec
+
+from lagoonflow.http1.messages import Headers
+from lagoonflow.results import Refusal, Result
+
+MS_PER_S = 1000
+
+_STATUSES = {
+    Result.UNKNOWN_ROUTE: (404, b'Not Found'),
+    Result.KEY_MISSING: (401, b'Unauthorized'),
+    Result.KEY_UNKNOWN: (401, b'Unauthorized'),
+    Result.RATE_EXCEEDED: (429, b'Too Many Requests'),
+    Result.MALFORMED_HEADER: (400, b'Bad Request'),
+    Result.BODY_TOO_LARGE: (413, b'Content Too Large'),
+    Result.HEADERS_TOO_LARGE: (431, b'Request Header Fields Too Large'),
+}
+_NOT_RUN = (503, b'Service Unavailable')
+_TIMED_OUT = (504, b'Gateway Timeout')
+_MAY_HAVE_RUN = (502, b'Bad Gateway')
+
+
+def status_of(refusal: Refusal) -> tuple[int, bytes]:
+    """Return status and reason phrase.
+
+    Only a request that certainly has not run gets a status that says so.
+    """
+    if refusal.code in _STATUSES:
+        return _STATUSES[refusal.code]
+    if refusal.not_run:
+        return _NOT_RUN
+    if refusal.code is Result.DEADLINE_UNREACHABLE:
+        return _TIMED_OUT
+    return _MAY_HAVE_RUN
+
+
+def headers_of(refusal: Refusal, request_id: str) -> Headers:
+    """Return the headers of a refusal."""
+    headers = [
+        (b'Content-Type', b'application/json'),
+        (b'X-Request-Id', request_id.encode('latin-1')),
+    ]
+    if refusal.retry_after_ms > 0 and refusal.not_run:
+        seconds = refusal.retry_after_ms / MS_PER_S
+        headers.append((b'Retry-After', f'{seconds:.3f}'.encode()))
+    return tuple(headers)
+
+
+def body_of(refusal: Refusal) -> bytes:
+    """Return the body of a refusal."""
+    return msgspec.json.encode(
+        {
+            'error': {
+                'code': int(refusal.code),
+                'name': refusal.code.name,
+                'message': refusal.reason,
+                'not_run': refusal.not_run,
+            },
+        },
+    )
--- /dev/null
+++ b/lagoonflow/relay/sending.py
@@ -0,0 +1,299 @@
+"""One send of a call to one backend server."""
+
+import asyncio
+import dataclasses
+
+from lagoonflow.backends.fleet import Fleet
+from lagoonflow.backends.messages import BackendServer
+from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.http1.client import ClientConnection, ConnectionPool
+from lagoonflow.http1.messages import AnswerHead, ExchangeError, Stage
+from lagoonflow.http1.server import Reply
+from lagoonflow.relay.admission import Admission, Ticket
+from lagoonflow.relay.events import EventSplitter
+from lagoonflow.relay.messages import Answer, Target
+from lagoonflow.relay.ports import CallCodec
+from lagoonflow.results import Refusal
+
+# Longest time to open a connection; a host on the same network answers in a
+# few ms, in ms.
+CONNECT_TIMEOUT_MS = 400
+# Answers that are no event stream are read whole up to this length.
+MOST_BODY_BYTES = 16_777_216
+# A resumable stream is continued elsewhere after this silence, in ms.
+STREAM_SILENCE_MS = 1500
+# Statuses that promise that a request has not run; a server's own ones are
+# not passed on unless it states so.
+PROMISES = frozenset((408, 421, 429, 503))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delivered:
+    """The caller has the whole answer."""
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """Nothing reached the server."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The server states that it did not run the request."""
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """The server answered with a failure of its own, which may be passed on."""
+
+    answer: Answer
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """No whole answer came; the request may have run.
+
+    :param has_delivered: whether the caller has a part of the answer.
+    """
+
+    reason: str
+    has_delivered: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withheld:
+    """The call may not run any more."""
+
+    refusal: Refusal
+
+
+Outcome = Delivered | NotSent | NotRun | Failed | Broken | Withheld
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How much of the answer the caller has.
+
+    :ivar events: present once a resumable stream has begun.
+    """
+
+    reply: Reply
+    events: EventSplitter | None = None
+
+    @property
+    def resume_after(self) -> str:
+        """Id of the last event that the caller has."""
+        if self.events is None or not self.reply.has_started:
+            return ''
+        return self.events.last_id
+
+
+class Sender:
+    """Sends calls over kept connections."""
+
+    def __init__(
+        self, fleet: Fleet, admission: Admission, codec: CallCodec
+    ) -> None:
+        """Start without connections."""
+        self.connections_opened = 0
+        self._fleet = fleet
+        self._admission = admission
+        self._codec = codec
+        self._pools: dict[str, ConnectionPool] = {}
+
+    def forget(self, instances: list[str]) -> None:
+        """Close idle connections to servers that are gone."""
+        for instance in instances:
+            pool = self._pools.pop(instance, None)
+            if pool is not None:
+                pool.close()
+
+    async def send(
+        self,
+        ticket: Ticket,
+        server: BackendServer,
+        progress: Progress,
+        answer_timeout_ms: float,
+    ) -> Outcome:
+        """Send a call and pass on its answer.
+
+        :param answer_timeout_ms: time until the answer must begin.
+        """
+        connection = await self._connect(server, ticket)
+        if isinstance(connection, NotSent):
+            return connection
+        name = _full_name(ticket)
+        self._fleet.begin(server.instance, name, boottime_ms())
+        try:
+            return await self._exchange(
+                ticket, server, connection, progress, answer_timeout_ms
+            )
+        except ExchangeError as error:
+            return Broken(str(error), progress.reply.has_started)
+        finally:
+            self._fleet.end(server.instance, name)
+            self._pool(server).give_back(connection)
+
+    async def _connect(
+        self, server: BackendServer, ticket: Ticket
+    ) -> ClientConnection | NotSent:
+        pool = self._pool(server)
+        connection = pool.take_idle()
+        if connection is not None:
+            return connection
+        left_ms = ticket.left_ms(boottime_ms())
+        self.connections_opened += 1
+        try:
+            return await pool.connect(min(CONNECT_TIMEOUT_MS, left_ms))
+        except ExchangeError as error:
+            return NotSent(str(error))
+
+    async def _exchange(
+        self,
+        ticket: Ticket,
+        server: BackendServer,
+        connection: ClientConnection,
+        progress: Progress,
+        answer_timeout_ms: float,
+    ) -> Outcome:
+        now_ms = boottime_ms()
+        refusal = self._admission.recheck(ticket, now_ms)
+        if refusal is not None:
+            return Withheld(refusal)
+        target = _target(ticket, server, progress, now_ms)
+        request = self._codec.encode_call(ticket.call, target)
+        answer = await self._answer(
+            ticket, connection, request, answer_timeout_ms
+        )
+        if answer.load is not None:
+            self._fleet.note_load(server.instance, answer.load, boottime_ms())
+        if answer.was_not_run:
+            await connection.read_body(MOST_BODY_BYTES)
+            return NotRun(answer.head.status)
+        if answer.is_success:
+            if not answer.is_sealed or answer.is_encoded:
+                return Broken("the answer is not the server's own")
+            if answer.is_event_stream:
+                return await self._pass_stream(
+                    ticket, connection, answer, progress, answer_timeout_ms
+                )
+        body = await connection.read_body(MOST_BODY_BYTES)
+        if not answer.is_success:
+            return Failed(answer, body)
+        if progress.reply.has_started:
+            return Broken('the answer does not continue the stream', True)
+        await self.pass_whole(progress.reply, answer, body)
+        return Delivered(answer.head.status)
+
+    async def pass_whole(
+        self, reply: Reply, answer: Answer, body: bytes
+    ) -> None:
+        """Pass a whole answer on to the caller."""
+        head = answer.head
+        headers = self._codec.forwarded_answer_headers(head)
+        headers = tuple(
+            pair for pair in headers if pair[0].lower() != b'content-length'
+        )
+        await reply.whole(head.status, head.reason, headers, body)
+
+    async def _answer(
+        self,
+        ticket: Ticket,
+        connection: ClientConnection,
+        request,
+        timeout_ms: float,
+    ) -> Answer:
+        def is_expected(head: AnswerHead) -> bool:
+            return self._codec.answers_call(ticket.call, head)
+
+        await connection.send(request, ticket.call.body)
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                head = await connection.read_head(is_expected)
+        except TimeoutError as error:
+            raise ExchangeError(Stage.SENT, 'no answer in time') from error
+        return self._codec.decode_answer(head)
+
+    async def _pass_stream(
+        self,
+        ticket: Ticket,
+        connection: ClientConnection,
+        answer: Answer,
+        progress: Progress,
+        first_part_ms: float,
+    ) -> Outcome:
+        reply = progress.reply
+        silence_ms = first_part_ms
+        is_resumable = ticket.route.is_resumable
+        if is_resumable and progress.events is None:
+            progress.events = EventSplitter(ticket.call.resume_after)
+        elif progress.events is not None:
+            progress.events.drop_rest()
+        while True:
+            part = await _next_part(
+                connection, silence_ms if is_resumable else None
+            )
+            if part is None:
+                break
+            silence_ms = STREAM_SILENCE_MS
+            if progress.events is not None:
+                part = progress.events.take(part)
+            if part:
+                await self._start_stream(reply, answer)
+                await reply.part(part)
+        if progress.events is not None:
+            await reply.part(progress.events.rest)
+        await self._start_stream(reply, answer)
+        await reply.end()
+        return Delivered(answer.head.status)
+
+    async def _start_stream(self, reply: Reply, answer: Answer) -> None:
+        if not reply.has_started:
+            head = answer.head
+            headers = self._codec.forwarded_answer_headers(head)
+            await reply.start(head.status, head.reason, headers)
+
+    def _pool(self, server: BackendServer) -> ConnectionPool:
+        pool = self._pools.get(server.instance)
+        if pool is None or pool.address != server.address:
+            pool = ConnectionPool(server.address)
+            self._pools[server.instance] = pool
+        return pool
+
+
+async def _next_part(
+    connection: ClientConnection, silence_ms: float | None
+) -> bytes | None:
+    if silence_ms is None:
+        return await connection.read_part()
+    try:
+        async with asyncio.timeout(silence_ms / MS_PER_S):
+            return await connection.read_part()
+    except TimeoutError as error:
+        reason = 'the stream has fallen silent'
+        raise ExchangeError(Stage.ANSWERING, reason) from error
+
+
+def _target(
+    ticket: Ticket, server: BackendServer, progress: Progress, now_ms: float
+) -> Target:
+    organisation = ticket.organisation
+    return Target(
+        instance=server.instance,
+        organisation='' if organisation is None else organisation.name,
+        deadline_ms=max(int(ticket.left_ms(now_ms)), 1),
+        urgency=min(max(ticket.urgency, 0), 9),
+        resume_after=progress.resume_after,
+    )
+
+
+def _full_name(ticket: Ticket) -> str:
+    call = ticket.call
+    return f'{call.model}/{call.adapter}' if call.adapter else call.model
--- /dev/null
+++ b/lagoonflow/retries/__init__.py
@@ -0,0 +1,1 @@
+"""How often requests may be sent again."""
--- /dev/null
+++ b/lagoonflow/telemetry/stdout.py
@@ -0,0 +1,74 @@
+"""Structured logs on standard output that never block the program."""
+
+import os
+import time
+
+import structlog
+
+# Lines a second above which lines are dropped and counted.
+MOST_LINES_PER_S = 300
+# Lines that may come at once on top of the rate.
+BURST_LINES = 600
+
+
+class BoundedOutput:
+    """A file for log lines with a bounded rate.
+
+    :ivar dropped: lines that were not written.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        """Write to a file descriptor without blocking."""
+        os.set_blocking(descriptor, False)
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._allowance = float(BURST_LINES)
+        self._at_s = time.monotonic()
+
+    def write(self, text: str) -> int:
+        """Write a line, or drop it when the output is slow or flooded."""
+        if not self._may_write():
+            self.dropped += 1
+            return 0
+        try:
+            return os.write(self._descriptor, text.encode())
+        except BlockingIOError:
+            self.dropped += 1
+            return 0
+
+    def flush(self) -> None:
+        """Do nothing: every line is written at once."""
+
+    def _may_write(self) -> bool:
+        now_s = time.monotonic()
+        gained = (now_s - self._at_s) * MOST_LINES_PER_S
+        self._allowance = min(self._allowance + gained, BURST_LINES)
+        self._at_s = now_s
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
+
+
+def configure_output(process: str, descriptor: int = 1) -> BoundedOutput:
+    """Send all logs of this process as JSON lines to a descriptor."""
+    output = BoundedOutput(descriptor)
+
+    def add_process(_logger, _method, event):
+        event['process'] = process
+        event['line_ms'] = time.time_ns() // 1_000_000
+        if output.dropped:
+            event['dropped_lines'] = output.dropped
+        return event
+
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            add_process,
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.WriteLoggerFactory(output),
+        cache_logger_on_first_use=True,
+    )
+    return output
--- /dev/null
+++ b/lagoonflow/waking/__init__.py
@@ -0,0 +1,1 @@
+"""An agent's decisions: which models and adapters its runner holds."""
--- /dev/null
+++ b/lagoonflow/wiring/platform_admin.py
@@ -0,0 +1,50 @@
+"""Readiness and metrics of a process on the platform."""
+
+from collections.abc import Callable
+
+import prometheus_client as prometheus
+
+from lagoonflow.http1.server import (
+    CallerRequest,
+    HttpServer,
+    Reply,
+    ServerLimits,
+)
+
+READY_PATH = b'/readyz'
+METRICS_PATH = b'/metrics'
+_TEXT = ((b'Content-Type', b'text/plain; charset=utf-8'),)
+
+
+class AdminServer:
+    """Answers readiness checks and serves metrics.
+
+    :param is_ready: whether new callers should come here.
+    """
+
+    def __init__(
+        self,
+        registry: prometheus.CollectorRegistry,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        """Prepare; ``http.listen`` binds."""
+        self.http = HttpServer(self._handle, self._refuse, ServerLimits)
+        self._registry = registry
+        self._is_ready = is_ready
+
+    async def _handle(self, request: CallerRequest, reply: Reply) -> None:
+        path = request.head.target.partition(b'?')[0]
+        if path == METRICS_PATH:
+            body = prometheus.generate_latest(self._registry)
+            await reply.whole(200, b'OK', _TEXT, body)
+        elif path == READY_PATH and self._is_ready():
+            await reply.whole(200, b'OK', _TEXT, b'ready\n')
+        elif path == READY_PATH:
+            await reply.whole(
+                503, b'Service Unavailable', _TEXT, b'not ready\n'
+            )
+        else:
+            await reply.whole(404, b'Not Found', _TEXT, b'not found\n')
+
+    async def _refuse(self, reply: Reply, status: int, reason: str) -> None:
+        await reply.whole(status, b'Refused', _TEXT, reason.encode())
--- /dev/null
+++ b/lagoonflow/wiring/platform_agent.py
@@ -0,0 +1,187 @@
+"""Composition root of the agent beside a runner on the platform."""
+
+import asyncio
+import contextlib
+
+import prometheus_client as prometheus
+import structlog
+
+from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.declared.following import TopicFollower
+from lagoonflow.declared.view import DeclaredView
+from lagoonflow.gossip.messages import AgentState, Message, RouterState
+from lagoonflow.gossip.transport import GossipSocket
+from lagoonflow.platform.runner import RunnerClient
+from lagoonflow.platform.settings import PlatformSettings
+from lagoonflow.platform.store import CONFIGURATION_TOPIC, StoreClient
+from lagoonflow.waking.keeper import Keeper
+from lagoonflow.waking.messages import OrderOutcome, Step
+from lagoonflow.wiring.platform_admin import AdminServer
+from lagoonflow.wiring.platform_feeds import ConfigurationFeed
+from lagoonflow.wiring.platform_process import (
+    METRICS_PORT_OFFSET,
+    on_signals,
+    register,
+)
+
+ROLE = 'agent'
+# Agents need the sizes of models only, which change seldom, in ms.
+CONFIGURATION_WAIT_MS = 20_000
+# Time between reports while an order is in progress, in ms.
+ORDERING_MS = 20
+# Time between reports while requests run or wait, in ms.
+BUSY_MS = 100
+# Time between reports of an idle runner, in ms.
+IDLE_MS = 400
+# A changed load is told to routers at most this often, in ms.
+LOAD_CHANGE_MS = 200
+# An unchanged state is repeated this often, in ms.
+REPEAT_MS = 900
+
+
+class PlatformAgent:
+    """An agent: the only one that orders the runner on its host."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        """Wire the parts."""
+        self._settings = settings
+        self._log = structlog.get_logger(part='waking')
+        self._registry = prometheus.CollectorRegistry()
+        self._orders = prometheus.Counter(
+            'lagoonflow_orders',
+            'Orders to the runner by kind and outcome.',
+            ['kind', 'outcome'],
+            registry=self._registry,
+        )
+        self._view = DeclaredView()
+        self._keeper = Keeper(settings.node)
+        self._gossip = GossipSocket(self._receive)
+        self._store = StoreClient(settings.store)
+        self._runner = RunnerClient(settings.runner, settings.node)
+        self._fencing_token = 0
+        self._stop = asyncio.Event()
+        self._wanted = asyncio.Event()
+        self._told: AgentState | None = None
+        self._told_at_ms = 0.0
+
+    async def run(self) -> None:
+        """Keep the runner until SIGTERM."""
+        settings = self._settings
+        on_signals(self._stop)
+        await self._gossip.open(settings.host, settings.peer_port)
+        admin = AdminServer(self._registry, lambda: not self._stop.is_set())
+        port = settings.peer_port + METRICS_PORT_OFFSET
+        await admin.http.listen(f'{settings.host}:{port}')
+        log = structlog.get_logger(part='process')
+        log.info('started', node=settings.node, runner=settings.runner)
+        feed = ConfigurationFeed(self._view, self._apply)
+        follower = TopicFollower(
+            self._store,
+            CONFIGURATION_TOPIC,
+            CONFIGURATION_WAIT_MS,
+            feed.take,
+            feed.fail,
+        )
+        tasks = [
+            asyncio.create_task(follower.run()),
+            asyncio.create_task(self._take_token()),
+            asyncio.create_task(self._keep()),
+        ]
+        await self._stop.wait()
+        for task in tasks:
+            task.cancel()
+        log.info('stopped')
+
+    async def _take_token(self) -> None:
+        self._fencing_token = await register(self._store, self._settings, ROLE)
+        self._keeper.can_order = True
+
+    def _apply(self) -> None:
+        service = self._view.state.services.get(self._settings.service)
+        self._keeper.spec = None if service is None else service.engine
+
+    def _receive(self, message: Message, sender: str) -> None:
+        if not isinstance(message, RouterState):
+            return
+        self._keeper.demand.hear(message, boottime_ms())
+        self._keeper.agents = message.agents
+        if message.wishes:
+            self._wanted.set()
+
+    async def _keep(self) -> None:
+        while True:
+            report = await self._runner.report()
+            now_ms = boottime_ms()
+            if report is not None:
+                self._keeper.take_report(report, now_ms)
+            step = self._keeper.decide(now_ms)
+            if step is not None:
+                await self._order(step)
+            self._tell(boottime_ms())
+            await self._pause(report is not None and report.active > 0)
+
+    async def _order(self, step: Step) -> None:
+        instance = self._keeper.instance
+        sent_at_ms = boottime_ms()
+        outcome = await self._runner.order(step, instance, self._fencing_token)
+        now_ms = boottime_ms()
+        match outcome:
+            case OrderOutcome.ACCEPTED:
+                self._keeper.note_accepted(step, now_ms)
+            case OrderOutcome.UNKNOWN:
+                self._keeper.note_unanswered(step, now_ms)
+        self._orders.labels(step.kind.value, outcome.name).inc()
+        self._log.info(
+            'order',
+            kind=step.kind.value,
+            model=step.model,
+            adapter=step.adapter,
+            cause=step.cause,
+            runner=instance,
+            after_sequence=step.after_sequence,
+            expected_ms=int(step.expected_ms),
+            from_store=step.is_from_store,
+            outcome=outcome.name,
+            took_ms=int(now_ms - sent_at_ms),
+        )
+
+    async def _pause(self, is_busy: bool) -> None:
+        pause_ms = BUSY_MS if is_busy else IDLE_MS
+        if self._keeper.is_ordering or self._keeper.demand.wanted(
+            boottime_ms()
+        ):
+            pause_ms = ORDERING_MS
+        self._wanted.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_ms / MS_PER_S):
+                await self._wanted.wait()
+
+    def _tell(self, now_ms: float) -> None:
+        state = self._keeper.describe(now_ms)
+        age_ms = now_ms - self._told_at_ms
+        is_due = (
+            age_ms >= REPEAT_MS
+            or self._told is None
+            or _is_news(self._told, state)
+            or (age_ms >= LOAD_CHANGE_MS and self._told != state)
+        )
+        if not is_due:
+            return
+        self._told = state
+        self._told_at_ms = now_ms
+        for address in self._keeper.demand.addresses(now_ms):
+            self._gossip.send(state, address)
+
+
+def _is_news(told: AgentState, state: AgentState) -> bool:
+    """Whether requests may wait for what has changed."""
+    before = {(held.name, held.adapters) for held in told.held}
+    after = {(held.name, held.adapters) for held in state.held}
+    return (
+        before != after
+        or told.loading != state.loading
+        or told.unloading != state.unloading
+        or told.denials != state.denials
+        or told.instance != state.instance
+        or told.can_order != state.can_order
+    )
