--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -259,7 +259,7 @@
 
 
 def _spread_ms(model: str, instance: str) -> float:
-    digest = xxhash.xxh3_64_intdigest(f'{model} {instance}')
+    digest = xxhash.xxh3_64_intdigest(f'{model} {instance}'.encode())
     return digest % 1000 / 1000 * SPREAD_MS
 
 
--- a/lagoonflow/declared/view.py
+++ b/lagoonflow/declared/view.py
@@ -84,7 +84,7 @@
     total = sum(max(share.weight, 0) for share in route.shares)
     if total <= 0:
         return None
-    point = xxhash.xxh3_64_intdigest(request_id) % _HUNDRED_MILLION
+    point = xxhash.xxh3_64_intdigest(request_id.encode()) % _HUNDRED_MILLION
     left = point * total / _HUNDRED_MILLION
     for share in route.shares:
         left -= max(share.weight, 0)
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 import h11
+import structlog
 
 from lagoonflow.clock import MS_PER_S
 from lagoonflow.http1.channel import Channel, ConnectionGoneError
@@ -15,6 +16,7 @@
 TOO_LARGE_STATUS = 413
 BAD_REQUEST_STATUS = 400
 LISTEN_BACKLOG = 1024
+_LOG = structlog.get_logger(part='http')
 CLOSE_HEADER = ((b'connection', b'close'),)
 
 
@@ -196,9 +198,9 @@
             await self._serve_requests()
         except (ConnectionGoneError, asyncio.CancelledError):
             self.channel.abort()
-        except h11.LocalProtocolError:
+        except h11.LocalProtocolError as error:
+            _LOG.error('connection ended by a misused protocol', why=str(error))
             self.channel.abort()
-            raise
         finally:
             self.channel.close()
 
--- a/lagoonflow/relay/journal.py
+++ b/lagoonflow/relay/journal.py
@@ -23,7 +23,7 @@
     call: Call
     arrived_ms: float
     ticket: Ticket | None = None
-    outcome: str = 'delivered'
+    outcome: str = 'unfinished'
     refusal: Refusal | None = None
     steps: list[str] = dataclasses.field(default_factory=list)
 
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 
+import structlog
+
 from lagoonflow.backends.choosing import Chooser, Need, Nowhere, Send, Wake
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
@@ -43,6 +45,7 @@
 # Sends that no server ran, for one call.
 MOST_REJECTED_SENDS = 3
 SERVER_ERROR = 500
+_INTERNAL = Refusal(Result.INTERNAL, 'internal error', not_run=False)
 BUSY_RETRY_MS = 400
 
 
@@ -88,6 +91,7 @@
         self._codec = codec
         self._journal = journal
         self._budgets = budgets
+        self._log = structlog.get_logger(part='call')
         self._timers: dict[int, tuple[Ticket, asyncio.Timeout]] = {}
 
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
@@ -101,6 +105,11 @@
             raise
         except ConnectionGoneError:
             record.finish('caller left')
+        except Exception:
+            record.finish('internal error')
+            self._log.exception('call failed', request=call.request_id)
+            if not reply.has_started:
+                await self._refuse(record, reply, _INTERNAL)
         finally:
             self._journal.write(record, boottime_ms(), self._view)
 
@@ -189,6 +198,7 @@
             record.note_send(server.instance, outcome, boottime_ms())
             refusal = self._judge(ticket, server, attempts, outcome)
             if isinstance(outcome, Delivered):
+                record.finish('delivered')
                 return None
             if refusal is not None:
                 return await self._give_up(record, attempts, progress, refusal)
