--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -168,7 +168,9 @@
                 return Send(server, base_ms)
             if state is None or not state.can_order:
                 return None
-            ready_ms = ADAPTER_MS + _denied_ms(state, call)
+            # No order is accepted while another one is carried out.
+            ready_ms = state.order_ready_in_ms + ADAPTER_MS
+            ready_ms += _denied_ms(state, call)
             return Wake(server, base_ms + ready_ms)
         if state is None or not state.can_order:
             return None
--- a/lagoonflow/waking/keeper.py
+++ b/lagoonflow/waking/keeper.py
@@ -34,8 +34,8 @@
 class Keeper:
     """Keeps the account of one runner and chooses its orders.
 
-    The runner carries out one order for a model at a time. Adapters are
-    loaded beside it.
+    The runner carries out one order for a model at a time and rejects all
+    others meanwhile, those for adapters too.
     """
 
     def __init__(self, agent: str) -> None:
@@ -113,9 +113,11 @@
         report, spec = self._report, self.spec
         if report is None or spec is None or not self._may_order(now_ms):
             return None
+        if report.is_busy or self._running is not None:
+            return None
         wanted = self.demand.wanted(now_ms)
         step = self._adapter_step(spec, report, wanted, now_ms)
-        if step is not None or report.is_busy or self._running is not None:
+        if step is not None:
             return step
         for wish in wanted:
             step = self._model_step(spec, report, wish, now_ms)
--- /dev/null
+++ b/tests/waking/builders.py
@@ -0,0 +1,78 @@
+"""Short constructors of what agents hear."""
+
+from lagoonflow.backends.messages import HeldModel, RunnerReport
+from lagoonflow.declared.messages import EngineSpec, Model
+from lagoonflow.gossip.messages import RouterState, Wish
+from lagoonflow.waking.keeper import Keeper
+
+NOW_MS = 100_000.0
+INSTANCE = 'i-1'
+STARTED_MS = 7
+
+
+def model(name: str, weights_mb: float = 60_000) -> Model:
+    return Model(name, weights_mb, 500, 700, 6000, adapters=4, adapter_mb=66)
+
+
+def spec(weights_mb: float = 140_000, adapter_slots: int = 8) -> EngineSpec:
+    models = {name: model(name) for name in ('m1', 'm2', 'm3', 'm4')}
+    return EngineSpec(models, 64, 250_000, weights_mb, adapter_slots, 2)
+
+
+def report(
+    *held: HeldModel,
+    busy: bool = False,
+    sequence: int = 3,
+    pending: tuple[str, ...] = (),
+    on_disk: tuple[str, ...] = ('m1', 'm2', 'm3', 'm4'),
+    started_ms: int = STARTED_MS,
+) -> RunnerReport:
+    return RunnerReport(
+        started_ms=started_ms,
+        models=held,
+        is_busy=busy,
+        order_sequence=sequence,
+        queued=0,
+        active=0,
+        cache_used_tokens=0,
+        cache_total_tokens=250_000,
+        pending_adapters=frozenset(pending),
+        on_disk=frozenset(on_disk),
+    )
+
+
+def held(name: str, *adapters: str) -> HeldModel:
+    return HeldModel(name, 1, frozenset(adapters))
+
+
+def wish(name: str, adapter: str = '', waiting: int = 1) -> Wish:
+    return Wish(name, adapter, waiting, 1, 5000)
+
+
+def router(
+    *wishes: Wish,
+    name: str = 'r1',
+    running: dict[str, int] | None = None,
+    demand: dict[str, float] | None = None,
+    agents: int = 1,
+) -> RouterState:
+    return RouterState(
+        name,
+        '10.0.0.1:7600',
+        1,
+        INSTANCE,
+        STARTED_MS,
+        wishes,
+        running or {},
+        demand or {},
+        agents=agents,
+    )
+
+
+def keeper(*states: RouterState, now_ms: float = NOW_MS) -> Keeper:
+    made = Keeper('agent-1')
+    made.spec = spec()
+    made.can_order = True
+    for state in states:
+        made.demand.hear(state, now_ms)
+    return made
--- /dev/null
+++ b/tests/waking/test_keeper.py
@@ -0,0 +1,115 @@
+"""Which order a runner gets next."""
+
+from lagoonflow.waking.messages import StepKind
+from tests.waking.builders import (
+    NOW_MS,
+    held,
+    keeper,
+    report,
+    router,
+    wish,
+)
+
+
+def decide(made, account, now_ms=NOW_MS):
+    made.take_report(account, now_ms)
+    return made.decide(now_ms)
+
+
+def test_loads_a_wanted_model_into_free_memory():
+    step = decide(keeper(router(wish('m2'))), report(held('m1')))
+    assert (step.kind, step.model, step.after_sequence) == (
+        StepKind.LOAD,
+        'm2',
+        3,
+    )
+    assert not step.is_from_store
+
+
+def test_orders_nothing_without_a_registered_instance():
+    made = keeper()
+    assert decide(made, report(held('m1'))) is None
+
+
+def test_orders_nothing_for_another_start_of_the_runner():
+    made = keeper(router(wish('m2')))
+    assert decide(made, report(held('m1'), started_ms=8)) is None
+
+
+def test_orders_nothing_on_an_old_report():
+    made = keeper(router(wish('m2')))
+    made.take_report(report(held('m1')), NOW_MS - 5000)
+    assert made.decide(NOW_MS) is None
+
+
+def test_makes_way_with_the_least_demanded_idle_model():
+    made = keeper(router(wish('m3'), demand={'m1': 2.0, 'm2': 0.1}))
+    account = report(held('m1'), held('m2'))
+    made.take_report(account, NOW_MS - 700)
+    step = decide(made, account)
+    assert (step.kind, step.model) == (StepKind.UNLOAD, 'm2')
+
+
+def test_does_not_drop_a_model_with_running_requests():
+    made = keeper(router(wish('m3'), running={'m1': 1, 'm2/a1': 2}))
+    account = report(held('m1'), held('m2', 'a1'))
+    made.take_report(account, NOW_MS - 700)
+    assert decide(made, account) is None
+    denials = made.describe(NOW_MS).denials
+    assert [denial.model for denial in denials] == ['m3']
+
+
+def test_gives_a_fresh_model_time_to_serve():
+    made = keeper(router(wish('m3')))
+    account = report(held('m1'), held('m2'))
+    assert decide(made, account) is None
+
+
+def test_loads_an_adapter_of_a_held_model():
+    step = decide(keeper(router(wish('m1', 'a2'))), report(held('m1')))
+    assert (step.kind, step.model, step.adapter) == (
+        StepKind.LOAD,
+        'm1',
+        'a2',
+    )
+
+
+def test_orders_no_adapter_while_a_model_is_loaded():
+    # The runner answers every order with a conflict until it is done.
+    made = keeper(router(wish('m1', 'a2')))
+    assert decide(made, report(held('m1'), busy=True)) is None
+
+
+def test_makes_way_for_an_adapter_with_the_least_used_idle_one():
+    adapters = tuple(f'a{number}' for number in range(8))
+    made = keeper(router(wish('m1', 'a9'), running={'m1/a0': 1}))
+    step = decide(made, report(held('m1', *adapters)))
+    assert step.kind is StepKind.UNLOAD
+    assert step.adapter not in {'', 'a0'}
+
+
+def test_keeps_to_its_part_of_the_store_loads():
+    made = keeper(router(wish('m2'), wish('m3'), agents=4))
+    account = report(on_disk=())
+    first = decide(made, account)
+    assert first.is_from_store
+    made.note_accepted(first, NOW_MS)
+    later = report(held('m2'), sequence=4, on_disk=('m2',))
+    assert decide(made, later, NOW_MS + 1000) is None
+
+
+def test_keeps_room_for_a_load_without_an_answer():
+    made = keeper(router(wish('m2')))
+    account = report(held('m1'), sequence=0)
+    step = decide(made, account)
+    made.note_unanswered(step, NOW_MS)
+    assert made.describe(NOW_MS).free_mb == 140_000 - 2 * 60_000
+
+
+def test_forgets_an_order_once_the_runner_shows_it_done():
+    made = keeper(router(wish('m2')))
+    step = decide(made, report(held('m1')))
+    made.note_accepted(step, NOW_MS)
+    assert made.describe(NOW_MS).loading == 'm2'
+    made.take_report(report(held('m1'), held('m2'), sequence=4), NOW_MS + 500)
+    assert not made.describe(NOW_MS + 500).loading
