Load a model that lies nowhere at one runner of the fleet, also ahead

The store carries 4 loads at once, and each blocks its runner's orders for 6 s. Change: requests join a load that is coming; a fixed assignment and turns for what lies nowhere; idle agents fetch ahead, making way with rare models only.

--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -9,7 +9,8 @@
 from lagoonflow.declared.messages import EngineSpec, Service
 from lagoonflow.gossip.messages import AgentState, HeldState
 from lagoonflow.relay.messages import Call
-from lagoonflow.waking.keeper import load_time_ms
+from lagoonflow.waking.copies import load_time_ms
+from lagoonflow.waking.store_loads import assign, missing_models
 
 # Cost of reading one prompt token, in ms; from the engines' stated rate of
 # 38.4 tokens a ms.
@@ -38,6 +39,8 @@
 SPREAD_MS = 60
 # A wake that was asked for is kept to against small differences, in ms.
 ASKED_MS = 400
+# A load from the store may wait for others before it begins.
+STORE_QUEUE_FACTOR = 1.3
 # Another replica is woken when it saves at least this much, in ms.
 WAKE_GAIN_MS = 300
 
@@ -52,10 +55,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wake:
-    """Wait for a model or an adapter that a runner is told to load."""
+    """Wait for a model or an adapter that a runner is told to load.
+
+    :param is_coming: its agent has taken the wish up.
+    """
 
     server: BackendServer
     ready_in_ms: float
+    is_coming: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,13 +141,15 @@
         servers: list[BackendServer],
         now_ms: float,
     ) -> Choice:
+        states = self._states(servers, now_ms)
+        places = self._wake_places(need.call.model, engine, states)
         sends: list[Send] = []
         wakes: list[Wake] = []
         for server in servers:
             choice = self._weigh(need, engine, server, now_ms)
             if isinstance(choice, Send):
                 sends.append(choice)
-            elif choice is not None:
+            elif choice is not None and server.instance in places:
                 wakes.append(choice)
         send = min(sends, key=_send_rank, default=None)
         wake = min(wakes, key=_wake_rank, default=None)
@@ -152,6 +161,51 @@
             return send
         return wake
 
+    def _states(
+        self, servers: list[BackendServer], now_ms: float
+    ) -> dict[str, AgentState]:
+        """States of the agents that can order their runner."""
+        states = {
+            server.instance: self._fleet.agent(server, now_ms)
+            for server in servers
+        }
+        return {
+            instance: state
+            for instance, state in states.items()
+            if state is not None and state.can_order
+        }
+
+    def _wake_places(
+        self, model: str, engine: EngineSpec, states: dict[str, AgentState]
+    ) -> set[str]:
+        """Return the runners among which a model may be woken.
+
+        Requests join a load that is coming. Else runners with a copy go
+        before the weight store, and one runner is determined for a model
+        that lies nowhere.
+        """
+        holders = {
+            instance
+            for instance, state in states.items()
+            if _find(state.held, model) is not None
+        }
+        coming = {
+            instance
+            for instance, state in states.items()
+            if state.loading == model or model in state.planned
+        }
+        if coming and not holders:
+            return coming
+        with_copy = {
+            instance
+            for instance, state in states.items()
+            if model in state.in_memory or model in state.on_disk
+        }
+        if with_copy or holders:
+            return with_copy | holders | coming
+        assigned = assign(missing_models(engine, states), states)
+        return {assigned[model]} if model in assigned else set(states)
+
     def _weigh(
         self,
         need: Need,
@@ -180,7 +234,8 @@
         denied_ms = _denied_ms(state, call)
         spread_ms = _spread_ms(call.model, server.instance)
         total_ms = base_ms + wake_ms + denied_ms + spread_ms
-        return Wake(server, total_ms)
+        is_coming = state.loading == call.model or call.model in state.planned
+        return Wake(server, total_ms, is_coming)
 
     def _wake_cost_ms(
         self, name: str, engine: EngineSpec, state: AgentState
@@ -188,7 +243,9 @@
         model = engine.models[name]
         if state.loading == name:
             return state.order_ready_in_ms
-        load_ms, _ = load_time_ms(model, state)
+        load_ms, is_from_store = load_time_ms(model, state)
+        if is_from_store and not state.store_wait_ms:
+            load_ms *= STORE_QUEUE_FACTOR
         wait_ms = state.order_ready_in_ms + ORDER_MS
         for planned in state.planned:
             if planned == name:
--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -36,6 +36,9 @@
     :param demand_per_s: this router's requests by model, smoothed, divided
         by the runners that hold it.
     :param agents: agents that share the weight store's loads.
+    :param may_use_store: a load from the weight store may begin.
+    :param to_fetch: models that lie nowhere and fall to this agent.
+    :param spare: held models that may make way for them.
     """
 
     router: str
@@ -48,6 +51,9 @@
     demand_per_s: dict[str, float] = {}
     is_leaving: bool = False
     agents: int = 1
+    may_use_store: bool = False
+    to_fetch: tuple[str, ...] = ()
+    spare: tuple[str, ...] = ()
 
 
 class HeldState(msgspec.Struct, array_like=True, frozen=True):
@@ -77,6 +83,8 @@
 
     :param order_ready_in_ms: time until the order in progress is done.
     :param planned: models that will be loaded, in order.
+    :param is_from_store: the load in progress is one from the weight store.
+    :param store_wait_ms: how long requests have waited for one.
     """
 
     agent: str
@@ -95,6 +103,8 @@
     in_memory: tuple[str, ...] = ()
     on_disk: tuple[str, ...] = ()
     can_order: bool = False
+    is_from_store: bool = False
+    store_wait_ms: int = 0
 
 
 class MeterState(_Message):
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -313,7 +313,7 @@
                         asked = server.instance
                         asked_until_ms = now_ms + ready_in_ms + WAKE_SLACK_MS
                         record.note_choice(choice, now_ms)
-                    elif now_ms > asked_until_ms:
+                    elif now_ms > asked_until_ms and not choice.is_coming:
                         attempts.excluded.add(server.instance)
                     if self.wishes.put(ticket, server.instance):
                         self.wish_changed.set()
--- a/lagoonflow/waking/demand.py
+++ b/lagoonflow/waking/demand.py
@@ -70,6 +70,13 @@
         ]
         return sorted(found, key=lambda one: (one.since_ms, one.model))
 
+    def newest(self, now_ms: float) -> RouterState | None:
+        """Return what was heard last."""
+        heard = max(
+            self._recent(now_ms), key=lambda one: one.at_ms, default=None
+        )
+        return None if heard is None else heard.state
+
     def running(self, now_ms: float) -> collections.Counter[str]:
         """Requests at the runner by model, as the routers know them."""
         counts: collections.Counter[str] = collections.Counter()
--- a/lagoonflow/waking/keeper.py
+++ b/lagoonflow/waking/keeper.py
@@ -6,6 +6,7 @@
 from lagoonflow.backends.messages import HeldModel, RunnerReport
 from lagoonflow.declared.messages import EngineSpec, Model
 from lagoonflow.gossip.messages import AgentState, Denial, HeldState
+from lagoonflow.waking.copies import load_time_ms
 from lagoonflow.waking.demand import Demand, Wanted
 from lagoonflow.waking.ledger import Ledger, held_mb
 from lagoonflow.waking.messages import Step, StepKind
@@ -81,6 +82,8 @@
         """Note that the runner carries out an order."""
         if not step.adapter:
             self._running = _Running(step, now_ms)
+        if step.is_from_store:
+            self._store_load_at_ms = now_ms
 
     def note_unanswered(self, step: Step, now_ms: float) -> None:
         """Note that an order may be carried out late."""
@@ -123,7 +126,7 @@
             step = self._model_step(spec, report, wish, now_ms)
             if step is not None:
                 return step
-        return None
+        return self._fetch_step(spec, report, now_ms)
 
     def describe(self, now_ms: float) -> AgentState:
         """Return what routers should know."""
@@ -172,12 +175,28 @@
             in_memory=tuple(sorted(report.in_memory)),
             on_disk=tuple(sorted(report.on_disk)),
             can_order=self._may_order(now_ms) and self.spec is not None,
+            is_from_store=running is not None and running.step.is_from_store,
+            store_wait_ms=self._store_wait_ms(now_ms),
         )
 
     def _may_order(self, now_ms: float) -> bool:
         is_fresh = now_ms - self._report_at_ms < REPORT_FRESH_MS
         return self.can_order and is_fresh and bool(self.instance)
 
+    def _store_wait_ms(self, now_ms: float) -> int:
+        report, spec = self._report, self.spec
+        held = {one.name for one in report.models}
+        waits = [
+            int(now_ms - wish.since_ms) + 1
+            for wish in self.demand.wanted(now_ms)
+            if spec is not None
+            and wish.model in spec.models
+            and wish.model not in held
+            and load_time_ms(spec.models[wish.model], report)[1]
+        ]
+        is_loading = self._running is not None
+        return 0 if is_loading else max(waits, default=0)
+
     def _settle_running(self, report: RunnerReport, now_ms: float) -> None:
         running = self._running
         if running is None:
@@ -298,23 +317,13 @@
         if declared is None or declared.weights_mb > spec.weights_mb:
             self._deny(wish)
             return None
-        load_ms, is_from_store = load_time_ms(declared, report)
+        _, is_from_store = load_time_ms(declared, report)
         if is_from_store and not self._may_use_store(spec, now_ms):
-            self._deny(wish)
             return None
         free_mb = self._ledger.free_mb(spec, report, now_ms)
         if free_mb >= declared.weights_mb:
-            if is_from_store:
-                self._store_load_at_ms = now_ms
-            return Step(
-                StepKind.LOAD,
-                wish.model,
-                '',
-                report.order_sequence,
-                f'{wish.waiting} requests wait',
-                load_ms,
-                is_from_store,
-            )
+            cause = f'{wish.waiting} requests wait'
+            return self._load_step(declared, report, cause)
         victim = self._victim(spec, report, declared, free_mb, now_ms)
         if victim is None:
             self._deny(wish)
@@ -327,6 +336,51 @@
             f'makes way for {wish.model}',
         )
 
+    def _fetch_step(
+        self, spec: EngineSpec, report: RunnerReport, now_ms: float
+    ) -> Step | None:
+        """Load a model ahead that lies on no runner."""
+        told = self.demand.newest(now_ms)
+        if told is None or not self._may_use_store(spec, now_ms):
+            return None
+        for name in told.to_fetch:
+            declared = spec.models.get(name)
+            if declared is None or not load_time_ms(declared, report)[1]:
+                continue
+            free_mb = self._ledger.free_mb(spec, report, now_ms)
+            if free_mb >= declared.weights_mb:
+                cause = 'no runner has a copy'
+                return self._load_step(declared, report, cause)
+            spare = [
+                held
+                for held in self._droppable(report, now_ms)
+                if held.name in told.spare
+            ]
+            spare_mb = sum(held_mb(spec, held) for held in spare)
+            if free_mb + spare_mb >= declared.weights_mb:
+                return Step(
+                    StepKind.UNLOAD,
+                    spare[0].name,
+                    '',
+                    report.order_sequence,
+                    f'makes way for {name}, fetched ahead',
+                )
+        return None
+
+    def _load_step(
+        self, model: Model, report: RunnerReport, cause: str
+    ) -> Step:
+        load_ms, is_from_store = load_time_ms(model, report)
+        return Step(
+            StepKind.LOAD,
+            model.name,
+            '',
+            report.order_sequence,
+            cause,
+            load_ms,
+            is_from_store,
+        )
+
     def _victim(
         self,
         spec: EngineSpec,
@@ -370,21 +424,13 @@
         )
 
     def _may_use_store(self, spec: EngineSpec, now_ms: float) -> bool:
-        """Keep to this runner's part of the store's loads."""
+        """Keep to the order of the fleet and to this runner's part."""
+        told = self.demand.newest(now_ms)
+        if told is None or not told.may_use_store:
+            return False
         pause_ms = 1000 * self.agents / max(spec.store_loads_per_s, 0.01)
         return now_ms - self._store_load_at_ms >= pause_ms
 
     def _deny(self, wish: Wanted) -> None:
         denial = Denial(wish.model, wish.adapter, DENIAL_RETRY_MS)
         self._denials[(wish.model, wish.adapter)] = denial
-
-
-def load_time_ms(
-    model: Model, copies: RunnerReport | AgentState
-) -> tuple[float, bool]:
-    """Return how long a load takes, and whether it uses the store."""
-    if model.name in copies.in_memory:
-        return model.memory_load_ms, False
-    if model.name in copies.on_disk:
-        return model.disk_load_ms, False
-    return model.store_load_ms, True
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -19,6 +19,7 @@
     Message,
     MeterState,
     RouterState,
+    Wish,
 )
 from lagoonflow.gossip.transport import GossipSocket
 from lagoonflow.http1.server import HttpServer, ServerLimits
@@ -35,6 +36,7 @@
 from lagoonflow.relay.journal import CallJournal
 from lagoonflow.relay.sending import Sender
 from lagoonflow.relay.serving import Budgets, CallService
+from lagoonflow.waking.store_loads import StorePlan, plan_all
 from lagoonflow.wiring.platform_admin import AdminServer
 from lagoonflow.wiring.platform_feeds import (
     ConfigurationFeed,
@@ -55,6 +57,8 @@
 MEMBERS_WAIT_MS = 20_000
 # Time between looks at what must be told to agents and routers, in ms.
 TICK_MS = 50
+# Loads from the weight store are planned anew this often, in ms.
+PLAN_MS = 200
 # Changed facts are told to an agent at most this often, in ms.
 AGENT_CHANGE_MS = 150
 # Unchanged facts are repeated to an agent this often, in ms.
@@ -110,6 +114,8 @@
         self._store = StoreClient(settings.store)
         self._stop = asyncio.Event()
         self._told: dict[str, tuple[float, RouterState]] = {}
+        self._plans: dict[str, StorePlan] = {}
+        self._planned_at_ms = 0.0
         self._told_meter_ms = 0.0
         self._told_totals: dict[str, float] = {}
 
@@ -224,10 +230,9 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TICK_MS / MS_PER_S):
                     await wish_changed.wait()
-            is_urgent = wish_changed.is_set()
             wish_changed.clear()
             now_ms = boottime_ms()
-            self._tell_agents(now_ms, is_urgent=is_urgent)
+            self._tell_agents(now_ms)
             self._tell_routers(now_ms)
             self._apply_expired(now_ms)
 
@@ -235,7 +240,7 @@
         if self._fleet.roster.has_due(now_ms):
             self._apply_servers()
 
-    def _tell_agents(self, now_ms: float, *, is_urgent: bool) -> None:
+    def _tell_agents(self, now_ms: float) -> None:
         state = self._view.state
         if state is None:
             return
@@ -246,8 +251,28 @@
             and state.services[server.service].engine is not None
         ]
         demand = self._demand(runners, now_ms)
+        if now_ms - self._planned_at_ms >= PLAN_MS:
+            self._planned_at_ms = now_ms
+            self._plan_store_loads(runners, demand, now_ms)
         for server in runners:
-            self._tell_agent(server, len(runners), demand, now_ms, is_urgent)
+            self._tell_agent(server, len(runners), demand, now_ms)
+
+    def _plan_store_loads(
+        self,
+        runners: list[BackendServer],
+        demand: dict[str, float],
+        now_ms: float,
+    ) -> None:
+        states: dict[str, dict[str, AgentState]] = {}
+        for server in runners:
+            agent = self._fleet.agent(server, now_ms)
+            if agent is not None and agent.can_order:
+                of_service = states.setdefault(server.service, {})
+                of_service[server.instance] = agent
+        self._plans.clear()
+        for service, of_service in states.items():
+            engine = self._view.state.services[service].engine
+            self._plans.update(plan_all(engine, of_service, demand))
 
     def _demand(
         self, runners: list[BackendServer], now_ms: float
@@ -268,18 +293,19 @@
         agents: int,
         demand: dict[str, float],
         now_ms: float,
-        is_urgent: bool,
     ) -> None:
+        store_plan = self._plans.get(server.instance, StorePlan())
         told_at_ms, told = self._told.get(server.instance, (0.0, None))
         wishes = self._calls.wishes.at(server.instance, now_ms)
         running = self._fleet.running(server.instance)
         age_ms = now_ms - told_at_ms
-        has_news = told is None or wishes or running != told.running
-        is_new_wish = told is None or len(wishes) > len(told.wishes)
         is_due = (
-            age_ms >= AGENT_REPEAT_MS
-            or (has_news and age_ms >= AGENT_CHANGE_MS)
-            or (is_urgent and wishes and is_new_wish)
+            told is None
+            or age_ms >= AGENT_REPEAT_MS
+            or _wish_names(wishes) != _wish_names(told.wishes)
+            or store_plan.may_load != told.may_use_store
+            or (age_ms >= AGENT_CHANGE_MS and wishes)
+            or (age_ms >= AGENT_CHANGE_MS and running != told.running)
         )
         if not is_due:
             return
@@ -295,6 +321,9 @@
             demand_per_s=demand,
             is_leaving=False,
             agents=agents,
+            may_use_store=store_plan.may_load,
+            to_fetch=store_plan.to_fetch,
+            spare=store_plan.spare,
         )
         self._told[server.instance] = (now_ms, message)
         self._gossip.send(message, f'{server.host}:{settings.peer_port}')
@@ -318,3 +347,7 @@
         self._budgets.set_routers(len(present) + 1)
         for member in present:
             self._gossip.send(message, member.address)
+
+
+def _wish_names(wishes: tuple[Wish, ...]) -> set[tuple[str, str]]:
+    return {(wish.model, wish.adapter) for wish in wishes}
--- a/tests/waking/builders.py
+++ b/tests/waking/builders.py
@@ -55,6 +55,9 @@
     running: dict[str, int] | None = None,
     demand: dict[str, float] | None = None,
     agents: int = 1,
+    may_use_store: bool = True,
+    to_fetch: tuple[str, ...] = (),
+    spare: tuple[str, ...] = (),
 ) -> RouterState:
     return RouterState(
         name,
@@ -66,6 +69,9 @@
         running or {},
         demand or {},
         agents=agents,
+        may_use_store=may_use_store,
+        to_fetch=to_fetch,
+        spare=spare,
     )
 
 
--- a/tests/waking/test_keeper.py
+++ b/tests/waking/test_keeper.py
@@ -113,3 +113,27 @@
     assert made.describe(NOW_MS).loading == 'm2'
     made.take_report(report(held('m1'), held('m2'), sequence=4), NOW_MS + 500)
     assert not made.describe(NOW_MS + 500).loading
+
+
+def test_waits_for_its_turn_at_the_store():
+    made = keeper(router(wish('m2'), may_use_store=False))
+    assert decide(made, report(on_disk=())) is None
+    made.take_report(report(on_disk=()), NOW_MS + 300)
+    assert made.describe(NOW_MS + 300).store_wait_ms == 301
+
+
+def test_fetches_ahead_what_lies_nowhere():
+    made = keeper(router(to_fetch=('m4',)))
+    step = decide(made, report(held('m1'), on_disk=('m1',)))
+    assert (step.kind, step.model) == (StepKind.LOAD, 'm4')
+
+
+def test_fetching_ahead_displaces_spare_models_only():
+    made = keeper(router(to_fetch=('m4',), spare=('m2',)))
+    account = report(held('m1'), held('m2'), on_disk=('m1', 'm2'))
+    made.take_report(account, NOW_MS - 700)
+    step = decide(made, account)
+    assert (step.kind, step.model) == (StepKind.UNLOAD, 'm2')
+    nothing_spare = keeper(router(to_fetch=('m4',)))
+    nothing_spare.take_report(account, NOW_MS - 700)
+    assert decide(nothing_spare, account) is None
