--- a/lagoonflow/backends/health.py
+++ b/lagoonflow/backends/health.py
@@ -10,7 +10,7 @@
 SMOOTHING = 0.15
 # A server that fails more often than this is used only when others are not
 # there.
-FAILING_RATE = 0.25
+FAILING_RATE = 0.4
 # Time after which the failure rate is halved without answers, in ms.
 FORGET_MS = 3000
 
@@ -36,11 +36,15 @@
         self.avoided_until_ms = 0
         self.failure_rate *= 1 - SMOOTHING
 
-    def fail(self, now_ms: float) -> None:
-        """Note a failed request; avoids the server for a growing time."""
+    def note_failure(self, now_ms: float) -> None:
+        """Note an answer that states a failure."""
         self._decay(now_ms)
-        self.failures_in_row += 1
         self.failure_rate += SMOOTHING * (1 - self.failure_rate)
+
+    def fail(self, now_ms: float) -> None:
+        """Note a request without an answer; avoids the server for a while."""
+        self.note_failure(now_ms)
+        self.failures_in_row += 1
         doublings = min(self.failures_in_row - 1, 10)
         penalty_ms = min(FIRST_PENALTY_MS * 2**doublings, LONGEST_PENALTY_MS)
         self.avoided_until_ms = now_ms + penalty_ms
--- a/lagoonflow/declared/messages.py
+++ b/lagoonflow/declared/messages.py
@@ -29,6 +29,8 @@
     :param target_latency_ms: time in which an answer is on time.
     :param urgency: 0 is the most urgent.
     :param most_sends: backend servers that one request may run on.
+    :param gap_target_ms: longest pause between events of a stream that is on
+        time; 0 when unstated.
     :param is_resumable: whether a stream may continue elsewhere.
     :param carries_prompt: whether requests state the parts of a prompt.
     """
@@ -45,6 +47,7 @@
     is_public: bool = False
     is_resumable: bool = False
     carries_prompt: bool = False
+    gap_target_ms: int = 0
 
     @property
     def is_repeatable(self) -> bool:
--- a/lagoonflow/platform/configuration.py
+++ b/lagoonflow/platform/configuration.py
@@ -46,6 +46,8 @@
     # Requests state the parts of their prompt.
     sticky: bool = False
     resumable: bool = False
+    # Longest pause between events that is still on time.
+    gap_target_ms: float = 0
 
 
 class _Model(msgspec.Struct):
@@ -151,6 +153,7 @@
         is_public=route.public,
         is_resumable=route.resumable,
         carries_prompt=route.sticky,
+        gap_target_ms=int(route.gap_target_ms),
     )
 
 
--- a/lagoonflow/quotas/shared.py
+++ b/lagoonflow/quotas/shared.py
@@ -76,26 +76,33 @@
             if name not in limits:
                 self._buckets.pop(name)
 
-    def charge(
-        self, organisation: str, tokens: float, now_ms: float
-    ) -> float | None:
-        """Charge a request; returns ``None`` when it is admitted.
+    def wait_ms(self, organisation: str, tokens: float, now_ms: float) -> float:
+        """Return the time until a request would be within the rate.
 
-        :returns: the time until it would be admitted, in ms.
+        Requests that were charged before and wait go first.
         """
         bucket = self._buckets.get(organisation)
         if bucket is None or bucket.limit.rate_tokens_per_s <= 0:
-            return None
+            return 0
         self._advance(bucket, now_ms)
         # A request above the burst can only start from a full bucket.
         needed_tokens = min(tokens, bucket.limit.burst_tokens)
-        missing_tokens = needed_tokens - bucket.level_tokens
-        if missing_tokens > 0:
-            rate_tokens_per_s = bucket.limit.rate_tokens_per_s
-            return missing_tokens / rate_tokens_per_s * MS_PER_S
+        missing_tokens = max(needed_tokens - bucket.level_tokens, 0)
+        return missing_tokens / bucket.limit.rate_tokens_per_s * MS_PER_S
+
+    def charge(self, organisation: str, tokens: float, now_ms: float) -> None:
+        """Charge a request; it may not run before ``wait_ms`` is over."""
+        bucket = self._buckets.get(organisation)
+        if bucket is None or bucket.limit.rate_tokens_per_s <= 0:
+            return
+        self._advance(bucket, now_ms)
         bucket.level_tokens -= tokens
         bucket.charged_tokens += tokens
-        return None
+
+    def level(self, organisation: str) -> float:
+        """Tokens in a bucket; 0 when there is none."""
+        bucket = self._buckets.get(organisation)
+        return 0 if bucket is None else bucket.level_tokens
 
     def refund(self, organisation: str, tokens: float) -> None:
         """Give back the charge of a request that was not run."""
--- a/lagoonflow/relay/admission.py
+++ b/lagoonflow/relay/admission.py
@@ -2,7 +2,12 @@
 
 import dataclasses
 
-from lagoonflow.declared.messages import Organisation, Route, Service
+from lagoonflow.declared.messages import (
+    Organisation,
+    Route,
+    RouteKind,
+    Service,
+)
 from lagoonflow.declared.view import DeclaredView, pick_service
 from lagoonflow.quotas.shared import SharedMeter
 from lagoonflow.relay.messages import Call
@@ -13,6 +18,14 @@
 PROOF_MARGIN_MS = 500
 # When to come back to a router that has no current configuration, in ms.
 UNCURRENT_RETRY_MS = 500
+# A caller of a stream leaves when nothing comes for the longest of these:
+# a fixed time in ms, and multiples of the route's targets.
+STREAM_PATIENCE_MS = 2000
+PATIENCE_TARGETS = 4
+PATIENCE_GAPS = 8
+# Part of the target latency that a call may wait for its organisation's
+# tokens and still be on time.
+QUOTA_WAIT_PART = 0.5
 # Time that a caller waits when neither it nor the route says so, in ms.
 DEFAULT_TIMEOUT_MS = 30_000
 
@@ -22,6 +35,8 @@
     """A call that was taken.
 
     :ivar limit_ms: when its answer must be complete.
+    :ivar begin_limit_ms: when its answer must have begun.
+    :ivar start_at_ms: when its organisation's rate lets it start.
     :ivar charged_tokens: what its organisation was charged.
     """
 
@@ -31,7 +46,8 @@
     organisation: Organisation | None
     arrived_ms: float
     limit_ms: float
-    deadline_at_ms: float
+    begin_limit_ms: float
+    start_at_ms: float
     charged_tokens: float
 
     @property
@@ -42,6 +58,10 @@
             return organisation.urgency
         return self.route.urgency
 
+    def begin_left_ms(self, now_ms: float) -> float:
+        """Time until the answer must have begun."""
+        return min(self.begin_limit_ms, self.limit_ms) - now_ms
+
     def left_ms(self, now_ms: float) -> float:
         """Time until the answer must be complete."""
         return self.limit_ms - now_ms
@@ -128,30 +148,56 @@
         organisation: Organisation | None,
         now_ms: float,
     ) -> Ticket | Refusal:
-        tokens = 0.0
-        if organisation is not None:
-            tokens = _charge_of(call, organisation)
-            wait_ms = self._meter.charge(organisation.name, tokens, now_ms)
-            if wait_ms is not None:
-                return Refusal(
-                    Result.RATE_EXCEEDED,
-                    'the organisation has used its rate',
-                    retry_after_ms=int(wait_ms) + 1,
-                )
         wait_ms = call.deadline_ms
         if wait_ms is None:
             wait_ms = route.timeout_ms or DEFAULT_TIMEOUT_MS
         limit_ms = min(wait_ms, route.timeout_ms or wait_ms)
-        return Ticket(
+        ticket = Ticket(
             call,
             route,
             service,
             organisation,
             arrived_ms=now_ms,
             limit_ms=now_ms + limit_ms,
-            deadline_at_ms=now_ms + wait_ms,
-            charged_tokens=tokens,
+            begin_limit_ms=now_ms + min(_patience_ms(route), limit_ms),
+            start_at_ms=now_ms,
+            charged_tokens=0,
         )
+        if organisation is not None:
+            return self._charge_ticket(ticket, organisation, now_ms)
+        return ticket
+
+    def _charge_ticket(
+        self, ticket: Ticket, organisation: Organisation, now_ms: float
+    ) -> Ticket | Refusal:
+        """Charge a call, which may have to wait for its tokens a little."""
+        tokens = _charge_of(ticket.call, organisation)
+        name = organisation.name
+        wait_ms = self._meter.wait_ms(name, tokens, now_ms)
+        if wait_ms > ticket.route.target_latency_ms * QUOTA_WAIT_PART:
+            level_tokens = self._meter.level(name)
+            return Refusal(
+                Result.RATE_EXCEEDED,
+                f'{name} has {int(level_tokens)} tokens left of'
+                f' {int(organisation.burst_tokens)},'
+                f' and {int(tokens)} are needed',
+                retry_after_ms=int(wait_ms) + 1,
+            )
+        self._meter.charge(name, tokens, now_ms)
+        ticket.charged_tokens = tokens
+        ticket.start_at_ms = now_ms + wait_ms
+        return ticket
+
+
+def _patience_ms(route: Route) -> float:
+    """How long a caller waits for the beginning of an answer."""
+    if route.kind is not RouteKind.STREAM:
+        return float('inf')
+    return max(
+        STREAM_PATIENCE_MS,
+        route.target_latency_ms * PATIENCE_TARGETS,
+        route.gap_target_ms * PATIENCE_GAPS,
+    )
 
 
 def _charge_of(call: Call, organisation: Organisation) -> float:
--- a/lagoonflow/waking/keeper.py
+++ b/lagoonflow/waking/keeper.py
@@ -10,6 +10,7 @@
 from lagoonflow.waking.demand import Demand, Wanted
 from lagoonflow.waking.ledger import Ledger, held_mb
 from lagoonflow.waking.messages import Step, StepKind
+from lagoonflow.waking.store_loads import SPARE_RATE_PER_S
 
 # A report older than this says nothing about room, in ms.
 REPORT_FRESH_MS = 800
@@ -18,6 +19,8 @@
 SETTLE_MS = 600
 # Adapters on their way to one runner at the same time, as the platform allows.
 MOST_PENDING_ADAPTERS = 4
+# Demand that was seen for this long tells which models are rare, in ms.
+KNOWN_DEMAND_MS = 8000
 # A wish that can't be met now is worth asking again after this time, in ms.
 DENIAL_RETRY_MS = 500
 # An accepted order shows in the report after this time at the latest, in ms.
@@ -53,6 +56,7 @@
         self._held_since_ms: dict[str, float] = {}
         self._used_at_ms: dict[tuple[str, str], float] = {}
         self._store_load_at_ms = float('-inf')
+        self._demand_since_ms = float('inf')
         self._denials: dict[tuple[str, str], Denial] = {}
 
     # What is known.
@@ -354,7 +358,7 @@
             spare = [
                 held
                 for held in self._droppable(report, now_ms)
-                if held.name in told.spare
+                if held.name in told.spare and self._is_spare(held, now_ms)
             ]
             spare_mb = sum(held_mb(spec, held) for held in spare)
             if free_mb + spare_mb >= declared.weights_mb:
@@ -367,6 +371,17 @@
                 )
         return None
 
+    def _is_spare(self, held: HeldModel, now_ms: float) -> bool:
+        """Whether a model is not missed while a load from the store runs."""
+        if self._running_on(held.name, now_ms):
+            return False
+        rates = self.demand.rates(now_ms)
+        if not rates:
+            return True
+        self._demand_since_ms = min(self._demand_since_ms, now_ms)
+        is_known = now_ms - self._demand_since_ms >= KNOWN_DEMAND_MS
+        return is_known and rates.get(held.name, 0) < SPARE_RATE_PER_S
+
     def _load_step(
         self, model: Model, report: RunnerReport, cause: str
     ) -> Step:
@@ -405,17 +420,17 @@
         self, report: RunnerReport, now_ms: float
     ) -> Iterator[HeldModel]:
         wishes = {wish.model for wish in self.demand.wanted(now_ms)}
-        idle = [
+        settled = [
             held
             for held in report.models
             if held.name not in wishes
-            and not self._running_on(held.name, now_ms)
             and now_ms - self._held_since_ms.get(held.name, 0) >= SETTLE_MS
         ]
         return iter(
             sorted(
-                idle,
+                settled,
                 key=lambda held: (
+                    self._running_on(held.name, now_ms) > 0,
                     self._keep_value(held.name, now_ms),
                     self._used_at_ms.get((held.name, ''), 0),
                     held.name,
