--- /dev/null
+++ b/tests/http1/test_server.py
@@ -0,0 +1,125 @@
+"""Serving callers: limits, early leavers, stopping."""
+
+import asyncio
+
+import pytest
+
+from lagoonflow.http1.server import HttpServer, ServerLimits
+
+GET = b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n'
+LIMITS = ServerLimits(
+    head_bytes=400,
+    body_bytes=10,
+    header_timeout_ms=80,
+    idle_timeout_ms=200,
+)
+
+
+class Harness:
+    """A server whose handler is given by the test."""
+
+    def __init__(self, handler) -> None:
+        self.server = HttpServer(handler, self._refuse, lambda: LIMITS)
+        self.refused: list[int] = []
+
+    async def _refuse(self, reply, status, reason) -> None:
+        self.refused.append(status)
+        await reply.whole(status, b'Refused', (), b'')
+
+    async def connect(self):
+        await self.server.listen('127.0.0.1:0')
+        port = self.server._server.sockets[0].getsockname()[1]
+        return await asyncio.open_connection('127.0.0.1', port)
+
+
+async def answer(_request, reply) -> None:
+    await reply.whole(200, b'OK', (), b'fine')
+
+
+async def test_serves_many_requests_on_a_connection():
+    reader, writer = await Harness(answer).connect()
+    for _ in range(3):
+        writer.write(GET)
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 200')
+        assert await reader.readexactly(4) == b'fine'
+
+
+async def test_serves_pipelined_requests_in_order():
+    reader, writer = await Harness(answer).connect()
+    writer.write(GET + GET)
+    for _ in range(2):
+        await reader.readuntil(b'\r\n\r\n')
+        assert await reader.readexactly(4) == b'fine'
+
+
+async def test_cancels_the_handler_when_the_caller_leaves():
+    left = asyncio.Event()
+
+    async def wait(_request, _reply) -> None:
+        try:
+            await asyncio.sleep(10)
+        finally:
+            left.set()
+
+    _, writer = await Harness(wait).connect()
+    writer.write(GET)
+    await asyncio.sleep(0.05)
+    writer.close()
+    await asyncio.wait_for(left.wait(), 1)
+
+
+async def test_an_unfinished_answer_does_not_look_whole():
+    async def begin(_request, reply) -> None:
+        await reply.start(200, b'OK', ())
+        await reply.part(b'half')
+
+    reader, writer = await Harness(begin).connect()
+    writer.write(GET)
+    with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+        raw = await reader.read()
+        assert not raw.endswith(b'0\r\n\r\n')
+        raise asyncio.IncompleteReadError(raw, None)
+
+
+@pytest.mark.parametrize(
+    ('raw', 'status'),
+    [
+        (b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n', 413),
+        (b'GET / HTTP/1.1\r\nHost: h\r\nX: ' + b'x' * 500, 431),
+        (b'GET / HTTP/1.1\r\n', 408),
+        (b'GET / HTTP/1.1\r\n\r\n', 400),
+        (b'nonsense\r\n\r\n', 400),
+    ],
+)
+async def test_refuses_what_breaks_a_limit(raw, status):
+    harness = Harness(answer)
+    reader, writer = await harness.connect()
+    writer.write(raw)
+    line = await asyncio.wait_for(reader.readline(), 1)
+    assert f' {status} '.encode() in line
+    assert harness.refused == [status]
+
+
+async def test_closes_an_idle_connection():
+    reader, _writer = await Harness(answer).connect()
+    assert await asyncio.wait_for(reader.read(), 1) == b''
+
+
+async def test_a_stopping_server_finishes_and_closes():
+    release = asyncio.Event()
+
+    async def wait(_request, reply) -> None:
+        await release.wait()
+        await reply.whole(200, b'OK', (), b'late')
+
+    harness = Harness(wait)
+    reader, writer = await harness.connect()
+    writer.write(GET)
+    await asyncio.sleep(0.05)
+    harness.server.stop_accepting()
+    release.set()
+    raw = await asyncio.wait_for(reader.read(), 1)
+    assert raw.endswith(b'late')
+    await harness.server.wait_until_closed(500)
+    assert harness.server.open_connections == 0
--- /dev/null
+++ b/tests/quotas/test_shared.py
@@ -0,0 +1,128 @@
+"""The fleet's token buckets."""
+
+import random
+
+import pytest
+
+from lagoonflow.quotas.shared import SILENT_AFTER_MS, Limit, SharedMeter
+
+ORG = 'water'
+LIMIT = Limit(rate_tokens_per_s=100, burst_tokens=500)
+FULL_MS = 5000
+
+
+def meter(others=(), limit=LIMIT, now_ms=0):
+    made = SharedMeter(now_ms)
+    made.set_members(frozenset(others))
+    made.set_limits({ORG: limit}, now_ms)
+    return made
+
+
+def test_starts_empty_and_accrues():
+    one = meter()
+    assert one.wait_ms(ORG, 100, 0) == 1000
+    assert one.wait_ms(ORG, 100, 1000) == 0
+
+
+def test_a_waiting_request_is_charged_at_once():
+    one = meter()
+    one.wait_ms(ORG, 500, FULL_MS)
+    one.charge(ORG, 500, FULL_MS)
+    one.charge(ORG, 50, FULL_MS)
+    assert one.wait_ms(ORG, 50, FULL_MS) == 1000
+
+
+def test_a_request_above_the_burst_starts_from_a_full_bucket():
+    one = meter()
+    assert one.wait_ms(ORG, 900, FULL_MS) == 0
+    one.charge(ORG, 900, FULL_MS)
+    assert one.level(ORG) == -400
+
+
+def test_charges_of_others_count():
+    one = meter(['r2'])
+    one.hear('r2', 1, {ORG: 1000}, 0)
+    for now_ms in range(0, FULL_MS + 1, 500):
+        one.hear('r2', 1, {ORG: 1000}, now_ms)
+    assert one.wait_ms(ORG, 500, FULL_MS) == 0
+    one.hear('r2', 1, {ORG: 1400}, FULL_MS)
+    assert one.level(ORG) == 100
+
+
+def test_a_restarted_router_counts_from_zero():
+    one = meter(['r2'])
+    for now_ms in range(0, FULL_MS + 1, 500):
+        one.hear('r2', 1, {ORG: 1000}, now_ms)
+    one.hear('r2', 2, {ORG: 10}, FULL_MS)
+    assert one.level(ORG) == 500
+
+
+def test_silent_routers_keep_their_share():
+    one = meter(['r2', 'r3', 'r4'])
+    later_ms = 100_000 + SILENT_AFTER_MS
+    one.wait_ms(ORG, 1, later_ms)
+    assert one.level(ORG) == pytest.approx(500 / 4)
+
+
+def test_a_lower_limit_binds_at_once():
+    one = meter()
+    one.wait_ms(ORG, 1, FULL_MS)
+    one.set_limits({ORG: Limit(10, 50)}, FULL_MS)
+    assert one.level(ORG) == 50
+
+
+def test_a_refund_does_not_pass_the_burst():
+    one = meter()
+    one.wait_ms(ORG, 1, FULL_MS)
+    one.charge(ORG, 100, FULL_MS)
+    one.wait_ms(ORG, 1, FULL_MS + 900)
+    one.refund(ORG, 100)
+    assert one.level(ORG) == 500
+
+
+def test_no_limit_means_no_wait():
+    one = meter(limit=Limit(0, 0))
+    one.charge(ORG, 10**9, 0)
+    assert one.wait_ms(ORG, 10**9, 0) == 0
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_split_routers_together_keep_to_the_rate(seed):
+    """Admitted tokens stay within rate and burst, split or not."""
+    rng = random.Random(seed)
+    names = ['r1', 'r2', 'r3', 'r4']
+    routers = {
+        name: meter([other for other in names if other != name])
+        for name in names
+    }
+    admitted: list[tuple[int, float]] = []
+    split = {name: rng.random() < 0.5 for name in names}
+    split_ms = (10_000, 10_000 + rng.randrange(2000, 15_000))
+    for now_ms in range(0, 40_000, 50):
+        is_split = split_ms[0] <= now_ms < split_ms[1]
+        if now_ms % 200 == 0:
+            for sender in names:
+                for receiver in names:
+                    parted = is_split and split[sender] != split[receiver]
+                    if sender != receiver and not parted:
+                        routers[receiver].hear(
+                            sender, 1, routers[sender].totals(), now_ms
+                        )
+        for name in names:
+            tokens = rng.choice((5, 20, 60))
+            if rng.random() < 0.3 and not routers[name].wait_ms(
+                ORG, tokens, now_ms
+            ):
+                routers[name].charge(ORG, tokens, now_ms)
+                admitted.append((now_ms, tokens))
+    window_ms = 8000
+    # What four routers can admit before they hear of each other.
+    slack = 4 * 60 * 2 + LIMIT.burst_tokens
+    bound = LIMIT.rate_tokens_per_s * 8 + LIMIT.burst_tokens + slack
+    for start_ms in range(0, 32_000, 1000):
+        total = sum(
+            tokens
+            for at_ms, tokens in admitted
+            if start_ms <= at_ms < start_ms + window_ms
+        )
+        assert total <= bound
