--- a/lagoonflow/declared/messages.py
+++ b/lagoonflow/declared/messages.py
@@ -90,7 +90,7 @@
     slots: int
     cache_tokens: int
     weights_mb: float
-    adapter_slots: int
+    adapter_places: int
     store_loads_per_s: float
 
 
--- a/lagoonflow/platform/runner.py
+++ b/lagoonflow/platform/runner.py
@@ -69,16 +69,16 @@
             return None
 
     async def order(
-        self, step: Step, instance: str, fencing_token: int
+        self, step: Step, instance: str, fence: int
     ) -> OrderOutcome:
         """Give an order to one start of the runner.
 
         :param instance: identity of that start; others reject the order.
-        :param fencing_token: never lower than one used before.
+        :param fence: fencing token; never lower than one used before.
         """
         fields = _order_fields(step)
         fields['holder'] = self._holder
-        fields['fencing_token'] = fencing_token
+        fields['fencing_token'] = fence
         body = msgspec.json.encode(fields)
         headers = [
             (b'host', self._address),
--- a/lagoonflow/wiring/platform_agent.py
+++ b/lagoonflow/wiring/platform_agent.py
@@ -58,7 +58,7 @@
         self._gossip = GossipSocket(self._receive)
         self._store = StoreClient(settings.store)
         self._runner = RunnerClient(settings.runner, settings.node)
-        self._fencing_token = 0
+        self._fence = 0
         self._stop = asyncio.Event()
         self._wanted = asyncio.Event()
         self._told: AgentState | None = None
@@ -93,7 +93,7 @@
         log.info('stopped')
 
     async def _take_token(self) -> None:
-        self._fencing_token = await register(self._store, self._settings, ROLE)
+        self._fence = await register(self._store, self._settings, ROLE)
         self._keeper.can_order = True
 
     def _apply(self) -> None:
@@ -123,7 +123,7 @@
     async def _order(self, step: Step) -> None:
         instance = self._keeper.instance
         sent_at_ms = boottime_ms()
-        outcome = await self._runner.order(step, instance, self._fencing_token)
+        outcome = await self._runner.order(step, instance, self._fence)
         now_ms = boottime_ms()
         match outcome:
             case OrderOutcome.ACCEPTED:
--- /dev/null
+++ b/tests/backends/test_choosing.py
@@ -0,0 +1,156 @@
+"""Where a request goes, and where its model is woken."""
+
+from lagoonflow.backends.choosing import Chooser, Need, Nowhere, Send, Wake
+from lagoonflow.backends.fleet import Fleet
+from lagoonflow.backends.messages import BackendServer
+from lagoonflow.declared.messages import Service
+from lagoonflow.gossip.messages import AgentState, Denial, HeldState
+from lagoonflow.http1.messages import RequestHead
+from lagoonflow.relay.messages import Call, PromptPart
+from tests.waking.builders import spec
+
+NOW_MS = 50_000.0
+ENGINE = Service('llm', 100, spec())
+PLAIN = Service('app', 100)
+HEAD = RequestHead(b'POST', b'/', ())
+
+
+def call(model='m1', adapter='', prompt=()):
+    return Call(
+        'a1', 'h', '/', HEAD, b'', model=model, adapter=adapter, prompt=prompt
+    )
+
+
+def agent(instance, *held, **fields):
+    return AgentState(
+        agent=instance,
+        instance=instance,
+        runner_started_ms=1,
+        held=held,
+        can_order=True,
+        **fields,
+    )
+
+
+def world(*agents, service='llm', zones=()):
+    fleet = Fleet()
+    for place, state in enumerate(agents):
+        zone = zones[place] if zones else 'z'
+        address = f'10.0.0.{place}:80'
+        server = BackendServer(
+            state.instance, service, address, zone, 8, started_ms=1
+        )
+        fleet.roster.put(server, NOW_MS)
+        if service == 'llm':
+            fleet.hear(state, NOW_MS)
+    return fleet
+
+
+def choose(fleet, one=None, service=ENGINE, **terms):
+    need = Need(one or call(), service, **terms)
+    return Chooser(fleet, 'z').choose(need, NOW_MS)
+
+
+def test_sends_to_a_runner_that_holds_the_model():
+    choice = choose(world(agent('i-a'), agent('i-b', HeldState('m1'))))
+    assert isinstance(choice, Send)
+    assert choice.server.instance == 'i-b'
+
+
+def test_prefers_the_runner_that_has_read_the_prompt():
+    fleet = world(agent('i-a', HeldState('m1')), agent('i-b', HeldState('m1')))
+    fleet.remember_prompt('i-b', ['m1//p1'])
+    one = call(prompt=(PromptPart('p1', 6000), PromptPart('p2', 500)))
+    assert choose(fleet, one).server.instance == 'i-b'
+
+
+def test_prefers_the_less_loaded_runner():
+    fleet = world(
+        agent('i-a', HeldState('m1'), active=40),
+        agent('i-b', HeldState('m1'), active=2),
+    )
+    assert choose(fleet).server.instance == 'i-b'
+
+
+def test_wakes_a_model_where_a_copy_lies():
+    fleet = world(
+        agent('i-a', free_mb=90_000),
+        agent('i-b', free_mb=90_000, on_disk=('m1',)),
+    )
+    choice = choose(fleet)
+    assert isinstance(choice, Wake)
+    assert choice.server.instance == 'i-b'
+
+
+def test_joins_a_load_that_is_coming():
+    fleet = world(
+        agent('i-a', free_mb=90_000, in_memory=('m1',)),
+        agent('i-b', loading='m1', order_ready_in_ms=900),
+    )
+    choice = choose(fleet)
+    assert choice.server.instance == 'i-b'
+    assert choice.is_coming
+
+
+def test_all_routers_choose_one_runner_for_a_model_that_lies_nowhere():
+    agents = [agent(f'i-{one}', free_mb=90_000) for one in range(4)]
+    first = choose(world(*agents)).server.instance
+    second = choose(world(*reversed(agents))).server.instance
+    assert first == second
+
+
+def test_does_not_displace_what_is_in_demand_when_it_can_be_avoided():
+    fleet = world(
+        agent('i-a', HeldState('m2', keep_value=3.0), on_disk=('m1',)),
+        agent('i-b', HeldState('m2', keep_value=0.1), on_disk=('m1',)),
+    )
+    assert choose(fleet).server.instance == 'i-b'
+
+
+def test_waits_for_an_adapter_at_a_runner_that_holds_the_model():
+    choice = choose(world(agent('i-a', HeldState('m1'))), call(adapter='a1'))
+    assert isinstance(choice, Wake)
+    ready = world(agent('i-a', HeldState('m1', ('a1',))))
+    assert isinstance(choose(ready, call(adapter='a1')), Send)
+
+
+def test_a_denied_wish_goes_elsewhere():
+    denial = Denial('m1', '', 500)
+    fleet = world(
+        agent('i-a', in_memory=('m1',), free_mb=90_000, denials=(denial,)),
+        agent('i-b', on_disk=('m1',), free_mb=90_000),
+    )
+    assert choose(fleet).server.instance == 'i-b'
+
+
+def test_another_replica_is_woken_when_the_holder_is_overloaded():
+    fleet = world(
+        agent('i-a', HeldState('m1'), active=64, queued=60),
+        agent('i-b', in_memory=('m1',), free_mb=90_000),
+    )
+    choice = choose(fleet)
+    assert isinstance(choice, Wake)
+    assert choice.server.instance == 'i-b'
+
+
+def test_without_servers_or_declaration_there_is_no_place():
+    assert isinstance(choose(world()), Nowhere)
+    held = world(agent('i-a', HeldState('m1')))
+    assert isinstance(choose(held, call('unknown')), Nowhere)
+    excluded = choose(held, excluded=frozenset(['i-a']))
+    assert isinstance(excluded, Nowhere)
+
+
+def test_a_plain_service_is_chosen_by_load_and_zone():
+    fleet = world(agent('i-a'), agent('i-b'), service='app', zones=('far', 'z'))
+    assert choose(fleet, call(''), PLAIN).server.instance == 'i-b'
+    for _ in range(6):
+        fleet.begin('i-b', '', NOW_MS)
+    assert choose(fleet, call(''), PLAIN).server.instance == 'i-a'
+
+
+def test_a_server_that_failed_is_the_last_choice():
+    fleet = world(agent('i-a'), agent('i-b'), service='app')
+    first = choose(fleet, call(''), PLAIN).server.instance
+    fleet.health(first).fail(NOW_MS)
+    assert choose(fleet, call(''), PLAIN).server.instance != first
--- /dev/null
+++ b/tests/gossip/test_messages.py
@@ -0,0 +1,38 @@
+"""Datagrams survive the wire, and mixed versions."""
+
+import msgspec
+
+from lagoonflow.gossip.messages import (
+    AgentState,
+    HeldState,
+    MeterState,
+    RouterState,
+    Wish,
+    decode,
+    encode,
+)
+
+
+def test_messages_survive():
+    for message in (
+        RouterState('r', 'a:1', 1, 'i', 2, (Wish('m', 'a1', 1, 0, 500),)),
+        AgentState('a', 'i', 2, (HeldState('m', ('a1',), 3, 0.5),), 'n'),
+        MeterState('r', 1, {'o': 2.5}),
+    ):
+        assert decode(encode(message)) == message
+
+
+def test_fields_of_a_newer_version_are_ignored():
+    raw = msgspec.msgpack.decode(encode(MeterState('r', 1)))
+    assert decode(msgspec.msgpack.encode([*raw, 'new'])) == MeterState('r', 1)
+
+
+def test_fields_that_an_older_version_lacks_have_defaults():
+    raw = msgspec.msgpack.decode(encode(MeterState('r', 1, {'o': 1.0})))
+    assert decode(msgspec.msgpack.encode(raw[:3])) == MeterState('r', 1)
+
+
+def test_malformed_datagrams_are_dropped():
+    assert decode(b'') is None
+    assert decode(b'\xff' * 20) is None
+    assert decode(msgspec.msgpack.encode(['Other', 1])) is None
--- a/tests/http1/test_exchange.py
+++ b/tests/http1/test_exchange.py
@@ -9,9 +9,7 @@
 
 GET = RequestHead(b'GET', b'/x', ((b'Host', b'h'),))
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
-STALE = (
-    b'HTTP/1.1 200 OK\r\nAttempt-Id: old\r\nContent-Length: 3\r\n\r\nold'
-)
+STALE = b'HTTP/1.1 200 OK\r\nAttempt-Id: old\r\nContent-Length: 3\r\n\r\nold'
 OWN = b'HTTP/1.1 200 OK\r\nAttempt-Id: own\r\nContent-Length: 3\r\n\r\nown'
 
 
@@ -25,9 +23,7 @@
         self._closes = closes
 
     async def __aenter__(self) -> ConnectionPool:
-        self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', 0
-        )
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
         port = self._server.sockets[0].getsockname()[1]
         return ConnectionPool(f'127.0.0.1:{port}')
 
@@ -77,9 +73,7 @@
 
 
 async def test_an_early_keep_alive_limit_is_respected():
-    limited = ANSWER.replace(
-        b'\r\n\r\n', b'\r\nKeep-Alive: timeout=0\r\n\r\n'
-    )
+    limited = ANSWER.replace(b'\r\n\r\n', b'\r\nKeep-Alive: timeout=0\r\n\r\n')
     server = ScriptedServer(limited, ANSWER)
     async with server as pool:
         await fetch(pool)
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,185 @@
+"""Configuration, entries, reports and settings of the platform."""
+
+import msgspec
+import pytest
+
+from lagoonflow.declared.messages import RouteKind
+from lagoonflow.platform.configuration import (
+    ConfigurationError,
+    decode_configuration,
+)
+from lagoonflow.platform.servers import EntryError, decode_server
+from lagoonflow.platform.settings import PlatformSettingError, parse_settings
+
+ROUTE = {
+    'name': 'r1',
+    'host': 'Desk.example',
+    'path_prefix': '/a/',
+    'type': 'streaming',
+    'timeout_ms': 5000,
+    'target_latency_ms': 800,
+    'priority': 1,
+    'service': 's1',
+    'attempts': 2,
+    'resumable': True,
+    'gap_target_ms': 600,
+}
+MODEL = {
+    'name': 'm1',
+    'weights_mb': 42700.0,
+    'load_time_s': 6.0,
+    'adapters': 2,
+    'adapter_size_mb': 66.0,
+    'warm_s': 0.44,
+    'disk_load_s': 0.57,
+}
+CONFIGURATION = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [
+        {
+            'name': 's1',
+            'max_conns': 360,
+            'engine': {
+                'models': [MODEL],
+                'slots': 64,
+                'kv_capacity': 264806,
+                'weights_mb': 200000.0,
+                'adapter_slots': 8,
+                'loads_per_s': 1.6,
+            },
+        },
+    ],
+    'limits': {'max_header_bytes': 1000},
+    'tenants': [
+        {
+            'name': 'water',
+            'api_keys': ['k1'],
+            'unit': 'tokens',
+            'plain_tokens': 200,
+            'rate_per_s': 100,
+            'burst': 300,
+        },
+    ],
+}
+ENTRY = {
+    'service': 's1',
+    'address': '10.0.0.1:80',
+    'zone': 'z1',
+    'state': 'ready',
+    'slots': 64,
+    'born': 5,
+    'sequence': 3,
+    'models': [{'name': 'm1', 'version': 2, 'adapters': ['a1']}],
+    'available': {'in_memory': ['m1'], 'on_disk': ['m1', 'm2']},
+}
+SETTINGS = """
+# a comment
+node_name=edge-1
+zone=z1
+ip=10.0.0.9
+listen.frontend=10.0.0.9:80
+internal_ports=7600,7615
+platform.address=10.0.0.2:90
+bounds.revoke_strict=true
+bounds.revoke_ms=5000
+bounds.grace_s=8
+unknown.field=1
+"""
+
+
+def test_decodes_a_configuration():
+    state = decode_configuration(msgspec.json.encode(CONFIGURATION))
+    route = state.routes[0]
+    assert (route.kind, route.host) == (RouteKind.STREAM, 'desk.example')
+    assert (route.most_sends, route.gap_target_ms) == (2, 600)
+    assert route.shares[0].service == 's1'
+    model = state.services['s1'].engine.models['m1']
+    assert (model.memory_load_ms, model.store_load_ms) == (440, 6000)
+    organisation = state.organisations[0]
+    assert organisation.rate_tokens_per_s == 100
+    assert not organisation.counts_requests
+    assert state.limits.head_bytes == 1000
+    assert state.requires_keys
+
+
+def test_without_tenants_no_keys_are_asked_for():
+    body = {**CONFIGURATION}
+    body.pop('tenants')
+    state = decode_configuration(msgspec.json.encode(body))
+    assert not state.requires_keys
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'',
+        b'[]',
+        b'{"version": "x"}',
+        msgspec.json.encode(
+            {**CONFIGURATION, 'routes': [{**ROUTE, 'type': 'other'}]},
+        ),
+    ],
+)
+def test_refuses_an_unreadable_configuration(raw):
+    with pytest.raises(ConfigurationError):
+        decode_configuration(raw)
+
+
+def test_decodes_an_entry():
+    server = decode_server('servers/i-1', msgspec.json.encode(ENTRY))
+    assert (server.instance, server.started_ms) == ('i-1', 5)
+    assert server.models[0].adapters == frozenset(['a1'])
+    assert server.on_disk == frozenset(['m1', 'm2'])
+    assert not server.is_leaving
+
+
+def test_an_entry_on_short_notice_is_leaving():
+    entry = {**ENTRY, 'state': 'draining', 'remaining_ms': 2000}
+    server = decode_server('i-1', msgspec.json.encode(entry))
+    assert server.is_leaving
+    assert server.remaining_ms == 2000
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'state': 'resting'},
+        {'address': 'nowhere'},
+        {'address': 7},
+        {'slots': 'many'},
+        {'born': 1.5},
+        {'models': {}},
+    ],
+)
+def test_refuses_an_entry_of_another_writer(change):
+    with pytest.raises(EntryError):
+        decode_server('i-1', msgspec.json.encode({**ENTRY, **change}))
+
+
+def test_reads_the_settings():
+    settings = parse_settings(SETTINGS)
+    assert settings.node == 'edge-1'
+    assert settings.peer_port == 7600
+    assert settings.withdrawal_ms == 5000
+    assert settings.stop_grace_ms == 8000
+    assert not settings.runner
+
+
+def test_without_a_strict_bound_withdrawal_has_none():
+    text = SETTINGS.replace('revoke_strict=true', 'revoke_strict=false')
+    assert parse_settings(text).withdrawal_ms == 0
+
+
+@pytest.mark.parametrize(
+    ('old', 'new'),
+    [
+        ('node_name=edge-1\n', ''),
+        ('internal_ports=7600,7615', 'internal_ports=many'),
+        ('bounds.grace_s=8', 'bounds.grace_s=long'),
+    ],
+)
+def test_names_the_field_that_is_wrong(old, new):
+    with pytest.raises(PlatformSettingError) as caught:
+        parse_settings(SETTINGS.replace(old, new))
+    assert old.partition('=')[0] in str(caught.value)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,155 @@
+"""Headers of requests and answers."""
+
+from lagoonflow.http1.messages import AnswerHead, RequestHead
+from lagoonflow.platform.headers import (
+    answers_call,
+    decode_answer,
+    decode_call,
+    encode_call,
+    forwarded_answer_headers,
+)
+from lagoonflow.relay.messages import Load, PromptPart, Target
+
+HEADERS = (
+    (b'Host', b'Desk.example:80'),
+    (b'Attempt-Id', b'a1'),
+    (b'Model', b'm1/a3'),
+    (b'Token-Usage', b'1460,80'),
+    (b'Prompt-Prefix', b'5c:800,91:410'),
+    (b'Deadline-Ms', b'5000'),
+    (b'Authorization', b'Token secret'),
+    (b'X-Other', b'kept'),
+)
+TARGET = Target('i-1', 'water', 4321, urgency=2)
+
+
+def call(*extra, body=b''):
+    return decode_call(
+        RequestHead(b'POST', b'/a/b?c=d', (*HEADERS, *extra)), body
+    )
+
+
+def sent(*extra, body=b'', target=TARGET):
+    head = encode_call(call(*extra, body=body), target)
+    return head, {name.lower(): text for name, text in head.headers}
+
+
+def test_decodes_a_call():
+    one = call()
+    assert (one.host, one.path, one.request_id) == (
+        'desk.example',
+        '/a/b',
+        'a1',
+    )
+    assert (one.model, one.adapter) == ('m1', 'a3')
+    assert one.tokens == 1540
+    assert one.prompt == (PromptPart('5c', 800), PromptPart('91', 410))
+    assert (one.deadline_ms, one.key) == (5000, 'secret')
+
+
+def test_malformed_values_count_as_absent():
+    head = RequestHead(
+        b'GET',
+        b'/',
+        (
+            (b'Deadline-Ms', b'soon'),
+            (b'Token-Usage', b'x,-1'),
+            (b'Authorization', b'Basic abc'),
+        ),
+    )
+    one = decode_call(head, b'')
+    assert (one.deadline_ms, one.tokens, one.key) == (None, 0, '')
+
+
+def test_forwards_the_request_with_its_own_headers_set():
+    head, headers = sent(body=b'xyz')
+    assert (head.method, head.target) == (b'POST', b'/a/b?c=d')
+    assert headers[b'attempt-id'] == b'a1'
+    assert headers[b'model'] == b'm1/a3'
+    assert headers[b'x-other'] == b'kept'
+    assert headers[b'deadline-ms'] == b'4321'
+    assert headers[b'expect-instance'] == b'i-1'
+    assert headers[b'tenant'] == b'water'
+    assert headers[b'request-priority'] == b'2'
+    assert headers[b'content-length'] == b'3'
+
+
+def test_no_server_sees_the_key():
+    head, headers = sent()
+    assert b'authorization' not in headers
+    assert all(b'secret' not in text for _, text in head.headers)
+
+
+def test_drops_what_only_the_system_may_set():
+    names = (
+        b'Hold',
+        b'Pin-Ms',
+        b'Kv-Backup',
+        b'Kv-From',
+        b'Kv-Fetch',
+        b'Expect-Version',
+    )
+    _, headers = sent(*((name, b'1') for name in names), (b'Tenant', b'evil'))
+    assert not {name.lower() for name in names} & set(headers)
+    assert headers[b'tenant'] == b'water'
+
+
+def test_drops_headers_of_one_connection():
+    _, headers = sent(
+        (b'Connection', b'keep-alive, X-Hop'),
+        (b'X-Hop', b'1'),
+        (b'Keep-Alive', b'timeout=5'),
+        (b'Transfer-Encoding', b'chunked'),
+    )
+    assert not {b'connection', b'x-hop', b'keep-alive'} & set(headers)
+    assert headers[b'content-length'] == b'0'
+
+
+def test_a_resumption_replaces_the_last_event_id():
+    target = Target('i-2', '', 100, resume_after='7')
+    head, _ = sent((b'Last-Event-Id', b'3'), target=target)
+    ids = [text for name, text in head.headers if name == b'Last-Event-Id']
+    assert ids == [b'7']
+
+
+def test_decodes_an_answer():
+    head = AnswerHead(
+        200,
+        b'OK',
+        (
+            (b'Server-Seal', b's'),
+            (b'Instance-Load', b'3, 1,8'),
+            (b'Content-Type', b'text/event-stream; charset=utf-8'),
+        ),
+    )
+    answer = decode_answer(head)
+    assert answer.is_sealed
+    assert answer.is_event_stream
+    assert answer.load == Load(3, 1, 8)
+    assert not answer.was_not_run
+
+
+def test_a_rejection_states_that_nothing_ran():
+    rejected = AnswerHead(503, b'', ((b'Not-Executed', b'1'),))
+    assert decode_answer(rejected).was_not_run
+    assert decode_answer(AnswerHead(421, b'', ())).was_not_run
+    assert not decode_answer(AnswerHead(503, b'', ())).was_not_run
+
+
+def test_an_answer_to_another_request_is_told_apart():
+    other = AnswerHead(200, b'', ((b'Attempt-Id', b'other'),))
+    assert not answers_call(call(), other)
+    assert answers_call(call(), AnswerHead(503, b'', ()))
+
+
+def test_answer_headers_pass_without_those_of_the_connection():
+    head = AnswerHead(
+        200,
+        b'OK',
+        (
+            (b'Server-Seal', b's'),
+            (b'Connection', b'close'),
+            (b'Transfer-Encoding', b'chunked'),
+        ),
+    )
+    assert forwarded_answer_headers(head) == ((b'Server-Seal', b's'),)
--- /dev/null
+++ b/tests/relay/test_serving.py
@@ -0,0 +1,264 @@
+"""What callers get, and what backend servers see, under failures."""
+
+import asyncio
+
+import pytest
+
+from lagoonflow.clock import boottime_ms
+from lagoonflow.declared.messages import Organisation
+from tests.relay.world import (
+    ORGANISATION,
+    REJECTION,
+    ROUTES,
+    World,
+    cut,
+    events,
+    hang,
+    raw,
+    request,
+    route,
+    state,
+    whole,
+)
+
+FINE = whole('200 OK', 'fine')
+
+
+async def test_passes_an_answer_unchanged():
+    world = World()
+    (backend,) = await world.add(whole('200 OK', 'fine', 'X-Own: 7'))
+    status, headers, body = await world.ask('/read/x?q=1', body='abc')
+    assert (status, body) == (200, b'fine')
+    assert headers['server-seal'] == 's'
+    assert headers['x-own'] == '7'
+    assert backend.seen[0].target == '/read/x?q=1'
+    assert backend.seen[0].body == b'abc'
+
+
+async def test_hands_over_the_time_that_is_left():
+    world = World()
+    (backend,) = await world.add(FINE)
+    await world.ask('/read/x', 'Deadline-Ms: 900')
+    assert 800 <= int(backend.seen[0].headers['deadline-ms']) <= 900
+
+
+async def test_a_failed_read_is_repeated_elsewhere():
+    world = World()
+    first, second = await world.add(cut, FINE)
+    status, _, body = await world.ask('/read/x')
+    assert (status, body) == (200, b'fine')
+    assert len(first.seen) == len(second.seen) == 1
+
+
+async def test_a_silent_server_does_not_hold_a_read():
+    world = World()
+    await world.add(hang, FINE)
+    status, _, _ = await world.ask('/read/x', 'Deadline-Ms: 1000')
+    assert status == 200
+
+
+async def test_a_booking_is_sent_once_and_its_outcome_stays_open():
+    world = World()
+    first, second = await world.add(cut, FINE)
+    status, _, _ = await world.ask('/book/x')
+    assert status == 502
+    assert len(first.seen) + len(second.seen) == 1
+
+
+async def test_a_rejected_booking_goes_to_another_server():
+    world = World()
+    _, second = await world.add(REJECTION, FINE)
+    status, _, _ = await world.ask('/book/x')
+    assert status == 200
+    assert len(second.seen) == 1
+
+
+async def test_a_booking_that_all_reject_has_not_run():
+    world = World()
+    await world.add(REJECTION, REJECTION)
+    status, headers, _ = await world.ask('/book/x')
+    assert status == 503
+    assert float(headers['retry-after']) > 0
+
+
+async def test_a_server_that_does_not_listen_was_not_sent_to():
+    world = World()
+    backends = await world.add(FINE, FINE)
+    backends[0]._server.close()
+    await backends[0]._server.wait_closed()
+    status, _, _ = await world.ask('/book/x')
+    assert status == 200
+
+
+async def test_a_servers_own_503_is_no_promise():
+    world = World()
+    await world.add(whole('503 Busy', 'x'))
+    status, headers, _ = await world.ask('/book/x')
+    assert status == 502
+    assert 'server-seal' not in headers
+
+
+async def test_a_servers_own_failure_passes_unchanged():
+    world = World()
+    await world.add(whole('500 Bad', 'why'))
+    status, headers, body = await world.ask('/book/x')
+    assert (status, body) == (500, b'why')
+    assert headers['server-seal'] == 's'
+
+
+@pytest.mark.parametrize(
+    'script',
+    [
+        raw(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'),
+        raw(
+            b'HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Encoding: gzip\r\n'
+            b'Content-Length: 2\r\n\r\nok'
+        ),
+        raw(
+            b'HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nok',
+            ends=True,
+        ),
+        raw(b'\x00\x01\x02', ends=True),
+    ],
+)
+async def test_a_spoilt_answer_is_no_success(script):
+    world = World()
+    await world.add(script)
+    status, _, _ = await world.ask('/book/x')
+    assert status == 502
+
+
+async def test_an_answer_to_another_request_is_skipped():
+    world = World()
+    other = (
+        b'HTTP/1.1 200 OK\r\nServer-Seal: s\r\nAttempt-Id: other\r\n'
+        b'Content-Length: 5\r\n\r\nother'
+    )
+    own = other.replace(b'other', b'a1').replace(b': 5', b': 2')
+    await world.add(raw(other + own))
+    status, _, body = await world.ask('/book/x')
+    assert (status, body) == (200, b'a1')
+
+
+async def test_a_stream_that_breaks_does_not_look_whole():
+    world = World()
+    await world.add(events(1, 2, ends=False))
+    status, _, body = await world.ask('/once/x')
+    assert status == 200
+    assert not body.endswith(b'0\r\n\r\n')
+
+
+async def test_a_resumable_stream_goes_on_elsewhere():
+    world = World()
+    _, second = await world.add(events(1, 2, ends=False), events(3, 4))
+    status, _, body = await world.ask('/resume/x')
+    assert status == 200
+    assert [body.count(b'x%d' % one) for one in (1, 2, 3, 4)] == [1, 1, 1, 1]
+    assert body.endswith(b'0\r\n\r\n')
+    assert b'id: 9' not in body
+    assert second.seen[0].headers['last-event-id'] == '2'
+
+
+async def test_repeated_events_of_a_resumption_are_left_out():
+    world = World()
+    await world.add(events(1, 2, ends=False), events(2, 3))
+    _, _, body = await world.ask('/resume/x')
+    assert body.count(b'x2') == 1
+
+
+async def test_a_caller_that_leaves_ends_the_request():
+    world = World()
+    (backend,) = await world.add(hang)
+    _, writer = await world.open()
+    writer.write(request('/read/x'))
+    await asyncio.sleep(0.1)
+    assert backend.seen
+    writer.close()
+    await asyncio.sleep(0.1)
+    health = world.fleet.health('i-0')
+    assert health.inflight == 0
+
+
+async def test_the_route_timeout_ends_a_request():
+    world = World()
+    await world.add(hang)
+    started_ms = boottime_ms()
+    status, _, _ = await world.ask('/book/x', 'Deadline-Ms: 60000')
+    assert status == 504
+    assert boottime_ms() - started_ms < 1500 + 500
+
+
+async def test_a_lowered_timeout_binds_requests_in_work():
+    world = World()
+    await world.add(hang)
+    asking = asyncio.create_task(world.ask('/book/x'))
+    await asyncio.sleep(0.1)
+    short = route(ROUTES[1].kind, '/book/', timeout_ms=200)
+    world.view.put(state(2, routes=(short,)))
+    started_ms = boottime_ms()
+    world.calls.apply_timeouts()
+    status, _, _ = await asking
+    assert status == 504
+    assert boottime_ms() - started_ms < 500
+
+
+async def test_repeats_stay_within_the_budget():
+    world = World()
+    world.budgets.set_routers(1000)
+    _, second = await world.add(cut, FINE)
+    status, _, _ = await world.ask('/read/x')
+    assert status == 502
+    assert not second.seen
+
+
+async def test_an_unknown_route_and_key_are_told():
+    world = World()
+    assert (await world.ask('/nowhere/'))[0] == 404
+    world.view.put(state(2, organisations=(Organisation('o', frozenset()),)))
+    assert (await world.ask('/read/x'))[0] == 401
+    assert (await world.ask('/nowhere/'))[0] == 404
+
+
+async def test_nothing_is_refused_for_good_on_an_old_configuration():
+    world = World()
+    world.view.proved_at_ms = boottime_ms() - 60_000
+    for path in ('/nowhere/', '/read/x'):
+        status, headers, _ = await world.ask(path)
+        assert status == 503
+        assert float(headers['retry-after']) > 0
+
+
+async def test_open_routes_are_served_on_an_old_configuration():
+    world = World()
+    await world.add(FINE)
+    world.view.proved_at_ms = boottime_ms() - 60_000
+    assert (await world.ask('/open/x'))[0] == 200
+
+
+async def test_a_key_that_is_withdrawn_while_a_call_waits_does_not_run():
+    world = World()
+    (backend,) = await world.add(FINE)
+    world.meter.charge(ORGANISATION.name, 50_900, boottime_ms())
+    asking = asyncio.create_task(world.ask('/read/x'))
+    await asyncio.sleep(0.02)
+    world.view.put(state(2, organisations=()))
+    status, _, _ = await asking
+    assert status == 401
+    assert not backend.seen
+
+
+async def test_a_call_beyond_the_rate_is_told_when_to_come_back():
+    world = World()
+    await world.add(FINE)
+    world.meter.charge(ORGANISATION.name, 80_000, boottime_ms())
+    status, headers, _ = await world.ask('/read/x')
+    assert status == 429
+    assert 2 < float(headers['retry-after']) < 4
+
+
+async def test_a_call_that_did_not_run_is_not_charged():
+    world = World()
+    before = world.meter.level(ORGANISATION.name)
+    status, _, _ = await world.ask('/read/x')
+    assert status == 503
+    assert world.meter.level(ORGANISATION.name) >= before
--- /dev/null
+++ b/tests/relay/world.py
@@ -0,0 +1,253 @@
+"""A relay before scripted backend servers."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+import prometheus_client as prometheus
+
+from lagoonflow.backends.choosing import Chooser
+from lagoonflow.backends.fleet import Fleet
+from lagoonflow.backends.messages import BackendServer
+from lagoonflow.clock import boottime_ms
+from lagoonflow.declared.messages import (
+    DeclaredState,
+    Organisation,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from lagoonflow.declared.view import DeclaredView
+from lagoonflow.http1.server import HttpServer, ServerLimits
+from lagoonflow.platform import headers as codec
+from lagoonflow.quotas.shared import Limit, SharedMeter
+from lagoonflow.relay.admission import Admission
+from lagoonflow.relay.journal import CallJournal
+from lagoonflow.relay.sending import Sender
+from lagoonflow.relay.serving import Budgets, CallService
+
+SERVICE = 'app'
+KEY = 'key-1'
+ORGANISATION = Organisation(
+    'water', frozenset([KEY]), rate_tokens_per_s=10_000, burst_tokens=50_000
+)
+
+
+def route(kind: RouteKind, prefix: str, **terms) -> Route:
+    fields = {
+        'name': prefix,
+        'host': 'h',
+        'path_prefix': prefix,
+        'kind': kind,
+        'timeout_ms': 1500,
+        'target_latency_ms': 200,
+        'urgency': 1,
+        'most_sends': 2,
+        'shares': (ServiceShare(SERVICE, 1),),
+    }
+    return Route(**{**fields, **terms})
+
+
+ROUTES = (
+    route(RouteKind.IDEMPOTENT, '/read/'),
+    route(RouteKind.AT_MOST_ONCE, '/book/'),
+    route(RouteKind.STREAM, '/once/'),
+    route(RouteKind.STREAM, '/resume/', is_resumable=True),
+    route(RouteKind.IDEMPOTENT, '/open/', is_public=True),
+)
+
+
+def state(version: int = 1, **changes) -> DeclaredState:
+    made = DeclaredState(
+        version, ROUTES, {SERVICE: Service(SERVICE, 50)}, (ORGANISATION,)
+    )
+    return dataclasses.replace(made, **changes)
+
+
+@dataclasses.dataclass(slots=True)
+class Seen:
+    """A request as a backend server got it."""
+
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Script = Callable[[asyncio.StreamWriter, Seen], Awaitable[bool | None]]
+
+
+class Backend:
+    """A backend server that does what its script says.
+
+    The script returns ``False`` to end the connection.
+    """
+
+    def __init__(self, script: Script) -> None:
+        self.seen: list[Seen] = []
+        self.script = script
+        self.closed_by_peer = asyncio.Event()
+
+    async def start(self, name: str) -> BackendServer:
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return BackendServer(name, SERVICE, f'127.0.0.1:{port}', 'z', 8)
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            while True:
+                seen = await _read(reader)
+                self.seen.append(seen)
+                if await self.script(writer, seen) is False:
+                    writer.close()
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed_by_peer.set()
+            writer.close()
+
+
+async def _read(reader) -> Seen:
+    raw = (await reader.readuntil(b'\r\n\r\n')).decode()
+    first, *lines = raw.strip().split('\r\n')
+    headers = dict(line.lower().split(': ', 1) for line in lines)
+    length = int(headers.get('content-length', 0))
+    body = await reader.readexactly(length)
+    return Seen(first.split(' ')[1], headers, body)
+
+
+def whole(status: str, body: str, *headers: str) -> Script:
+    """Answers with a sealed body."""
+    lines = ''.join(f'{line}\r\n' for line in headers)
+
+    async def script(writer, seen) -> None:
+        writer.write(
+            f'HTTP/1.1 {status}\r\nServer-Seal: s\r\n'
+            f'Attempt-Id: {seen.headers.get("attempt-id", "")}\r\n'
+            f'{lines}Content-Length: {len(body)}\r\n\r\n{body}'.encode()
+        )
+
+    return script
+
+
+def raw(content: bytes, *, ends: bool = False) -> Script:
+    """Sends bytes as they are."""
+
+    async def script(writer, _seen) -> bool:
+        writer.write(content)
+        await writer.drain()
+        return not ends
+
+    return script
+
+
+async def hang(_writer, _seen) -> None:
+    """Never answers."""
+    await asyncio.sleep(5)
+
+
+async def cut(_writer, _seen) -> bool:
+    """Ends the connection without an answer."""
+    return False
+
+
+REJECTION = raw(
+    b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
+
+
+def events(first: int, last: int, *, ends: bool = True) -> Script:
+    """Streams numbered events; without ``ends`` it breaks off inside one."""
+
+    async def script(writer, _seen) -> bool:
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nServer-Seal: s\r\n'
+            b'Content-Type: text/event-stream\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+        )
+        for number in range(first, last + 1):
+            piece = f'id: {number}\ndata: x{number}\n\n'.encode()
+            writer.write(b'%x\r\n%s\r\n' % (len(piece), piece))
+        if ends:
+            writer.write(b'0\r\n\r\n')
+        else:
+            writer.write(b'5\r\nid: 9\r\n')
+        await writer.drain()
+        return ends
+
+    return script
+
+
+class World:
+    """A relay with its backend servers."""
+
+    def __init__(self) -> None:
+        now_ms = boottime_ms()
+        self.view = DeclaredView()
+        self.view.put(state())
+        self.view.prove(now_ms)
+        self.fleet = Fleet()
+        self.meter = SharedMeter(now_ms - 60_000)
+        limit = Limit(10_000, 50_000)
+        self.meter.set_limits({ORGANISATION.name: limit}, now_ms)
+        admission = Admission(self.view, self.meter, 5000)
+        self.budgets = Budgets(0.2, 50, 10_000)
+        self.calls = CallService(
+            self.view,
+            self.fleet,
+            Chooser(self.fleet, 'z'),
+            admission,
+            Sender(self.fleet, admission, codec),
+            codec,
+            CallJournal(prometheus.CollectorRegistry()),
+            self.budgets,
+        )
+        self.http = HttpServer(
+            self.calls.handle, self.calls.refuse_unread, ServerLimits
+        )
+
+    async def add(self, *scripts: Script) -> list[Backend]:
+        """Start backend servers; the first is chosen first."""
+        made = [Backend(script) for script in scripts]
+        for place, backend in enumerate(made):
+            server = await backend.start(f'i-{place}')
+            self.fleet.roster.put(server, boottime_ms())
+        return made
+
+    async def open(self):
+        await self.http.listen('127.0.0.1:0')
+        port = self.http._server.sockets[0].getsockname()[1]
+        return await asyncio.open_connection('127.0.0.1', port)
+
+    async def ask(self, path: str, *headers: str, body: str = ''):
+        """Send one request; returns status, headers and the rest."""
+        reader, writer = await self.open()
+        writer.write(request(path, *headers, body=body))
+        return await read_answer(reader)
+
+
+def request(path: str, *headers: str, body: str = '') -> bytes:
+    lines = ''.join(f'{line}\r\n' for line in headers)
+    return (
+        f'POST {path} HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n'
+        f'Authorization: Token {KEY}\r\n{lines}'
+        f'Content-Length: {len(body)}\r\n\r\n{body}'
+    ).encode()
+
+
+async def read_answer(reader):
+    head = (await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 4)).decode()
+    first, *lines = head.strip().split('\r\n')
+    headers = dict(line.lower().split(': ', 1) for line in lines)
+    status = int(first.split(' ')[1])
+    if 'content-length' in headers:
+        length = int(headers['content-length'])
+        return status, headers, await reader.readexactly(length)
+    try:
+        content = b''
+        while part := await asyncio.wait_for(reader.read(1000), 4):
+            content += part
+            if content.endswith(b'0\r\n\r\n'):
+                break
+    except ConnectionError:
+        pass
+    return status, headers, content
