--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -1,6 +1,7 @@
 """Chooses the backend server for a request, or where to wake its model."""
 
 import dataclasses
+from collections.abc import Callable
 
 import xxhash
 
@@ -141,25 +142,21 @@
         servers: list[BackendServer],
         now_ms: float,
     ) -> Choice:
-        states = self._states(servers, now_ms)
-        places = self._wake_places(need.call.model, engine, states)
-        sends: list[Send] = []
-        wakes: list[Wake] = []
-        for server in servers:
-            choice = self._weigh(need, engine, server, now_ms)
-            if isinstance(choice, Send):
-                sends.append(choice)
-            elif choice is not None and server.instance in places:
-                wakes.append(choice)
+        places = self._wake_places(need.call.model, engine, servers, now_ms)
+        choices = [
+            self._weigh(need, engine, server, now_ms) for server in servers
+        ]
+        sends = [one for one in choices if isinstance(one, Send)]
+        wakes = [
+            one
+            for one in choices
+            if isinstance(one, Wake) and one.server.instance in places
+        ]
         send = min(sends, key=_send_rank, default=None)
         wake = min(wakes, key=_wake_rank, default=None)
-        if send is None and wake is None:
-            return Nowhere('no runner can load the model')
-        if send is None:
-            return wake
-        if wake is None or wake.ready_in_ms + WAKE_GAIN_MS >= send.cost_ms:
+        if send is not None and (wake is None or not _pays(wake, send)):
             return send
-        return wake
+        return wake or Nowhere('no runner can load the model')
 
     def _states(
         self, servers: list[BackendServer], now_ms: float
@@ -176,7 +173,11 @@
         }
 
     def _wake_places(
-        self, model: str, engine: EngineSpec, states: dict[str, AgentState]
+        self,
+        model: str,
+        engine: EngineSpec,
+        servers: list[BackendServer],
+        now_ms: float,
     ) -> set[str]:
         """Return the runners among which a model may be woken.
 
@@ -184,23 +185,14 @@
         before the weight store, and one runner is determined for a model
         that lies nowhere.
         """
-        holders = {
-            instance
-            for instance, state in states.items()
-            if _find(state.held, model) is not None
-        }
-        coming = {
-            instance
-            for instance, state in states.items()
-            if state.loading == model or model in state.planned
-        }
+        states = self._states(servers, now_ms)
+        holders = _where(states, lambda one: _find(one.held, model) is not None)
+        coming = _where(states, lambda one: _is_coming(one, model))
         if coming and not holders:
             return coming
-        with_copy = {
-            instance
-            for instance, state in states.items()
-            if model in state.in_memory or model in state.on_disk
-        }
+        with_copy = _where(
+            states, lambda one: model in one.in_memory or model in one.on_disk
+        )
         if with_copy or holders:
             return with_copy | holders | coming
         assigned = assign(missing_models(engine, states), states)
@@ -234,8 +226,7 @@
         denied_ms = _denied_ms(state, call)
         spread_ms = _spread_ms(call.model, server.instance)
         total_ms = base_ms + wake_ms + denied_ms + spread_ms
-        is_coming = state.loading == call.model or call.model in state.planned
-        return Wake(server, total_ms, is_coming)
+        return Wake(server, total_ms, _is_coming(state, call.model))
 
     def _wake_cost_ms(
         self, name: str, engine: EngineSpec, state: AgentState
@@ -294,8 +285,8 @@
     held: tuple[HeldState, ...], engine: EngineSpec, missing_mb: float
 ) -> float:
     """Cost of the idle models that must make way."""
-    cost_ms = 0.0
-    for victim in sorted(held, key=lambda one: (one.running, one.keep_value)):
+    cost_ms: float = 0
+    for victim in sorted(held, key=_victim_rank):
         if missing_mb <= 0:
             return cost_ms
         if victim.running:
@@ -306,6 +297,11 @@
     return cost_ms if missing_mb <= 0 else cost_ms + BUSY_VICTIM_MS
 
 
+def _pays(wake: Wake, send: Send) -> bool:
+    """Whether another replica saves enough."""
+    return wake.ready_in_ms + WAKE_GAIN_MS < send.cost_ms
+
+
 def _denied_ms(state: AgentState, call: Call) -> float:
     for denial in state.denials:
         if (denial.model, denial.adapter) == (call.model, call.adapter):
@@ -313,6 +309,21 @@
     return 0
 
 
+def _where(
+    states: dict[str, AgentState], is_meant: Callable[[AgentState], bool]
+) -> set[str]:
+    return {name for name, state in states.items() if is_meant(state)}
+
+
+def _is_coming(state: AgentState, model: str) -> bool:
+    """Whether an agent has taken up the wish for a model."""
+    return state.loading == model or model in state.planned
+
+
+def _victim_rank(held: HeldState) -> tuple[int, float]:
+    return held.running, held.keep_value
+
+
 def _find(held: tuple[HeldState, ...], name: str) -> HeldState | None:
     return next((one for one in held if one.name == name), None)
 
--- a/lagoonflow/backends/fleet.py
+++ b/lagoonflow/backends/fleet.py
@@ -15,6 +15,8 @@
 LOAD_FRESH_MS = 1000
 # Time constant of the smoothed request rate of a model, in ms.
 DEMAND_MEMORY_MS = 12_000
+# A model that is asked for less often is forgotten, in requests a second.
+LEAST_RATE_PER_S = 0.001
 # Prompt parts that are remembered for each server.
 MOST_PARTS = 512
 
@@ -82,7 +84,8 @@
         """Count a request for a model."""
         rate = self._rates.get(model)
         if rate is None:
-            rate = self._rates[model] = _Rate(0, now_ms)
+            rate = _Rate(0, now_ms)
+            self._rates[model] = rate
         _decay(rate, now_ms)
         rate.per_s += 1000 / DEMAND_MEMORY_MS
 
@@ -187,7 +190,7 @@
         found: dict[str, float] = {}
         for model, rate in list(self._rates.items()):
             _decay(rate, now_ms)
-            if rate.per_s < 0.001:
+            if rate.per_s < LEAST_RATE_PER_S:
                 self._rates.pop(model)
             else:
                 found[model] = rate.per_s
@@ -198,8 +201,12 @@
         return sum(sent_ms > at_ms for sent_ms in sends)
 
 
-def _names(held: tuple[HeldState, ...]) -> set[tuple[str, tuple[str, ...]]]:
-    return {(one.name, one.adapters) for one in held}
+def _names(held: tuple[HeldState, ...]) -> set[str]:
+    return {
+        f'{one.name}/{adapter}'
+        for one in held
+        for adapter in ('', *one.adapters)
+    }
 
 
 def _decay(rate: _Rate, now_ms: float) -> None:
--- a/lagoonflow/backends/roster.py
+++ b/lagoonflow/backends/roster.py
@@ -66,7 +66,7 @@
         """Take a whole listing."""
         for server in servers:
             self.put(server, now_ms)
-        listed = {server.instance for server in servers}
+        listed = {one.instance for one in servers}
         missing = [name for name in self._entries if name not in listed]
         self.drop_many(missing, now_ms)
 
--- a/lagoonflow/declared/following.py
+++ b/lagoonflow/declared/following.py
@@ -54,21 +54,24 @@
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
-            asked_at_ms = boottime_ms()
-            is_whole = self._offset is None
-            page = await self._read()
-            match page:
-                case StoreFailure():
-                    await self._note_failure(page)
-                case HistoryLost():
-                    self._log.info('history expired', topic=self._topic)
-                    self._offset = None
-                case RecordPage():
-                    self._note_answer()
-                    self._offset = page.next_offset
-                    self._on_page(page, is_whole, asked_at_ms)
-                    if page.records:
-                        await asyncio.sleep(GATHER_MS / MS_PER_S)
+            await self._read_once()
+
+    async def _read_once(self) -> None:
+        asked_at_ms = boottime_ms()
+        is_whole = self._offset is None
+        page = await self._read()
+        match page:
+            case StoreFailure():
+                await self._note_failure(page)
+            case HistoryLost():
+                self._log.info('history expired', topic=self._topic)
+                self._offset = None
+            case RecordPage(records=records, next_offset=next_offset):
+                self._note_answer()
+                self._offset = next_offset
+                self._on_page(page, is_whole, asked_at_ms)
+                if records:
+                    await asyncio.sleep(GATHER_MS / MS_PER_S)
 
     async def _read(self) -> RecordPage | HistoryLost | StoreFailure:
         if self._offset is None:
--- a/lagoonflow/declared/view.py
+++ b/lagoonflow/declared/view.py
@@ -44,7 +44,7 @@
         self._routes = {}
         for route in sorted(
             state.routes,
-            key=lambda route: len(route.path_prefix),
+            key=_prefix_length,
             reverse=True,
         ):
             self._routes.setdefault(route.host, []).append(route)
@@ -75,6 +75,10 @@
         return self._holders.get(key)
 
 
+def _prefix_length(route: Route) -> int:
+    return len(route.path_prefix)
+
+
 def pick_service(route: Route, request_id: str) -> str | None:
     """Return the service for a request, by the weights of the route.
 
--- a/lagoonflow/gossip/transport.py
+++ b/lagoonflow/gossip/transport.py
@@ -30,9 +30,10 @@
         :raises OSError: when the address can't be used.
         """
         loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
+        endpoint = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(host, port)
         )
+        self._transport = endpoint[0]
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode a datagram and pass it on."""
--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -46,7 +46,7 @@
     def __init__(self, channel: Channel) -> None:
         """Take a connected channel."""
         self.channel = channel
-        self.idle_until_ms = 0.0
+        self.idle_until_ms: float = 0
         self._may_be_kept = False
         self._wants_close = False
         self._idle_limit_ms = IDLE_LIMIT_MS
@@ -78,17 +78,18 @@
 
     async def read_head(
         self,
-        is_expected: Callable[[AnswerHead], bool] = lambda _head: True,
+        is_expected: Callable[[AnswerHead], bool] | None = None,
     ) -> AnswerHead:
         """Return the head of the answer, past answers to other requests.
 
-        :param is_expected: whether an answer belongs to the request.
+        :param is_expected: whether an answer belongs to the request; any
+            answer does when it is left out.
         :raises ExchangeError: at stage ``SENT``.
         """
         try:
             while True:
                 head = await self._next_head()
-                if is_expected(head):
+                if is_expected is None or is_expected(head):
                     self._note_head(head)
                     return head
                 await self._skip_answer()
@@ -117,10 +118,12 @@
         :raises ExchangeError: at stage ``ANSWERING``.
         """
         pieces = bytearray()
-        while (part := await self.read_part()) is not None:
+        part = await self.read_part()
+        while part is not None:
             pieces += part
             if len(pieces) > limit_bytes:
                 raise ExchangeError(Stage.ANSWERING, 'answer too long')
+            part = await self.read_part()
         return bytes(pieces)
 
     @property
@@ -152,11 +155,11 @@
 
     async def _skip_answer(self) -> None:
         """Read past an answer that belongs to an earlier request."""
-        while not isinstance(
-            event := await self.channel.next_event(), h11.EndOfMessage
-        ):
-            if not isinstance(event, h11.Data):
-                raise ConnectionGoneError('no answer')
+        event = await self.channel.next_event()
+        while isinstance(event, h11.Data):
+            event = await self.channel.next_event()
+        if not isinstance(event, h11.EndOfMessage):
+            raise ConnectionGoneError('no answer')
         rest, has_ended = self.channel.http.trailing_data
         if has_ended:
             raise ConnectionGoneError('closed by the server')
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -164,14 +164,6 @@
         """All connections."""
         return len(self._connections)
 
-    def _accept(self) -> Channel:
-        connection = _CallerConnection(self, self._limits())
-        self._connections.add(connection)
-        task = asyncio.get_running_loop().create_task(connection.serve())
-        connection.task = task
-        task.add_done_callback(lambda _: self._connections.discard(connection))
-        return connection.channel
-
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
         """Run the handler."""
         await self._handler(request, reply)
@@ -180,6 +172,14 @@
         """Answer a request that can't be read."""
         await self._refuse(reply, status, reason)
 
+    def _accept(self) -> Channel:
+        connection = _CallerConnection(self, self._limits())
+        self._connections.add(connection)
+        task = asyncio.get_running_loop().create_task(connection.serve())
+        connection.task = task
+        task.add_done_callback(lambda _: self._connections.discard(connection))
+        return connection.channel
+
 
 class _CallerConnection:
     """One connection of a caller."""
--- a/lagoonflow/platform/runner.py
+++ b/lagoonflow/platform/runner.py
@@ -15,7 +15,7 @@
 # A runner on the same host answers in a few ms.
 REPORT_TIMEOUT_MS = 600
 # An order is accepted or rejected at once; its work follows.
-ORDER_TIMEOUT_MS = 1000
+ORDER_TIMEOUT_MS = 300
 
 
 class _Report(msgspec.Struct):
--- a/lagoonflow/platform/store.py
+++ b/lagoonflow/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import struct
-import urllib.parse
+from urllib.parse import quote
 
 import msgspec
 
@@ -76,7 +76,7 @@
                 next_offset = body.end_offset
             if not body.has_more or not body.items:
                 return RecordPage(tuple(records), next_offset)
-            last_key = urllib.parse.quote(body.items[-1].key, safe='')
+            last_key = quote(body.items[-1].key, safe='')
             after = f'&after={last_key}'
 
     async def read(
@@ -157,7 +157,7 @@
     place = _PAGE_HEAD.size
     next_offset = offset
     while place + _LENGTH.size <= len(body):
-        (length,) = _LENGTH.unpack_from(body, place)
+        length = _LENGTH.unpack_from(body, place)[0]
         place += _LENGTH.size
         if place + length > len(body):
             break
--- a/lagoonflow/quotas/shared.py
+++ b/lagoonflow/quotas/shared.py
@@ -55,8 +55,8 @@
         self._peers: dict[str, _Peer] = {}
         self._buckets: dict[str, _Bucket] = {}
 
-    def set_members(self, others: frozenset[str]) -> None:
-        """Set which other routers belong to the fleet."""
+    def follow(self, others: frozenset[str]) -> None:
+        """Follow the other routers of the fleet."""
         self._members = others
         for name in list(self._peers):
             if name not in others:
--- a/lagoonflow/relay/events.py
+++ b/lagoonflow/relay/events.py
@@ -27,9 +27,11 @@
         """
         self._rest += data
         out = bytearray()
-        while (end := _event_end(self._rest)) is not None:
+        end = _event_end(self._rest)
+        while end is not None:
             event = bytes(self._rest[:end])
-            del self._rest[:end]
+            self._rest = self._rest[end:]
+            end = _event_end(self._rest)
             event_id = _event_id(event)
             if event_id and not _follows(event_id, self.last_id):
                 continue
--- a/lagoonflow/relay/messages.py
+++ b/lagoonflow/relay/messages.py
@@ -93,3 +93,8 @@
     def is_success(self) -> bool:
         """Whether the status is a success."""
         return 200 <= self.head.status < 300
+
+    @property
+    def is_genuine(self) -> bool:
+        """Whether the body is the server's own, unchanged."""
+        return self.is_sealed and not self.is_encoded
--- a/lagoonflow/relay/refusals.py
+++ b/lagoonflow/relay/refusals.py
@@ -26,8 +26,9 @@
 
     Only a request that certainly has not run gets a status that says so.
     """
-    if refusal.code in _STATUSES:
-        return _STATUSES[refusal.code]
+    stated = _STATUSES.get(refusal.code)
+    if stated is not None:
+        return stated
     if refusal.not_run:
         return _NOT_RUN
     if refusal.code is Result.DEADLINE_UNREACHABLE:
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -7,12 +7,17 @@
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.http1.client import ClientConnection, ConnectionPool
-from lagoonflow.http1.messages import AnswerHead, ExchangeError, Stage
+from lagoonflow.http1.messages import (
+    AnswerHead,
+    ExchangeError,
+    RequestHead,
+    Stage,
+)
 from lagoonflow.http1.server import Reply
 from lagoonflow.relay.admission import Admission, Ticket
-from lagoonflow.relay.events import EventSplitter
 from lagoonflow.relay.messages import Answer, Target
 from lagoonflow.relay.ports import CallCodec
+from lagoonflow.relay.streaming import AnswerStream, Progress
 from lagoonflow.results import Refusal
 
 # Longest time to open a connection; a host on the same network answers in a
@@ -20,8 +25,6 @@
 CONNECT_TIMEOUT_MS = 400
 # Answers that are no event stream are read whole up to this length.
 MOST_BODY_BYTES = 16_777_216
-# A resumable stream is continued elsewhere after this silence, in ms.
-STREAM_SILENCE_MS = 1500
 # Statuses that promise that a request has not run; a server's own ones are
 # not passed on unless it states so.
 PROMISES = frozenset((408, 421, 429, 503))
@@ -77,24 +80,6 @@
 Outcome = Delivered | NotSent | NotRun | Failed | Broken | Withheld
 
 
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """How much of the answer the caller has.
-
-    :ivar events: present once a resumable stream has begun.
-    """
-
-    reply: Reply
-    events: EventSplitter | None = None
-
-    @property
-    def resume_after(self) -> str:
-        """Id of the last event that the caller has."""
-        if self.events is None or not self.reply.has_started:
-            return ''
-        return self.events.last_id
-
-
 class Sender:
     """Sends calls over kept connections."""
 
@@ -141,6 +126,17 @@
             self._fleet.end(server.instance, name)
             self._pool(server).give_back(connection)
 
+    async def pass_whole(
+        self, reply: Reply, answer: Answer, body: bytes
+    ) -> None:
+        """Pass a whole answer on to the caller."""
+        head = answer.head
+        headers = self._codec.forwarded_answer_headers(head)
+        headers = tuple(
+            pair for pair in headers if pair[0].lower() != b'content-length'
+        )
+        await reply.whole(head.status, head.reason, headers, body)
+
     async def _connect(
         self, server: BackendServer, ticket: Ticket
     ) -> ClientConnection | NotSent:
@@ -174,40 +170,34 @@
         )
         if answer.load is not None:
             self._fleet.note_load(server.instance, answer.load, boottime_ms())
+        if answer.is_success and answer.is_event_stream and answer.is_genuine:
+            headers = self._codec.forwarded_answer_headers(answer.head)
+            stream = AnswerStream(connection, progress, answer.head, headers)
+            await stream.relay(answer_timeout_ms)
+            return Delivered(answer.head.status)
+        body = await connection.read_body(MOST_BODY_BYTES)
+        return await self._conclude(answer, body, progress)
+
+    async def _conclude(
+        self, answer: Answer, body: bytes, progress: Progress
+    ) -> Outcome:
+        """Judge an answer that is no event stream."""
         if answer.was_not_run:
-            await connection.read_body(MOST_BODY_BYTES)
             return NotRun(answer.head.status)
-        if answer.is_success:
-            if not answer.is_sealed or answer.is_encoded:
-                return Broken("the answer is not the server's own")
-            if answer.is_event_stream:
-                return await self._pass_stream(
-                    ticket, connection, answer, progress, answer_timeout_ms
-                )
-        body = await connection.read_body(MOST_BODY_BYTES)
         if not answer.is_success:
             return Failed(answer, body)
+        if not answer.is_genuine:
+            return Broken('the answer is not the one of the server')
         if progress.reply.has_started:
             return Broken('the answer does not continue the stream', True)
         await self.pass_whole(progress.reply, answer, body)
         return Delivered(answer.head.status)
 
-    async def pass_whole(
-        self, reply: Reply, answer: Answer, body: bytes
-    ) -> None:
-        """Pass a whole answer on to the caller."""
-        head = answer.head
-        headers = self._codec.forwarded_answer_headers(head)
-        headers = tuple(
-            pair for pair in headers if pair[0].lower() != b'content-length'
-        )
-        await reply.whole(head.status, head.reason, headers, body)
-
     async def _answer(
         self,
         ticket: Ticket,
         connection: ClientConnection,
-        request,
+        request: RequestHead,
         timeout_ms: float,
     ) -> Answer:
         def is_expected(head: AnswerHead) -> bool:
@@ -221,45 +211,6 @@
             raise ExchangeError(Stage.SENT, 'no answer in time') from error
         return self._codec.decode_answer(head)
 
-    async def _pass_stream(
-        self,
-        ticket: Ticket,
-        connection: ClientConnection,
-        answer: Answer,
-        progress: Progress,
-        first_part_ms: float,
-    ) -> Outcome:
-        reply = progress.reply
-        silence_ms = first_part_ms
-        is_resumable = ticket.route.is_resumable
-        if is_resumable and progress.events is None:
-            progress.events = EventSplitter(ticket.call.resume_after)
-        elif progress.events is not None:
-            progress.events.drop_rest()
-        while True:
-            part = await _next_part(
-                connection, silence_ms if is_resumable else None
-            )
-            if part is None:
-                break
-            silence_ms = STREAM_SILENCE_MS
-            if progress.events is not None:
-                part = progress.events.take(part)
-            if part:
-                await self._start_stream(reply, answer)
-                await reply.part(part)
-        if progress.events is not None:
-            await reply.part(progress.events.rest)
-        await self._start_stream(reply, answer)
-        await reply.end()
-        return Delivered(answer.head.status)
-
-    async def _start_stream(self, reply: Reply, answer: Answer) -> None:
-        if not reply.has_started:
-            head = answer.head
-            headers = self._codec.forwarded_answer_headers(head)
-            await reply.start(head.status, head.reason, headers)
-
     def _pool(self, server: BackendServer) -> ConnectionPool:
         pool = self._pools.get(server.instance)
         if pool is None or pool.address != server.address:
@@ -268,19 +219,6 @@
         return pool
 
 
-async def _next_part(
-    connection: ClientConnection, silence_ms: float | None
-) -> bytes | None:
-    if silence_ms is None:
-        return await connection.read_part()
-    try:
-        async with asyncio.timeout(silence_ms / MS_PER_S):
-            return await connection.read_part()
-    except TimeoutError as error:
-        reason = 'the stream has fallen silent'
-        raise ExchangeError(Stage.ANSWERING, reason) from error
-
-
 def _target(
     ticket: Ticket, server: BackendServer, progress: Progress, now_ms: float
 ) -> Target:
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -1,11 +1,10 @@
-"""Serves callers' requests: admission, choice of a server, repeated sends."""
+"""Serves callers' requests: admission, sends, and what follows a failure."""
 
 import asyncio
-import dataclasses
 
 import structlog
 
-from lagoonflow.backends.choosing import Chooser, Need, Nowhere, Send, Wake
+from lagoonflow.backends.choosing import Chooser
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.clock import MS_PER_S, boottime_ms
@@ -13,8 +12,10 @@
 from lagoonflow.http1.channel import ConnectionGoneError
 from lagoonflow.http1.server import CallerRequest, Reply
 from lagoonflow.relay.admission import Admission, Ticket
-from lagoonflow.relay.changes import Changes
+from lagoonflow.relay.attempts import BUSY_RETRY_MS, Attempts
+from lagoonflow.relay.events import EventSplitter
 from lagoonflow.relay.journal import CallJournal, CallRecord
+from lagoonflow.relay.placing import Placer
 from lagoonflow.relay.ports import CallCodec
 from lagoonflow.relay.refusals import body_of, headers_of, status_of
 from lagoonflow.relay.sending import (
@@ -25,44 +26,19 @@
     NotRun,
     NotSent,
     Outcome,
-    Progress,
     Sender,
     Withheld,
 )
-from lagoonflow.relay.wishes import Wishes
+from lagoonflow.relay.streaming import Progress
 from lagoonflow.results import Refusal, Result
-from lagoonflow.retries.budget import RepeatBudget
+from lagoonflow.retries.budget import Budgets
 
-# A waiting request looks at the fleet at least this often, in ms.
-RECHECK_MS = 120
-# A wake that has not happened after its expected time and this much more is
-# given up, in ms.
-WAKE_SLACK_MS = 1500
-# Time that must be left for the answer itself, in ms.
-ANSWER_MARGIN_MS = 60
 # Part of the time left after which a repeatable request is sent elsewhere.
 HEDGE_PART = 0.45
-# Sends that no server ran, for one call.
+# Sends that servers reject, for one call.
 MOST_REJECTED_SENDS = 3
 SERVER_ERROR = 500
 _INTERNAL = Refusal(Result.INTERNAL, 'internal error', not_run=False)
-BUSY_RETRY_MS = 400
-
-
-@dataclasses.dataclass(slots=True)
-class _Attempts:
-    """What has been tried for one call.
-
-    :ivar excluded: servers that are not tried again.
-    :ivar may_have_run: sends that may have run somewhere.
-    """
-
-    excluded: set[str] = dataclasses.field(default_factory=set)
-    may_have_run: int = 0
-    rejected: int = 0
-    sends: int = 0
-    last_failure: Failed | None = None
-    last_reason: str = ''
 
 
 class CallService:
@@ -77,12 +53,10 @@
         sender: Sender,
         codec: CallCodec,
         journal: CallJournal,
-        budgets: 'Budgets',
+        budgets: Budgets,
     ) -> None:
         """Wire the parts."""
-        self.wishes = Wishes()
-        self.changes = Changes()
-        self.wish_changed = asyncio.Event()
+        self.placer = Placer(chooser)
         self._view = view
         self._fleet = fleet
         self._chooser = chooser
@@ -106,10 +80,8 @@
         except ConnectionGoneError:
             record.finish('caller left')
         except Exception:
-            record.finish('internal error')
             self._log.exception('call failed', request=call.request_id)
-            if not reply.has_started:
-                await self._refuse(record, reply, _INTERNAL)
+            await self._refuse(record, reply, _INTERNAL)
         finally:
             self._journal.write(record, boottime_ms(), self._view)
 
@@ -117,14 +89,13 @@
         self, reply: Reply, status: int, reason: str
     ) -> None:
         """Answer a request that can't be read."""
-        code = Result.MALFORMED_HEADER
-        refusal = Refusal(code, reason)
+        refusal = Refusal(Result.MALFORMED_HEADER, reason)
         headers = headers_of(refusal, '')
         await reply.whole(status, b'Refused', headers, body_of(refusal))
         self._journal.count_unread(status, reason)
 
     def apply_timeouts(self) -> None:
-        """Put changed route timeouts in force for calls in work."""
+        """Put lowered route timeouts in force for calls in work."""
         loop = asyncio.get_running_loop()
         now_ms = boottime_ms()
         for ticket, timer in self._timers.values():
@@ -139,57 +110,62 @@
 
     async def _serve(self, record: CallRecord, reply: Reply) -> None:
         now_ms = boottime_ms()
-        decision = self._admission.admit(record.call, now_ms)
-        if isinstance(decision, Refusal):
-            await self._refuse(record, reply, decision)
+        ticket = self._admission.admit(record.call, now_ms)
+        if isinstance(ticket, Refusal):
+            await self._refuse(record, reply, ticket)
             return
-        ticket = decision
         record.ticket = ticket
         self._budgets.of(ticket.service.name).count_request(now_ms)
         if ticket.call.model:
             self._fleet.note_demand(ticket.call.model, now_ms)
-        attempts = _Attempts()
+        attempts = Attempts()
         try:
-            await self._serve_in_time(record, ticket, attempts, reply)
+            refusal = await self._serve_in_time(record, ticket, attempts, reply)
         finally:
+            self.placer.wishes.drop(ticket)
             if not attempts.may_have_run:
                 self._admission.refund(ticket)
+        if refusal is not None:
+            await self._refuse(record, reply, refusal)
 
     async def _serve_in_time(
         self,
         record: CallRecord,
         ticket: Ticket,
-        attempts: _Attempts,
+        attempts: Attempts,
         reply: Reply,
-    ) -> None:
+    ) -> Refusal | None:
         left_s = ticket.left_ms(boottime_ms()) / MS_PER_S
         try:
             async with asyncio.timeout(left_s) as timer:
                 self._timers[id(ticket)] = (ticket, timer)
-                refusal = await self._attempt(record, ticket, attempts, reply)
+                return await self._attempt(record, ticket, attempts, reply)
         except TimeoutError:
-            refusal = _timed_out(attempts)
+            return attempts.refuse(
+                Result.DEADLINE_UNREACHABLE,
+                'the time for the answer is over',
+            )
         finally:
             self._timers.pop(id(ticket), None)
-            self.wishes.drop(ticket)
-        if refusal is not None:
-            await self._refuse(record, reply, refusal)
 
     async def _attempt(
         self,
         record: CallRecord,
         ticket: Ticket,
-        attempts: _Attempts,
+        attempts: Attempts,
         reply: Reply,
     ) -> Refusal | None:
         """Try servers until the answer is delivered; else a refusal."""
-        progress = Progress(reply)
+        events = None
+        if ticket.route.is_resumable:
+            events = EventSplitter(ticket.call.resume_after)
+        progress = Progress(reply, events)
         await _sleep_until(ticket.start_at_ms)
         while True:
-            server = await self._place(record, ticket, attempts)
+            server = await self.placer.place(record, ticket, attempts)
             if isinstance(server, Refusal):
-                return await self._give_up(record, attempts, progress, server)
-            attempts.sends += 1
+                refusal = server
+                break
             timeout_ms = self._answer_timeout_ms(ticket, attempts)
             # Counted before the send: a cancelled one may have run, too.
             attempts.may_have_run += 1
@@ -197,84 +173,79 @@
                 ticket, server, progress, timeout_ms
             )
             record.note_send(server.instance, outcome, boottime_ms())
-            refusal = self._judge(ticket, server, attempts, outcome)
             if isinstance(outcome, Delivered):
+                self._note_delivered(ticket, server)
                 record.finish('delivered')
                 return None
+            refusal = self._judge(ticket, server, attempts, outcome)
             if refusal is not None:
-                return await self._give_up(record, attempts, progress, refusal)
+                break
+        return await self._give_up(record, attempts, progress, refusal)
+
+    def _note_delivered(self, ticket: Ticket, server: BackendServer) -> None:
+        self._fleet.health(server.instance).succeed(boottime_ms())
+        keys = self._chooser.prompt_keys(ticket.call)
+        self._fleet.remember_prompt(server.instance, keys)
 
     def _judge(
         self,
         ticket: Ticket,
         server: BackendServer,
-        attempts: _Attempts,
+        attempts: Attempts,
         outcome: Outcome,
     ) -> Refusal | None:
-        """Learn from an outcome; a refusal ends the attempts."""
+        """Learn from a failed send; a refusal ends the attempts."""
         now_ms = boottime_ms()
         health = self._fleet.health(server.instance)
+        attempts.excluded.add(server.instance)
         match outcome:
-            case Delivered():
-                health.succeed(now_ms)
-                keys = self._chooser.prompt_keys(ticket.call)
-                self._fleet.remember_prompt(server.instance, keys)
-                return None
             case NotSent(reason=reason):
                 health.fail(now_ms)
                 attempts.may_have_run -= 1
                 attempts.last_reason = reason
-                attempts.excluded.add(server.instance)
                 return None
             case Withheld(refusal=refusal):
                 attempts.may_have_run -= 1
-                return _marked(refusal, attempts)
+                return attempts.mark(refusal)
             case NotRun(status=status):
                 attempts.may_have_run -= 1
                 attempts.rejected += 1
                 attempts.last_reason = f'rejected with status {status}'
-                attempts.excluded.add(server.instance)
                 return self._after_rejection(ticket, attempts, now_ms)
-            case Failed(answer=answer) as failed:
-                attempts.last_failure = failed
+            case Failed(answer=answer):
+                attempts.last_failure = outcome
                 attempts.last_reason = f'status {answer.head.status}'
                 if answer.head.status < SERVER_ERROR:
                     health.succeed(now_ms)
-                    return _failed(attempts)
+                    return attempts.fail()
                 health.note_failure(now_ms)
             case Broken(reason=reason):
                 attempts.last_reason = reason
                 health.fail(now_ms)
-        attempts.excluded.add(server.instance)
         return self._after_failure(ticket, attempts, now_ms)
 
     def _after_rejection(
-        self, ticket: Ticket, attempts: _Attempts, now_ms: float
+        self, ticket: Ticket, attempts: Attempts, now_ms: float
     ) -> Refusal | None:
         budget = self._budgets.of(ticket.service.name)
         is_allowed = attempts.rejected < MOST_REJECTED_SENDS
         if is_allowed and budget.try_repeat(now_ms):
             return None
-        return _marked(
-            Refusal(
-                Result.NO_RUNNER,
-                f'the server was full: {attempts.last_reason}',
-                retry_after_ms=BUSY_RETRY_MS,
-            ),
-            attempts,
+        return attempts.refuse(
+            Result.NO_RUNNER, attempts.last_reason, BUSY_RETRY_MS
         )
 
     def _after_failure(
-        self, ticket: Ticket, attempts: _Attempts, now_ms: float
+        self, ticket: Ticket, attempts: Attempts, now_ms: float
     ) -> Refusal | None:
         budget = self._budgets.of(ticket.service.name)
         has_sends = attempts.may_have_run < ticket.route.most_sends
         may_repeat = ticket.route.is_repeatable and has_sends
         if may_repeat and budget.try_repeat(now_ms):
             return None
-        return _failed(attempts)
+        return attempts.fail()
 
-    def _answer_timeout_ms(self, ticket: Ticket, attempts: _Attempts) -> float:
+    def _answer_timeout_ms(self, ticket: Ticket, attempts: Attempts) -> float:
         left_ms = ticket.left_ms(boottime_ms())
         may_repeat = (
             ticket.route.is_repeatable
@@ -282,50 +253,10 @@
         )
         return left_ms * HEDGE_PART if may_repeat else left_ms + MS_PER_S
 
-    # Placing.
-
-    async def _place(
-        self, record: CallRecord, ticket: Ticket, attempts: _Attempts
-    ) -> BackendServer | Refusal:
-        """Return the server to send to, once it can take the call."""
-        asked = ''
-        asked_until_ms = 0.0
-        while True:
-            now_ms = boottime_ms()
-            need = Need(
-                ticket.call,
-                ticket.service,
-                frozenset(attempts.excluded),
-                asked,
-            )
-            choice = self._chooser.choose(need, now_ms)
-            match choice:
-                case Send(server=server):
-                    self.wishes.drop(ticket)
-                    record.note_choice(choice, now_ms)
-                    return server
-                case Nowhere(reason=reason):
-                    return _nowhere(reason, attempts)
-                case Wake(server=server, ready_in_ms=ready_in_ms):
-                    left_ms = ticket.begin_left_ms(now_ms) - ANSWER_MARGIN_MS
-                    if ready_in_ms > left_ms:
-                        return _too_late(ready_in_ms, attempts)
-                    if asked != server.instance:
-                        asked = server.instance
-                        asked_until_ms = now_ms + ready_in_ms + WAKE_SLACK_MS
-                        record.note_choice(choice, now_ms)
-                    elif now_ms > asked_until_ms and not choice.is_coming:
-                        attempts.excluded.add(server.instance)
-                    if self.wishes.put(ticket, server.instance):
-                        self.wish_changed.set()
-                    await self.changes.wait(RECHECK_MS)
-
-    # Ends.
-
     async def _give_up(
         self,
         record: CallRecord,
-        attempts: _Attempts,
+        attempts: Attempts,
         progress: Progress,
         refusal: Refusal,
     ) -> Refusal | None:
@@ -354,64 +285,7 @@
         await reply.whole(status, reason, headers, body_of(refusal))
 
 
-class Budgets:
-    """One repeat budget for each service."""
-
-    def __init__(self, ratio: float, extra: float, window_ms: float) -> None:
-        """Create budgets on demand."""
-        self._terms = (ratio, extra, window_ms)
-        self._routers = 1
-        self._budgets: dict[str, RepeatBudget] = {}
-
-    def of(self, service: str) -> RepeatBudget:
-        """Return the budget of a service."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = RepeatBudget(*self._terms)
-            budget.routers = self._routers
-        return budget
-
-    def set_routers(self, routers: int) -> None:
-        """Share the allowance between this many routers."""
-        self._routers = routers
-        for budget in self._budgets.values():
-            budget.routers = routers
-
-
 async def _sleep_until(at_ms: float) -> None:
     wait_ms = at_ms - boottime_ms()
     if wait_ms > 0:
         await asyncio.sleep(wait_ms / MS_PER_S)
-
-
-def _marked(refusal: Refusal, attempts: _Attempts) -> Refusal:
-    """Take back the promise when an earlier send may have run."""
-    if attempts.may_have_run:
-        return dataclasses.replace(refusal, not_run=False)
-    return refusal
-
-
-def _failed(attempts: _Attempts) -> Refusal:
-    return Refusal(Result.BACKEND_FAILED, attempts.last_reason, not_run=False)
-
-
-def _timed_out(attempts: _Attempts) -> Refusal:
-    return Refusal(
-        Result.DEADLINE_UNREACHABLE,
-        'the time for the answer is over',
-        not_run=not attempts.may_have_run,
-    )
-
-
-def _nowhere(reason: str, attempts: _Attempts) -> Refusal:
-    refusal = Refusal(Result.NO_RUNNER, reason, retry_after_ms=BUSY_RETRY_MS)
-    return _marked(refusal, attempts)
-
-
-def _too_late(ready_in_ms: float, attempts: _Attempts) -> Refusal:
-    refusal = Refusal(
-        Result.DEADLINE_UNREACHABLE,
-        f'the model is ready in {int(ready_in_ms)} ms, past the deadline',
-        retry_after_ms=BUSY_RETRY_MS,
-    )
-    return _marked(refusal, attempts)
--- a/lagoonflow/retries/budget.py
+++ b/lagoonflow/retries/budget.py
@@ -44,3 +44,27 @@
         for times in (self._requests, self._repeats):
             while times and times[0] < horizon_ms:
                 times.popleft()
+
+
+class Budgets:
+    """One repeat budget for each service."""
+
+    def __init__(self, ratio: float, extra: float, window_ms: float) -> None:
+        """Create budgets on demand."""
+        self._terms = (ratio, extra, window_ms)
+        self._routers = 1
+        self._budgets: dict[str, RepeatBudget] = {}
+
+    def of(self, service: str) -> RepeatBudget:
+        """Return the budget of a service."""
+        if service not in self._budgets:
+            budget = RepeatBudget(*self._terms)
+            budget.routers = self._routers
+            self._budgets[service] = budget
+        return self._budgets[service]
+
+    def share_between(self, routers: int) -> None:
+        """Share the allowance between this many routers."""
+        self._routers = routers
+        for budget in self._budgets.values():
+            budget.routers = routers
--- a/lagoonflow/waking/demand.py
+++ b/lagoonflow/waking/demand.py
@@ -18,6 +18,12 @@
     at_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _HeardWish:
+    wish: Wish
+    deadline_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wanted:
     """A model or an adapter that requests wait for.
@@ -55,14 +61,15 @@
 
     def wanted(self, now_ms: float) -> list[Wanted]:
         """Return what is wanted, the longest waiting first."""
-        merged: dict[tuple[str, str], list[tuple[Wish, float]]] = {}
+        merged: dict[tuple[str, str], list[_HeardWish]] = {}
         for heard in self._recent(now_ms):
             if now_ms - heard.at_ms > WISH_LAPSES_MS:
                 continue
             for wish in heard.state.wishes:
                 key = (wish.model, wish.adapter)
                 deadline_ms = heard.at_ms + wish.deadline_left_ms
-                merged.setdefault(key, []).append((wish, deadline_ms))
+                heard_wish = _HeardWish(wish, deadline_ms)
+                merged.setdefault(key, []).append(heard_wish)
         self._since = {key: self._since.get(key, now_ms) for key in merged}
         found = [
             _merge(key, wishes, self._since[key])
@@ -110,13 +117,13 @@
 
 
 def _merge(
-    key: tuple[str, str], wishes: list[tuple[Wish, float]], since_ms: float
+    key: tuple[str, str], heard: list[_HeardWish], since_ms: float
 ) -> Wanted:
     return Wanted(
         model=key[0],
         adapter=key[1],
-        waiting=sum(wish.waiting for wish, _ in wishes),
-        urgency=min(wish.urgency for wish, _ in wishes),
-        deadline_ms=max(deadline_ms for _, deadline_ms in wishes),
+        waiting=sum(one.wish.waiting for one in heard),
+        urgency=min(one.wish.urgency for one in heard),
+        deadline_ms=max(one.deadline_ms for one in heard),
         since_ms=since_ms,
     )
--- a/lagoonflow/waking/ledger.py
+++ b/lagoonflow/waking/ledger.py
@@ -39,15 +39,27 @@
         self._late.append(LateLoad(model, after_sequence, until_ms))
 
     def free_mb(
-        self, spec: EngineSpec, report: RunnerReport, now_ms: float
+        self,
+        spec: EngineSpec,
+        report: RunnerReport,
+        now_ms: float,
+        wanted: str = '',
     ) -> float:
-        """Memory that a load may take, in MB."""
-        used_mb = sum(held_mb(spec, held) for held in report.models)
-        for pending in report.pending_adapters:
-            used_mb += _adapter_mb(spec, pending.partition('/')[0])
-        held = {model.name for model in report.models}
-        for model in self._late_models(report, now_ms) - held:
-            used_mb += _weights_mb(spec, model)
+        """Memory that a load may take, in MB.
+
+        :param wanted: model to load; a late load of the same model takes the
+            room that this one would.
+        """
+        held_names = {model.name for model in report.models}
+        late = self._late_models(report, now_ms) - held_names - {wanted}
+        used_mb = (
+            sum(held_mb(spec, held) for held in report.models)
+            + sum(_weights_mb(spec, model) for model in late)
+            + sum(
+                _adapter_mb(spec, pending.partition('/')[0])
+                for pending in report.pending_adapters
+            )
+        )
         return spec.weights_mb - used_mb
 
     def free_adapter_places(
--- /dev/null
+++ b/lagoonflow/waking/planning.py
@@ -0,0 +1,245 @@
+"""Chooses the next order to a runner."""
+
+from lagoonflow.backends.messages import HeldModel, RunnerReport
+from lagoonflow.declared.messages import EngineSpec, Model
+from lagoonflow.gossip.messages import Denial
+from lagoonflow.waking.account import RunnerAccount
+from lagoonflow.waking.copies import load_time_ms
+from lagoonflow.waking.demand import Wanted
+from lagoonflow.waking.ledger import held_mb
+from lagoonflow.waking.messages import Step, StepKind
+from lagoonflow.waking.store_loads import SPARE_RATE_PER_S
+
+MS_PER_S = 1000
+# A model that was just loaded stays this long, so that the requests that
+# waited for it can start, in ms.
+SETTLE_MS = 600
+# Adapters on their way to one runner at the same time, as the platform allows.
+MOST_PENDING_ADAPTERS = 4
+# Demand that was seen for this long tells which models are rare, in ms.
+KNOWN_DEMAND_MS = 8000
+# A wish that can't be met now is worth asking again after this time, in ms.
+DENIAL_RETRY_MS = 500
+
+
+class Planner:
+    """Turns wishes into orders, one at a time.
+
+    :ivar denials: wishes that the last plan could not meet.
+    """
+
+    def __init__(self, account: RunnerAccount) -> None:
+        """Plan for one runner."""
+        self.denials: tuple[Denial, ...] = ()
+        self._account = account
+        self._denied: list[Denial] = []
+        self._demand_since_ms = float('inf')
+
+    def plan(self, now_ms: float) -> Step | None:
+        """Return the next order, if one makes sense now.
+
+        The runner carries out one order at a time and rejects all others
+        meanwhile, those for adapters too.
+        """
+        self._denied = []
+        account = self._account
+        step = None
+        is_free = account.in_progress is None and not account.report.is_busy
+        if is_free:
+            step = self._next_step(account.spec, account.report, now_ms)
+        self.denials = tuple(self._denied)
+        return step
+
+    def _next_step(
+        self, spec: EngineSpec, report: RunnerReport, now_ms: float
+    ) -> Step | None:
+        wanted = self._account.demand.wanted(now_ms)
+        for wish in wanted:
+            step = self._adapter_step(spec, report, wish, now_ms)
+            if step is not None:
+                return step
+        for wish in wanted:
+            step = self._model_step(spec, report, wish, now_ms)
+            if step is not None:
+                return step
+        return self._fetch_step(spec, report, now_ms)
+
+    # Adapters.
+
+    def _adapter_step(
+        self,
+        spec: EngineSpec,
+        report: RunnerReport,
+        wish: Wanted,
+        now_ms: float,
+    ) -> Step | None:
+        held = self._account.holds(wish.model)
+        if not wish.adapter or held is None or wish.adapter in held.adapters:
+            return None
+        pending = report.pending_adapters
+        if f'{wish.model}/{wish.adapter}' in pending:
+            return None
+        declared = spec.models.get(wish.model)
+        if declared is None:
+            self._deny(wish)
+            return None
+        if len(pending) >= MOST_PENDING_ADAPTERS:
+            return None
+        ledger = self._account.ledger
+        has_place = ledger.free_adapter_places(spec, report) > 0
+        has_room = self._account.free_mb(now_ms) >= declared.adapter_mb
+        if has_place and has_room:
+            cause = f'{wish.waiting} requests wait'
+            return _load(wish.model, wish.adapter, report, cause)
+        return self._drop_adapter(report, wish, now_ms)
+
+    def _drop_adapter(
+        self, report: RunnerReport, wish: Wanted, now_ms: float
+    ) -> Step | None:
+        """Return the order that drops the least recently used idle one."""
+        running = self._account.demand.running(now_ms)
+        wanted = {
+            (one.model, one.adapter)
+            for one in self._account.demand.wanted(now_ms)
+        }
+        idle = [
+            (held.name, adapter)
+            for held in report.models
+            for adapter in held.adapters
+            if not running.get(f'{held.name}/{adapter}')
+            and (held.name, adapter) not in wanted
+        ]
+        if not idle:
+            self._deny(wish)
+            return None
+        model, adapter = min(
+            idle, key=lambda pair: self._account.used_at_ms('/'.join(pair))
+        )
+        cause = f'makes way for {wish.model}/{wish.adapter}'
+        return _unload(model, adapter, report, cause)
+
+    # Models.
+
+    def _model_step(
+        self,
+        spec: EngineSpec,
+        report: RunnerReport,
+        wish: Wanted,
+        now_ms: float,
+    ) -> Step | None:
+        if self._account.holds(wish.model) is not None:
+            return None
+        declared = spec.models.get(wish.model)
+        if declared is None or declared.weights_mb > spec.weights_mb:
+            self._deny(wish)
+            return None
+        is_from_store = load_time_ms(declared, report)[1]
+        if is_from_store and not self._may_use_store(spec, now_ms):
+            return None
+        missing_mb = self._missing_mb(declared, now_ms)
+        if missing_mb <= 0:
+            return _load_model(
+                declared, report, f'{wish.waiting} requests wait'
+            )
+        victims = self._droppable(report, now_ms)
+        if sum(held_mb(spec, held) for held in victims) < missing_mb:
+            self._deny(wish)
+            return None
+        cause = f'makes way for {wish.model}'
+        return _unload(victims[0].name, '', report, cause)
+
+    def _fetch_step(
+        self, spec: EngineSpec, report: RunnerReport, now_ms: float
+    ) -> Step | None:
+        """Load a model ahead that lies on no runner."""
+        told = self._account.demand.newest(now_ms)
+        if told is None or not self._may_use_store(spec, now_ms):
+            return None
+        for name in told.to_fetch:
+            declared = spec.models.get(name)
+            if declared is None or not load_time_ms(declared, report)[1]:
+                continue
+            missing_mb = self._missing_mb(declared, now_ms)
+            if missing_mb <= 0:
+                return _load_model(declared, report, 'no runner has a copy')
+            spare = [
+                held
+                for held in self._droppable(report, now_ms)
+                if held.name in told.spare and self._is_spare(held, now_ms)
+            ]
+            if sum(held_mb(spec, held) for held in spare) >= missing_mb:
+                cause = f'makes way for {name}, fetched ahead'
+                return _unload(spare[0].name, '', report, cause)
+        return None
+
+    def _missing_mb(self, model: Model, now_ms: float) -> float:
+        return model.weights_mb - self._account.free_mb(now_ms, model.name)
+
+    def _droppable(
+        self, report: RunnerReport, now_ms: float
+    ) -> list[HeldModel]:
+        """Models that may make way, the least missed first."""
+        account = self._account
+        wished = {wish.model for wish in account.demand.wanted(now_ms)}
+        running = account.running_by_model(now_ms)
+        rates = account.demand.rates(now_ms)
+        settled = [
+            held
+            for held in report.models
+            if held.name not in wished
+            and account.held_for_ms(held.name, now_ms) >= SETTLE_MS
+        ]
+        return sorted(
+            settled,
+            key=lambda held: (
+                running[held.name] > 0,
+                rates.get(held.name, 0),
+                account.used_at_ms(held.name),
+                held.name,
+            ),
+        )
+
+    def _is_spare(self, held: HeldModel, now_ms: float) -> bool:
+        """Whether a model is not missed while a load from the store runs."""
+        if self._account.running_on(held.name, now_ms):
+            return False
+        rates = self._account.demand.rates(now_ms)
+        if not rates:
+            return True
+        self._demand_since_ms = min(self._demand_since_ms, now_ms)
+        is_known = now_ms - self._demand_since_ms >= KNOWN_DEMAND_MS
+        return is_known and rates.get(held.name, 0) < SPARE_RATE_PER_S
+
+    def _may_use_store(self, spec: EngineSpec, now_ms: float) -> bool:
+        """Keep to the order of the fleet and to this runner's part."""
+        account = self._account
+        told = account.demand.newest(now_ms)
+        if told is None or not told.may_use_store:
+            return False
+        loads_per_s = max(spec.store_loads_per_s, 0.01)
+        pause_ms = MS_PER_S * account.agents / loads_per_s
+        return now_ms - account.store_load_at_ms >= pause_ms
+
+    def _deny(self, wish: Wanted) -> None:
+        self._denied.append(Denial(wish.model, wish.adapter, DENIAL_RETRY_MS))
+
+
+def _load_model(model: Model, report: RunnerReport, cause: str) -> Step:
+    load_ms, is_from_store = load_time_ms(model, report)
+    return Step(
+        StepKind.LOAD,
+        model.name,
+        '',
+        report.order_sequence,
+        cause,
+        load_ms,
+        is_from_store,
+    )
+
+
+def _load(model: str, adapter: str, report: RunnerReport, cause: str) -> Step:
+    return Step(StepKind.LOAD, model, adapter, report.order_sequence, cause)
+
+
+def _unload(model: str, adapter: str, report: RunnerReport, cause: str) -> Step:
+    return Step(StepKind.UNLOAD, model, adapter, report.order_sequence, cause)
--- a/lagoonflow/waking/store_loads.py
+++ b/lagoonflow/waking/store_loads.py
@@ -7,7 +7,7 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import xxhash
 
@@ -65,11 +65,8 @@
     most = math.ceil((sum(counts.values()) + len(models)) / len(counts))
     assigned: dict[str, str] = {}
     for model in models:
-        ranked = sorted(
-            counts, key=lambda instance: _weight(model, instance), reverse=True
-        )
-        open_ones = [one for one in ranked if counts[one] < most]
-        chosen = (open_ones or ranked)[0]
+        open_ones = [one for one in counts if counts[one] < most]
+        chosen = max(open_ones or counts, key=_weights_of(model))
         counts[chosen] += 1
         assigned[model] = chosen
     return assigned
@@ -115,5 +112,10 @@
     return in_progress + ahead < LOADS_AT_ONCE
 
 
-def _weight(model: str, instance: str) -> int:
-    return xxhash.xxh3_64_intdigest(f'{model} {instance}'.encode())
+def _weights_of(model: str) -> Callable[[str], int]:
+    """Rank instances for a model by rendezvous hashing."""
+
+    def weight(instance: str) -> int:
+        return xxhash.xxh3_64_intdigest(f'{model} {instance}'.encode())
+
+    return weight
--- a/lagoonflow/wiring/platform_agent.py
+++ b/lagoonflow/wiring/platform_agent.py
@@ -22,6 +22,7 @@
     METRICS_PORT_OFFSET,
     on_signals,
     register,
+    supervise,
 )
 
 ROLE = 'agent'
@@ -62,7 +63,7 @@
         self._stop = asyncio.Event()
         self._wanted = asyncio.Event()
         self._told: AgentState | None = None
-        self._told_at_ms = 0.0
+        self._told_at_ms: float = 0
 
     async def run(self) -> None:
         """Keep the runner until SIGTERM."""
@@ -83,9 +84,9 @@
             feed.fail,
         )
         tasks = [
-            asyncio.create_task(follower.run()),
-            asyncio.create_task(self._take_token()),
-            asyncio.create_task(self._keep()),
+            supervise(follower.run(), self._stop),
+            supervise(self._take_token(), self._stop),
+            supervise(self._keep(), self._stop),
         ]
         await self._stop.wait()
         for task in tasks:
@@ -94,17 +95,18 @@
 
     async def _take_token(self) -> None:
         self._fence = await register(self._store, self._settings, ROLE)
-        self._keeper.can_order = True
+        self._keeper.account.can_order = True
 
     def _apply(self) -> None:
         service = self._view.state.services.get(self._settings.service)
-        self._keeper.spec = None if service is None else service.engine
+        engine = None if service is None else service.engine
+        self._keeper.account.spec = engine
 
     def _receive(self, message: Message, sender: str) -> None:
         if not isinstance(message, RouterState):
             return
-        self._keeper.demand.hear(message, boottime_ms())
-        self._keeper.agents = message.agents
+        self._keeper.account.demand.hear(message, boottime_ms())
+        self._keeper.account.agents = message.agents
         if message.wishes:
             self._wanted.set()
 
@@ -113,7 +115,7 @@
             report = await self._runner.report()
             now_ms = boottime_ms()
             if report is not None:
-                self._keeper.take_report(report, now_ms)
+                self._keeper.account.take_report(report, now_ms)
             step = self._keeper.decide(now_ms)
             if step is not None:
                 await self._order(step)
@@ -121,15 +123,16 @@
             await self._pause(report is not None and report.active > 0)
 
     async def _order(self, step: Step) -> None:
-        instance = self._keeper.instance
+        account = self._keeper.account
+        instance = account.instance
         sent_at_ms = boottime_ms()
         outcome = await self._runner.order(step, instance, self._fence)
         now_ms = boottime_ms()
         match outcome:
             case OrderOutcome.ACCEPTED:
-                self._keeper.note_accepted(step, now_ms)
+                account.note_accepted(step, now_ms)
             case OrderOutcome.UNKNOWN:
-                self._keeper.note_unanswered(step, now_ms)
+                account.note_unanswered(step, now_ms)
         self._orders.labels(step.kind.value, outcome.name).inc()
         self._log.info(
             'order',
@@ -147,7 +150,7 @@
 
     async def _pause(self, is_busy: bool) -> None:
         pause_ms = BUSY_MS if is_busy else IDLE_MS
-        if self._keeper.is_ordering or self._keeper.demand.wanted(
+        if self._keeper.is_ordering or self._keeper.account.demand.wanted(
             boottime_ms()
         ):
             pause_ms = ORDERING_MS
@@ -169,19 +172,22 @@
             return
         self._told = state
         self._told_at_ms = now_ms
-        for address in self._keeper.demand.addresses(now_ms):
+        for address in self._keeper.account.demand.addresses(now_ms):
             self._gossip.send(state, address)
 
 
 def _is_news(told: AgentState, state: AgentState) -> bool:
     """Whether requests may wait for what has changed."""
-    before = {(held.name, held.adapters) for held in told.held}
-    after = {(held.name, held.adapters) for held in state.held}
-    return (
-        before != after
-        or told.loading != state.loading
-        or told.unloading != state.unloading
-        or told.denials != state.denials
-        or told.instance != state.instance
-        or told.can_order != state.can_order
-    )
+    return _urgent_facts(told) != _urgent_facts(state)
+
+
+def _urgent_facts(state: AgentState) -> list[object]:
+    held = {(one.name, one.adapters) for one in state.held}
+    return [
+        held,
+        state.loading,
+        state.unloading,
+        state.denials,
+        state.instance,
+        state.can_order,
+    ]
--- a/lagoonflow/wiring/platform_feeds.py
+++ b/lagoonflow/wiring/platform_feeds.py
@@ -40,26 +40,30 @@
         self, page: RecordPage, is_whole: bool, asked_at_ms: float
     ) -> None:
         """Take a page of records."""
-        is_readable = True
-        for record in page.records:
-            if record.key != CONFIGURATION_KEY or record.value is None:
-                continue
-            try:
-                state = decode_configuration(record.value)
-            except ConfigurationError as error:
-                is_readable = False
-                self._log.error('configuration not readable', why=str(error))
-                continue
-            is_readable = True
-            if self._view.put(state):
-                self._log.info('configuration in force', version=state.version)
-                self._on_change()
+        newest = [
+            record.value
+            for record in page.records
+            if record.key == CONFIGURATION_KEY and record.value is not None
+        ]
+        is_readable = not newest or self._put(newest[-1])
         if is_readable and self._view.state is not None:
             self._view.prove(asked_at_ms)
 
     def fail(self, failure: StoreFailure) -> None:
         """Take a failure; the proof grows old by itself."""
 
+    def _put(self, raw: bytes) -> bool:
+        """Put a configuration in force; tells whether it is readable."""
+        try:
+            state = decode_configuration(raw)
+        except ConfigurationError as error:
+            self._log.error('configuration not readable', why=str(error))
+            return False
+        if self._view.put(state):
+            self._log.info('configuration in force', version=state.version)
+            self._on_change()
+        return True
+
 
 class ServersFeed:
     """Follows the entries of backend servers.
--- a/lagoonflow/wiring/platform_process.py
+++ b/lagoonflow/wiring/platform_process.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 import signal
+from collections.abc import Coroutine
+from typing import Any
 
 import msgspec
 import structlog
@@ -39,6 +41,22 @@
         await asyncio.sleep(delay_ms / MS_PER_S)
 
 
+def supervise(
+    work: Coroutine[Any, Any, None], stop: asyncio.Event
+) -> asyncio.Task[None]:
+    """Start a task; when it fails, the process stops and is started anew."""
+    log = structlog.get_logger(part='process')
+
+    def note_end(task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            log.error('task failed', exc_info=task.exception())
+            stop.set()
+
+    task = asyncio.get_running_loop().create_task(work)
+    task.add_done_callback(note_end)
+    return task
+
+
 def on_signals(stop: asyncio.Event) -> None:
     """Set an event on SIGTERM; note SIGHUP."""
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/lagoonflow/wiring/platform_telling.py
@@ -0,0 +1,179 @@
+"""Tells agents and other routers what this router wants and has charged."""
+
+import time
+
+from lagoonflow.backends.fleet import Fleet
+from lagoonflow.backends.messages import BackendServer
+from lagoonflow.declared.messages import DeclaredState
+from lagoonflow.gossip.members import Members
+from lagoonflow.gossip.messages import (
+    AgentState,
+    MeterState,
+    RouterState,
+    Wish,
+)
+from lagoonflow.gossip.transport import GossipSocket
+from lagoonflow.platform.settings import PlatformSettings
+from lagoonflow.quotas.shared import SharedMeter
+from lagoonflow.relay.wishes import Wishes
+from lagoonflow.waking.store_loads import StorePlan, plan_all
+
+# Loads from the weight store are planned anew this often, in ms.
+PLAN_MS = 200
+# Changed facts are told to an agent at most this often, in ms.
+AGENT_CHANGE_MS = 150
+# Unchanged facts are repeated to an agent this often, in ms.
+AGENT_REPEAT_MS = 900
+# Charges are told to the other routers at most this often, in ms.
+METER_CHANGE_MS = 150
+# Unchanged charges are repeated this often, in ms.
+METER_REPEAT_MS = 400
+
+
+class AgentTeller:
+    """Tells agents about wishes, running requests and demand."""
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        fleet: Fleet,
+        wishes: Wishes,
+        gossip: GossipSocket,
+    ) -> None:
+        """Tell over a socket."""
+        self._settings = settings
+        self._fleet = fleet
+        self._wishes = wishes
+        self._gossip = gossip
+        self._started_ms = time.time_ns() // 1_000_000
+        self._told: dict[str, tuple[float, RouterState]] = {}
+        self._plans: dict[str, StorePlan] = {}
+        self._planned_at_ms = 0
+
+    def tell(self, state: DeclaredState, now_ms: float) -> None:
+        """Send what is due."""
+        runners = [
+            server
+            for server in self._fleet.roster.all()
+            if server.service in state.services
+            and state.services[server.service].engine is not None
+        ]
+        demand = self._demand(runners, now_ms)
+        if now_ms - self._planned_at_ms >= PLAN_MS:
+            self._planned_at_ms = now_ms
+            self._plan_store_loads(state, runners, demand, now_ms)
+        for server in runners:
+            message = self._message(server, len(runners), demand, now_ms)
+            told_at_ms, told = self._told.get(server.instance, (0, None))
+            if _is_due(message, told, now_ms - told_at_ms):
+                self._told[server.instance] = (now_ms, message)
+                address = f'{server.host}:{self._settings.peer_port}'
+                self._gossip.send(message, address)
+
+    def _message(
+        self,
+        server: BackendServer,
+        agents: int,
+        demand: dict[str, float],
+        now_ms: float,
+    ) -> RouterState:
+        settings = self._settings
+        store_plan = self._plans.get(server.instance, StorePlan())
+        return RouterState(
+            router=settings.node,
+            address=f'{settings.host}:{settings.peer_port}',
+            started_ms=self._started_ms,
+            instance=server.instance,
+            runner_started_ms=server.started_ms,
+            wishes=self._wishes.at(server.instance, now_ms),
+            running=self._fleet.running(server.instance),
+            demand_per_s=demand,
+            agents=agents,
+            may_use_store=store_plan.may_load,
+            to_fetch=store_plan.to_fetch,
+            spare=store_plan.spare,
+        )
+
+    def _demand(
+        self, runners: list[BackendServer], now_ms: float
+    ) -> dict[str, float]:
+        """Demand for each model, divided by the runners that hold it."""
+        holders: dict[str, int] = {}
+        for server in runners:
+            for held in self._fleet.held(server, now_ms):
+                holders[held.name] = holders.get(held.name, 0) + 1
+        return {
+            model: round(rate / max(holders.get(model, 1), 1), 3)
+            for model, rate in self._fleet.demand(now_ms).items()
+        }
+
+    def _plan_store_loads(
+        self,
+        state: DeclaredState,
+        runners: list[BackendServer],
+        demand: dict[str, float],
+        now_ms: float,
+    ) -> None:
+        agents: dict[str, dict[str, AgentState]] = {}
+        for server in runners:
+            agent = self._fleet.agent(server, now_ms)
+            if agent is not None and agent.can_order:
+                of_service = agents.setdefault(server.service, {})
+                of_service[server.instance] = agent
+        self._plans.clear()
+        for service, of_service in agents.items():
+            engine = state.services[service].engine
+            self._plans.update(plan_all(engine, of_service, demand))
+
+
+class RouterTeller:
+    """Tells the other routers what was charged here."""
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        members: Members,
+        meter: SharedMeter,
+        gossip: GossipSocket,
+    ) -> None:
+        """Tell over a socket."""
+        self._node = settings.node
+        self._members = members
+        self._meter = meter
+        self._gossip = gossip
+        self._started_ms = time.time_ns() // 1_000_000
+        self._told_at_ms = 0
+        self._told: dict[str, float] = {}
+
+    def tell(self, now_ms: float, *, is_leaving: bool) -> int:
+        """Send what is due and return how many routers there are."""
+        present = self._members.present(now_ms)
+        self._meter.follow(frozenset(one.name for one in present))
+        totals = self._meter.totals()
+        pause_ms = METER_REPEAT_MS if totals == self._told else METER_CHANGE_MS
+        if now_ms - self._told_at_ms >= pause_ms:
+            self._told_at_ms = now_ms
+            self._told = totals
+            message = MeterState(
+                self._node, self._started_ms, totals, is_leaving
+            )
+            for member in present:
+                self._gossip.send(message, member.address)
+        return len(present) + 1
+
+
+def _is_due(
+    message: RouterState, told: RouterState | None, age_ms: float
+) -> bool:
+    if told is None or age_ms >= AGENT_REPEAT_MS:
+        return True
+    if _names(message.wishes) != _names(told.wishes):
+        return True
+    if message.may_use_store != told.may_use_store:
+        return True
+    has_news = bool(message.wishes) or message.running != told.running
+    return has_news and age_ms >= AGENT_CHANGE_MS
+
+
+def _names(wishes: tuple[Wish, ...]) -> set[tuple[str, str]]:
+    return {(wish.model, wish.adapter) for wish in wishes}
--- a/tests/quotas/test_shared.py
+++ b/tests/quotas/test_shared.py
@@ -13,7 +13,7 @@
 
 def meter(others=(), limit=LIMIT, now_ms=0):
     made = SharedMeter(now_ms)
-    made.set_members(frozenset(others))
+    made.follow(frozenset(others))
     made.set_limits({ORG: limit}, now_ms)
     return made
 
--- a/tests/relay/test_serving.py
+++ b/tests/relay/test_serving.py
@@ -204,7 +204,7 @@
 
 async def test_repeats_stay_within_the_budget():
     world = World()
-    world.budgets.set_routers(1000)
+    world.budgets.share_between(1000)
     _, second = await world.add(cut, FINE)
     status, _, _ = await world.ask('/read/x')
     assert status == 502
--- a/tests/relay/world.py
+++ b/tests/relay/world.py
@@ -25,7 +25,8 @@
 from lagoonflow.relay.admission import Admission
 from lagoonflow.relay.journal import CallJournal
 from lagoonflow.relay.sending import Sender
-from lagoonflow.relay.serving import Budgets, CallService
+from lagoonflow.relay.serving import CallService
+from lagoonflow.retries.budget import Budgets
 
 SERVICE = 'app'
 KEY = 'key-1'
--- a/tests/waking/builders.py
+++ b/tests/waking/builders.py
@@ -77,8 +77,8 @@
 
 def keeper(*states: RouterState, now_ms: float = NOW_MS) -> Keeper:
     made = Keeper('agent-1')
-    made.spec = spec()
-    made.can_order = True
+    made.account.spec = spec()
+    made.account.can_order = True
     for state in states:
-        made.demand.hear(state, now_ms)
+        made.account.demand.hear(state, now_ms)
     return made
--- a/tests/waking/test_keeper.py
+++ b/tests/waking/test_keeper.py
@@ -13,7 +13,7 @@
 
 
 def decide(made, account, now_ms=NOW_MS):
-    made.take_report(account, now_ms)
+    made.account.take_report(account, now_ms)
     return made.decide(now_ms)
 
 
@@ -39,14 +39,14 @@
 
 def test_orders_nothing_on_an_old_report():
     made = keeper(router(wish('m2')))
-    made.take_report(report(held('m1')), NOW_MS - 5000)
+    made.account.take_report(report(held('m1')), NOW_MS - 5000)
     assert made.decide(NOW_MS) is None
 
 
 def test_makes_way_with_the_least_demanded_idle_model():
     made = keeper(router(wish('m3'), demand={'m1': 2.0, 'm2': 0.1}))
     account = report(held('m1'), held('m2'))
-    made.take_report(account, NOW_MS - 700)
+    made.account.take_report(account, NOW_MS - 700)
     step = decide(made, account)
     assert (step.kind, step.model) == (StepKind.UNLOAD, 'm2')
 
@@ -55,15 +55,15 @@
     demand = {'m1': 0.1, 'm2': 3.0}
     made = keeper(router(wish('m3'), running={'m1/a1': 1}, demand=demand))
     account = report(held('m1', 'a1'), held('m2'))
-    made.take_report(account, NOW_MS - 700)
+    made.account.take_report(account, NOW_MS - 700)
     assert decide(made, account).model == 'm2'
 
 
 def test_denies_when_requests_wait_for_all_held_models():
     made = keeper(router(wish('m3'), wish('m1', 'a1'), wish('m2', 'a1')))
-    made.spec = spec(adapter_places=0)
+    made.account.spec = spec(adapter_places=0)
     account = report(held('m1'), held('m2'))
-    made.take_report(account, NOW_MS - 700)
+    made.account.take_report(account, NOW_MS - 700)
     assert decide(made, account) is None
     denials = made.describe(NOW_MS).denials
     assert 'm3' in {denial.model for denial in denials}
@@ -103,7 +103,7 @@
     account = report(on_disk=())
     first = decide(made, account)
     assert first.is_from_store
-    made.note_accepted(first, NOW_MS)
+    made.account.note_accepted(first, NOW_MS)
     later = report(held('m2'), sequence=4, on_disk=('m2',))
     assert decide(made, later, NOW_MS + 1000) is None
 
@@ -112,23 +112,25 @@
     made = keeper(router(wish('m2')))
     account = report(held('m1'), sequence=0)
     step = decide(made, account)
-    made.note_unanswered(step, NOW_MS)
+    made.account.note_unanswered(step, NOW_MS)
     assert made.describe(NOW_MS).free_mb == 140_000 - 2 * 60_000
 
 
 def test_forgets_an_order_once_the_runner_shows_it_done():
     made = keeper(router(wish('m2')))
     step = decide(made, report(held('m1')))
-    made.note_accepted(step, NOW_MS)
+    made.account.note_accepted(step, NOW_MS)
     assert made.describe(NOW_MS).loading == 'm2'
-    made.take_report(report(held('m1'), held('m2'), sequence=4), NOW_MS + 500)
+    made.account.take_report(
+        report(held('m1'), held('m2'), sequence=4), NOW_MS + 500
+    )
     assert not made.describe(NOW_MS + 500).loading
 
 
 def test_waits_for_its_turn_at_the_store():
     made = keeper(router(wish('m2'), may_use_store=False))
     assert decide(made, report(on_disk=())) is None
-    made.take_report(report(on_disk=()), NOW_MS + 300)
+    made.account.take_report(report(on_disk=()), NOW_MS + 300)
     assert made.describe(NOW_MS + 300).store_wait_ms == 301
 
 
@@ -141,11 +143,11 @@
 def test_fetching_ahead_displaces_spare_models_only():
     made = keeper(router(to_fetch=('m4',), spare=('m2',)))
     account = report(held('m1'), held('m2'), on_disk=('m1', 'm2'))
-    made.take_report(account, NOW_MS - 700)
+    made.account.take_report(account, NOW_MS - 700)
     step = decide(made, account)
     assert (step.kind, step.model) == (StepKind.UNLOAD, 'm2')
     nothing_spare = keeper(router(to_fetch=('m4',)))
-    nothing_spare.take_report(account, NOW_MS - 700)
+    nothing_spare.account.take_report(account, NOW_MS - 700)
     assert decide(nothing_spare, account) is None
 
 
@@ -153,8 +155,16 @@
     account = report(held('m1'), held('m2'), on_disk=('m1', 'm2'))
     state = router(to_fetch=('m4',), spare=('m2',), demand={'m1': 1.0})
     made = keeper(state)
-    made.take_report(account, NOW_MS - 700)
+    made.account.take_report(account, NOW_MS - 700)
     assert decide(made, account) is None
     later_ms = NOW_MS + 9000
-    made.demand.hear(state, later_ms)
+    made.account.demand.hear(state, later_ms)
     assert decide(made, account, later_ms).model == 'm2'
+
+
+def test_an_unanswered_load_may_be_ordered_again():
+    made = keeper(router(wish('m2')))
+    account = report(held('m1'), sequence=0)
+    step = decide(made, account)
+    made.account.note_unanswered(step, NOW_MS)
+    assert decide(made, account, NOW_MS + 100).model == 'm2'
