--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -26,6 +26,8 @@
 ZONE_MS = 5
 # Puts servers that failed lately behind all others, in ms.
 AVOIDED_MS = 20_000
+# A runner whose host has fallen silent answers late or never, in ms.
+SILENT_MS = 3000
 # An adapter is ready after about this time, in ms.
 ADAPTER_MS = 20
 # Time between an agent's decision and its order in force, in ms.
@@ -278,6 +280,8 @@
         health = self._fleet.health(server.instance)
         if health.is_avoided(now_ms):
             cost_ms += AVOIDED_MS
+        if self._fleet.has_fallen_silent(server, now_ms):
+            cost_ms += SILENT_MS
         return cost_ms + health.failure_rate * 100
 
 
--- a/lagoonflow/backends/fleet.py
+++ b/lagoonflow/backends/fleet.py
@@ -9,7 +9,10 @@
 from lagoonflow.gossip.messages import AgentState, HeldState
 from lagoonflow.relay.messages import Load
 
-# Agents repeat their state at least once a second, in ms.
+# Agents repeat their state twice a second. After two missing ones the host
+# may be frozen or cut off, in ms.
+AGENT_SILENT_MS = 1200
+# What an agent said is used for this long, in ms.
 AGENT_FRESH_MS = 2500
 # A load that a server stated is used for this long, in ms.
 LOAD_FRESH_MS = 1000
@@ -144,6 +147,11 @@
             return None
         return dated.state
 
+    def has_fallen_silent(self, server: BackendServer, now_ms: float) -> bool:
+        """Whether a server's host was heard from, but not lately."""
+        dated = self._agents.get(server.instance)
+        return dated is not None and now_ms - dated.at_ms > AGENT_SILENT_MS
+
     def held(
         self, server: BackendServer, now_ms: float
     ) -> tuple[HeldState, ...]:
--- a/lagoonflow/http1/channel.py
+++ b/lagoonflow/http1/channel.py
@@ -1,12 +1,16 @@
 """A TCP connection that speaks HTTP/1.1 through ``h11``, in either role."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 
 import h11
 
 # Unread bytes above which the peer is made to wait.
 READ_AHEAD_BYTES = 262_144
+# Linger on, for 0 s: closing sends a reset.
+_NO_LINGER = struct.pack('ii', 1, 0)
 
 
 class ConnectionGoneError(Exception):
@@ -136,6 +140,13 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def reset(self) -> None:
+        """Close with a reset, so that bytes on the way are dropped."""
+        if self.transport is not None and self.is_open:
+            raw = self.transport.get_extra_info('socket')
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+            self.transport.abort()
+
     async def _wait_for_bytes(self) -> None:
         self.unread_bytes = 0
         if self._is_paused:
--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -133,7 +133,7 @@
 
     def close(self) -> None:
         """Drop the connection at once."""
-        self.channel.abort()
+        self.channel.reset()
 
     async def _send_events(self, request: h11.Request, body: bytes) -> None:
         self._may_be_kept = False
--- a/lagoonflow/wiring/platform_agent.py
+++ b/lagoonflow/wiring/platform_agent.py
@@ -37,7 +37,7 @@
 # A changed load is told to routers at most this often, in ms.
 LOAD_CHANGE_MS = 200
 # An unchanged state is repeated this often, in ms.
-REPEAT_MS = 900
+REPEAT_MS = 500
 
 
 class PlatformAgent:
--- a/tests/backends/test_choosing.py
+++ b/tests/backends/test_choosing.py
@@ -154,3 +154,14 @@
     first = choose(fleet, call(''), PLAIN).server.instance
     fleet.health(first).fail(NOW_MS)
     assert choose(fleet, call(''), PLAIN).server.instance != first
+
+
+def test_a_runner_whose_host_fell_silent_is_the_last_choice():
+    fleet = world(
+        agent('i-a', HeldState('m1'), active=20), agent('i-b', HeldState('m1'))
+    )
+    later_ms = NOW_MS + 1500
+    fleet.hear(agent('i-a', HeldState('m1'), active=20), later_ms)
+    need = Need(call(), ENGINE)
+    choice = Chooser(fleet, 'z').choose(need, later_ms)
+    assert choice.server.instance == 'i-a'
--- a/tests/http1/test_exchange.py
+++ b/tests/http1/test_exchange.py
@@ -125,3 +125,24 @@
     server = ScriptedServer(b'HTTP/1.1 200 OK\r\n\r\nwhole', closes=True)
     async with server as pool:
         assert (await fetch(pool)).body == b'whole'
+
+
+async def test_giving_up_resets_the_connection():
+    """What the network still holds must not reach the server later."""
+    seen = asyncio.get_running_loop().create_future()
+
+    async def serve(reader, _writer) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        try:
+            await reader.read()
+            seen.set_result('closed in order')
+        except ConnectionResetError:
+            seen.set_result('reset')
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    pool = ConnectionPool(f'127.0.0.1:{port}')
+    with pytest.raises(ExchangeError):
+        await fetch(pool, timeout_ms=50)
+    assert await asyncio.wait_for(seen, 1) == 'reset'
+    server.close()
