--- /dev/null
+++ b/loopback/platform_fleet.py
@@ -0,0 +1,304 @@
+"""Routers and agents before stand-ins of the users' platform."""
+
+import dataclasses
+import pathlib
+import random
+import time
+from typing import Any
+
+from loopback import http
+from loopback.processes import Process, ProcessSet
+
+PROGRAM = 'lagoonflow.cli.platform_process'
+STORE = 'standins.platform.store'
+RUNNER = 'standins.platform.runner'
+LLM = 'llm'
+DESK = 'desk'
+KEY = 'key-1'
+OTHER_KEY = 'key-2'
+CALLER_PORT = 8080
+READY_PORT = 8081
+PEER_PORT = 7600
+STORE_PORT = 9000
+RUNNER_PORT = 9100
+READY_TIMEOUT_S = 15
+POLL_S = 0.05
+
+
+def _route(name: str, kind: str, service: str, **terms: Any) -> dict[str, Any]:
+    return {
+        'name': name,
+        'host': 'desk.example',
+        'path_prefix': f'/{name}/',
+        'type': kind,
+        'timeout_ms': 5000,
+        'target_latency_ms': 500,
+        'priority': 1,
+        'service': service,
+        'attempts': 2,
+        'gap_target_ms': 600,
+        **terms,
+    }
+
+
+def _model(name: str) -> dict[str, Any]:
+    return {
+        'name': name,
+        'weights_mb': 100,
+        'load_time_s': 1.0,
+        'warm_s': 0.15,
+        'disk_load_s': 0.15,
+        'adapters': 2,
+        'adapter_size_mb': 1,
+    }
+
+
+def configuration(version: int = 1) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    engine = {
+        'models': [_model(name) for name in ('m1', 'm2', 'm3')],
+        'slots': 8,
+        'kv_capacity': 10_000,
+        'weights_mb': 205,
+        'adapter_slots': 4,
+        'loads_per_s': 10,
+    }
+    return {
+        'version': version,
+        'routes': [
+            _route('read', 'idempotent', DESK),
+            _route('book', 'non_idempotent', DESK),
+            _route('draft', 'streaming', LLM),
+            _route('resume', 'streaming', LLM, resumable=True),
+            _route('open', 'idempotent', DESK, public=True),
+        ],
+        'services': [
+            {'name': LLM, 'max_conns': 50, 'engine': engine},
+            {'name': DESK, 'max_conns': 50},
+        ],
+        'limits': {},
+        'tenants': [
+            {
+                'name': 'water',
+                'api_keys': [KEY, OTHER_KEY],
+                'unit': 'tokens',
+                'plain_tokens': 1,
+                'rate_per_s': 100_000,
+                'burst': 100_000,
+            },
+        ],
+    }
+
+
+@dataclasses.dataclass(slots=True)
+class Host:
+    """A host of the fleet and the processes on it.
+
+    :param runner: stand-in on the host; ``None`` on entry hosts.
+    :param program: router or agent; ``None`` beside plain servers.
+    """
+
+    ip: str
+    runner: Process | None = None
+    program: Process | None = None
+
+
+class PlatformFleet:
+    """Starts a fleet on loopback addresses of its own.
+
+    :param processes: where processes are started.
+    """
+
+    def __init__(self, processes: ProcessSet) -> None:
+        """Choose addresses that no other fleet of this machine uses."""
+        self.routers: list[Host] = []
+        self.runners: list[Host] = []
+        self.plain: list[Host] = []
+        self.version = 0
+        self._processes = processes
+        self._net = f'127.{random.randrange(1, 255)}.{random.randrange(255)}'
+        self._hosts = 1
+        self.store = f'{self._net}.1:{STORE_PORT}'
+        self.store_process: Process | None = None
+
+    def start(self, routers: int = 2, runners: int = 2, plain: int = 2) -> None:
+        """Start everything and wait until routers are ready."""
+        self.start_store()
+        for place in range(runners):
+            models = 'm1' if place == 0 else 'm2'
+            self.runners.append(self.add_runner(models))
+        for _ in range(plain):
+            self.plain.append(self.add_plain())
+        self.publish(configuration(1))
+        for _ in range(routers):
+            self.routers.append(self.add_router())
+        for host in self.routers:
+            self.wait_ready(host)
+        self.wait_listed()
+
+    def start_store(self) -> None:
+        """Start the metadata store."""
+        ip, port = self.store.split(':')
+        self.store_process = self._processes.start(
+            'store', STORE, '--host', ip, '--port', port
+        )
+        self.store_process.wait_listening()
+
+    def add_runner(self, models: str) -> Host:
+        """Start a runner with its agent."""
+        host = Host(self._next_ip())
+        self.start_runner(host, models)
+        self.start_agent(host)
+        return host
+
+    def start_runner(self, host: Host, models: str) -> None:
+        """Start the runner of a host."""
+        host.runner = self._start_backend(host, LLM, '--models', models)
+
+    def add_plain(self) -> Host:
+        """Start a plain application server."""
+        host = Host(self._next_ip())
+        host.runner = self._start_backend(host, DESK)
+        return host
+
+    def start_agent(self, host: Host) -> None:
+        """Start the agent of a host."""
+        fields = {
+            'app': f'{host.ip}:{RUNNER_PORT}',
+            'service': LLM,
+        }
+        host.program = self._start_program('agent', host, fields)
+
+    def add_router(self) -> Host:
+        """Start a router on a new entry host."""
+        host = Host(self._next_ip())
+        self.start_router(host)
+        return host
+
+    def start_router(self, host: Host) -> None:
+        """Start the router of a host."""
+        fields = {
+            'listen.frontend': f'{host.ip}:{CALLER_PORT}',
+            'listen.ready': f'{host.ip}:{READY_PORT}',
+        }
+        host.program = self._start_program('router', host, fields)
+
+    def publish(self, body: dict[str, Any]) -> None:
+        """Write a configuration, as the operator does."""
+        self.version = body['version']
+        self.put('keyed.op', 'config', body)
+
+    def put(self, topic: str, key: str, value: Any) -> None:
+        """Write a record, or drop a key."""
+        record = {'topic': topic, 'key': key, 'value': value}
+        http.request(self.store, 'POST', '/test/put', record)
+
+    def faults(self, address: str, **change: Any) -> None:
+        """Switch faults of a stand-in."""
+        http.request(address, 'POST', '/faults', change)
+
+    def counts(self, host: Host) -> dict[str, Any]:
+        """Return the counters of a runner or a plain server."""
+        address = f'{host.ip}:{RUNNER_PORT}'
+        return http.request(address, 'GET', '/counts').json()
+
+    def is_ready(self, host: Host) -> bool:
+        """Tell whether a router says that it is ready."""
+        try:
+            reply = http.request(
+                f'{host.ip}:{READY_PORT}', 'GET', '/readyz', timeout_s=1
+            )
+        except OSError:
+            return False
+        return reply.status == 200
+
+    def wait_ready(self, host: Host) -> None:
+        """Wait until a router is ready."""
+        self._wait(lambda: self.is_ready(host), f'{host.ip} is not ready')
+
+    def wait_listed(self) -> None:
+        """Wait until requests of both kinds are served."""
+        for path, headers in (('/read/x', {}), ('/draft/x', {'Model': 'm1'})):
+            for host in self.routers:
+                self._wait(
+                    lambda host=host, path=path, headers=headers: (
+                        self.ask(host, path, headers).status == 200
+                    ),
+                    f'{path} is not served at {host.ip}',
+                )
+
+    def ask(
+        self,
+        host: Host,
+        path: str,
+        headers: dict[str, str] | None = None,
+        key: str = KEY,
+        body: Any = None,
+    ) -> http.Reply:
+        """Send one request of a caller to a router."""
+        sent = {
+            'Host': 'desk.example',
+            'Attempt-Id': f'{random.getrandbits(64):016x}',
+            'Deadline-Ms': '4000',
+            'Authorization': f'Token {key}',
+            **(headers or {}),
+        }
+        address = f'{host.ip}:{CALLER_PORT}'
+        return http.request(address, 'POST', path, body, sent, timeout_s=6)
+
+    def _wait(self, is_done, complaint: str) -> None:
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        while not is_done():
+            if time.monotonic() > deadline_s:
+                raise TimeoutError(complaint)
+            time.sleep(POLL_S)
+
+    def _next_ip(self) -> str:
+        self._hosts += 1
+        return f'{self._net}.{self._hosts}'
+
+    def _start_backend(self, host: Host, service: str, *flags: str) -> Process:
+        process = self._processes.start(
+            f'{service} {host.ip}',
+            RUNNER,
+            '--host',
+            host.ip,
+            '--port',
+            str(RUNNER_PORT),
+            '--service',
+            service,
+            '--store',
+            self.store,
+            *flags,
+        )
+        process.wait_listening()
+        # The first request starts its heartbeat.
+        http.request(f'{host.ip}:{RUNNER_PORT}', 'GET', '/healthz')
+        return process
+
+    def _start_program(
+        self, role: str, host: Host, fields: dict[str, str]
+    ) -> Process:
+        lines = {
+            'node_name': f'{role}-{host.ip}',
+            'zone': 'zone-a',
+            'ip': host.ip,
+            'internal_ports': f'{PEER_PORT},{PEER_PORT + 15}',
+            'platform.address': self.store,
+            'bounds.revoke_strict': 'true',
+            'bounds.revoke_ms': '5000',
+            'bounds.grace_s': '8',
+            **fields,
+        }
+        path = self._settings_path(role, host)
+        text = ''.join(f'{name}={value}\n' for name, value in lines.items())
+        path.write_text(text)
+        return self._processes.start(
+            f'{role} {host.ip}',
+            PROGRAM,
+            role,
+            env={'LAGOONFLOW_BOOT': str(path)},
+        )
+
+    def _settings_path(self, role: str, host: Host) -> pathlib.Path:
+        return self._processes.log_dir / f'{role}-{host.ip}.conf'
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform: metadata store and model runner."""
--- /dev/null
+++ b/standins/platform/runner.py
@@ -0,0 +1,297 @@
+"""Stand-in for a model runner or a plain application server."""
+
+import asyncio
+import time
+import urllib.request
+import uuid
+from collections import Counter
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+from starlette.types import ASGIApp
+
+from standins.faults import Faults, FaultSwitch
+from standins.gate import close_without_answer, never_answer, reply
+from standins.lagged import MS_PER_S
+from standins.serving import build_app, build_parser, read_body, serve
+
+ACCEPTED = 202
+CONFLICT = 409
+MISDIRECTED = 421
+BUSY = 503
+HEARTBEAT_S = 0.3
+EVENTS = 6
+SEAL = 'sealed'
+
+
+class RunnerFaults(Faults, frozen=True, kw_only=True):
+    """Faults of a runner.
+
+    :param lose_answers: requests that run and get no answer.
+    :param cut_streams: streams that break off inside their third event.
+    :param late_orders: orders without an answer, carried out later.
+    :param reject: reject every request as not run.
+    :param is_leaving: registered as about to go.
+    """
+
+    lose_answers: int = 0
+    cut_streams: int = 0
+    late_orders: int = 0
+    reject: bool = False
+    is_leaving: bool = False
+
+
+class OrderBody(msgspec.Struct, frozen=True):
+    """An order, as far as the stand-in carries it out."""
+
+    operation: str
+    model: str
+    holder: str
+    fencing_token: int
+    precondition: int | None = None
+    adapter: str = ''
+
+
+class Runner:
+    """Holds models, runs requests and registers itself.
+
+    :param service: name of its service.
+    :param store: address of the metadata store.
+    :param models: models held at the start; none for a plain server.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        store: str,
+        models: tuple[str, ...],
+        memory_models: int,
+        work_ms: float,
+    ) -> None:
+        self.address = ''
+        self._instance = f'i-{uuid.uuid4().hex[:8]}'
+        self._born = time.time_ns() // 1_000_000
+        self._service = service
+        self._store = store
+        self._held: dict[str, set[str]] = {name: set() for name in models}
+        self._memory_models = memory_models
+        self._work_s = work_ms / MS_PER_S
+        self._sequence = 0
+        self._busy = False
+        self._active = 0
+        self._ran: Counter[str] = Counter()
+        self._holders: set[str] = set()
+        self._overcommitted = 0
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._switch = FaultSwitch(RunnerFaults())
+
+    def app(self) -> ASGIApp:
+        """Return the ASGI application."""
+        routes = [
+            Route('/report', self._report, methods=['GET']),
+            Route('/order', self._order, methods=['POST']),
+            Route('/healthz', self._health, methods=['GET']),
+            Route(
+                '/{path:path}',
+                self._serve,
+                methods=['GET', 'POST', 'PUT', 'DELETE'],
+            ),
+        ]
+        app = build_app(routes, self._switch, self._counts)
+
+        async def with_heartbeat(scope, receive, send) -> None:
+            if not self._tasks:
+                self._start(self._heartbeat())
+            await app(scope, receive, send)
+
+        return with_heartbeat
+
+    def _start(self, work) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+
+    def _counts(self) -> dict[str, Any]:
+        return {
+            'instance': self._instance,
+            'ran': dict(self._ran),
+            'holders': sorted(self._holders),
+            'overcommitted': self._overcommitted,
+            'models': sorted(self._held),
+            'sequence': self._sequence,
+        }
+
+    def _state(self) -> dict[str, Any]:
+        return {
+            'models': [
+                {'name': name, 'version': 1, 'adapters': sorted(adapters)}
+                for name, adapters in self._held.items()
+            ],
+            'sequence': self._sequence,
+            'born': self._born,
+            'available': {'in_memory': [], 'on_disk': ['m1', 'm2', 'm3']},
+        }
+
+    async def _heartbeat(self) -> None:
+        while True:
+            state = 'draining' if self._switch.now.is_leaving else 'ready'
+            entry = {
+                'service': self._service,
+                'address': self.address,
+                'zone': 'zone-a',
+                'version': 'v1',
+                'slots': 8,
+                'state': state,
+                **self._state(),
+            }
+            await asyncio.to_thread(self._put, entry)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def _put(self, entry: dict[str, Any]) -> None:
+        body = {
+            'topic': 'keyed.servers',
+            'key': f'servers/{self._instance}',
+            'value': entry,
+        }
+        request = urllib.request.Request(
+            f'http://{self._store}/test/put',
+            msgspec.json.encode(body),
+            {'Content-Type': 'application/json'},
+        )
+        try:
+            urllib.request.urlopen(request, timeout=1).close()
+        except OSError:
+            return
+
+    async def _report(self, request: Request) -> Response:
+        return reply(
+            {
+                **self._state(),
+                'stage': 'unified',
+                'busy': self._busy,
+                'queued': 0,
+                'active': self._active,
+                'kv_used': 0,
+                'kv_total': 1000,
+            },
+        )
+
+    async def _health(self, request: Request) -> Response:
+        return reply({}, headers={'Instance-Id': self._instance})
+
+    async def _order(self, request: Request) -> Response:
+        expected = request.headers.get('expect-instance', self._instance)
+        if expected != self._instance:
+            return reply({}, MISDIRECTED)
+        order = await read_body(request, OrderBody)
+        if self._switch.take('late_orders'):
+            self._start(self._order_later(order))
+            return await never_answer(request)
+        return reply({}, self._accept(order))
+
+    async def _order_later(self, order: OrderBody) -> None:
+        await asyncio.sleep(1)
+        self._accept(order)
+
+    def _accept(self, order: OrderBody) -> int:
+        self._holders.add(order.holder)
+        late = order.precondition not in {None, self._sequence}
+        if self._busy or late:
+            return CONFLICT
+        self._sequence += 1
+        if order.adapter:
+            self._change_adapter(order)
+            return ACCEPTED
+        self._busy = True
+        self._start(self._carry_out(order))
+        return ACCEPTED
+
+    def _change_adapter(self, order: OrderBody) -> None:
+        adapters = self._held.setdefault(order.model, set())
+        if order.operation == 'model_load':
+            adapters.add(order.adapter)
+        else:
+            adapters.discard(order.adapter)
+
+    async def _carry_out(self, order: OrderBody) -> None:
+        await asyncio.sleep(0.15)
+        if order.operation == 'model_load':
+            self._held.setdefault(order.model, set())
+            self._overcommitted += len(self._held) > self._memory_models
+        else:
+            self._held.pop(order.model, None)
+        self._busy = False
+
+    async def _serve(self, request: Request) -> Response:
+        body = await request.body()
+        attempt = request.headers.get('attempt-id', '')
+        headers = {'Attempt-Id': attempt, 'Instance-Load': '1,0,8'}
+        expected = request.headers.get('expect-instance', self._instance)
+        if expected != self._instance or not self._holds(request):
+            return reply({}, MISDIRECTED, headers)
+        if self._switch.now.reject:
+            return reply({}, BUSY, {**headers, 'Not-Executed': '1'})
+        self._ran[attempt] += 1
+        headers['Server-Seal'] = SEAL
+        headers['Saw-Tenant'] = request.headers.get('tenant', '')
+        self._active += 1
+        if request.headers.get('model'):
+            stream = self._events(request)
+            kind = 'text/event-stream'
+            return StreamingResponse(stream, 200, headers, kind)
+        try:
+            await asyncio.sleep(self._work_s)
+        finally:
+            self._active -= 1
+        if self._switch.take('lose_answers'):
+            return await close_without_answer(request)
+        return Response(body or b'fine', 200, headers)
+
+    def _holds(self, request: Request) -> bool:
+        model, _, adapter = request.headers.get('model', '').partition('/')
+        if not model:
+            return True
+        held = self._held.get(model)
+        return held is not None and (not adapter or adapter in held)
+
+    async def _events(self, request: Request) -> AsyncIterator[bytes]:
+        first = int(request.headers.get('last-event-id') or 0) + 1
+        is_cut = self._switch.take('cut_streams')
+        try:
+            for number in range(first, EVENTS + 1):
+                await asyncio.sleep(self._work_s)
+                if is_cut and number - first == 2:
+                    yield b'id: '
+                    await asyncio.sleep(0.02)
+                    request.scope['abort']()
+                    return
+                yield f'id: {number}\ndata: piece {number}\n\n'.encode()
+        finally:
+            self._active -= 1
+
+
+def main() -> None:
+    """Read the flags and serve."""
+    parser = build_parser('Model runner or plain server.')
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--store', required=True)
+    parser.add_argument('--models', default='')
+    parser.add_argument('--memory-models', type=int, default=2)
+    parser.add_argument('--work-ms', type=float, default=20)
+    flags = parser.parse_args()
+    runner = Runner(
+        flags.service,
+        flags.store,
+        tuple(filter(None, flags.models.split(','))),
+        flags.memory_models,
+        flags.work_ms,
+    )
+    runner.address = f'{flags.host}:{flags.port}'
+    serve(runner.app(), flags.host, flags.port)
+
+
+if __name__ == '__main__':
+    main()
