--- a/loopback/platform_fleet.py
+++ b/loopback/platform_fleet.py
@@ -217,8 +217,12 @@
         self._wait(lambda: self.is_ready(host), f'{host.ip} is not ready')
 
     def wait_listed(self) -> None:
-        """Wait until requests of both kinds are served."""
-        for path, headers in (('/read/x', {}), ('/draft/x', {'Model': 'm1'})):
+        """Wait until servers are known, and agents load adapters."""
+        for path, headers in (
+            ('/read/x', {}),
+            ('/draft/x', {'Model': 'm1/a1'}),
+            ('/draft/x', {'Model': 'm2/a1'}),
+        ):
             for host in self.routers:
                 self._wait(
                     lambda host=host, path=path, headers=headers: (
--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import time
-import urllib.request
 import uuid
 from collections import Counter
 from collections.abc import AsyncIterator
 from typing import Any
+from urllib.request import Request as PutRequest
+from urllib.request import urlopen
 
 import msgspec
 from starlette.requests import Request
@@ -105,15 +106,11 @@
 
         async def with_heartbeat(scope, receive, send) -> None:
             if not self._tasks:
-                self._start(self._heartbeat())
+                self._tasks.add(asyncio.create_task(self._heartbeat()))
             await app(scope, receive, send)
 
         return with_heartbeat
 
-    def _start(self, work) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-
     def _counts(self) -> dict[str, Any]:
         return {
             'instance': self._instance,
@@ -156,13 +153,13 @@
             'key': f'servers/{self._instance}',
             'value': entry,
         }
-        request = urllib.request.Request(
+        request = PutRequest(
             f'http://{self._store}/test/put',
             msgspec.json.encode(body),
             {'Content-Type': 'application/json'},
         )
         try:
-            urllib.request.urlopen(request, timeout=1).close()
+            urlopen(request, timeout=1).close()
         except OSError:
             return
 
@@ -188,7 +185,7 @@
             return reply({}, MISDIRECTED)
         order = await read_body(request, OrderBody)
         if self._switch.take('late_orders'):
-            self._start(self._order_later(order))
+            self._tasks.add(asyncio.create_task(self._order_later(order)))
             return await never_answer(request)
         return reply({}, self._accept(order))
 
@@ -206,7 +203,7 @@
             self._change_adapter(order)
             return ACCEPTED
         self._busy = True
-        self._start(self._carry_out(order))
+        self._tasks.add(asyncio.create_task(self._carry_out(order)))
         return ACCEPTED
 
     def _change_adapter(self, order: OrderBody) -> None:
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -75,10 +75,10 @@
 
     def page(self, offset: int) -> bytes:
         """Return the records from an offset, framed."""
-        parts = [_HEAD.pack(self.end_offset, self.first_offset)]
-        for record in self.records[offset - self.first_offset :]:
-            parts += [_LENGTH.pack(len(record)), record]
-        return b''.join(parts)
+        wanted = self.records[offset - self.first_offset :]
+        framed = [_LENGTH.pack(len(record)) + record for record in wanted]
+        head = _HEAD.pack(self.end_offset, self.first_offset)
+        return head + b''.join(framed)
 
 
 class MetadataStore:
--- a/tests/wiring/test_platform_processes.py
+++ b/tests/wiring/test_platform_processes.py
@@ -113,12 +113,13 @@
 
 def test_a_resumable_stream_survives_a_cut(fleet):
     """The second runner has to load the model first."""
-    first = fleet.runners[0]
+    first, second = fleet.runners
+    before = ran(fleet, [second])
     fleet.faults(f'{first.ip}:{RUNNER_PORT}', cut_streams=1)
     reply = fleet.ask(fleet.routers[0], '/resume/x', {'Model': 'm1'})
     assert reply.status == 200
     assert reply.body.count(b'data: piece') == 6
-    assert len(ran(fleet, [fleet.runners[1]])) == 1
+    assert len(ran(fleet, [second])) == len(before) + 1
 
 
 def test_a_dead_agent_breaks_no_answer(fleet):
