--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -208,8 +208,10 @@
         now_ms: float,
     ) -> Send | Wake | None:
         call = need.call
-        base_ms = self._runner_cost_ms(call, engine, server, now_ms)
         state = self._fleet.agent(server, now_ms)
+        if state is not None and state.is_down:
+            return None
+        base_ms = self._runner_cost_ms(call, engine, server, now_ms)
         held = _find(self._fleet.held(server, now_ms), call.model)
         if held is not None:
             if not call.adapter or call.adapter in held.adapters:
--- a/lagoonflow/backends/fleet.py
+++ b/lagoonflow/backends/fleet.py
@@ -5,6 +5,7 @@
 
 from lagoonflow.backends.health import ServerHealth
 from lagoonflow.backends.messages import BackendServer
+from lagoonflow.backends.rates import RequestRates
 from lagoonflow.backends.roster import BackendRoster
 from lagoonflow.gossip.messages import AgentState, HeldState
 from lagoonflow.relay.messages import Load
@@ -16,10 +17,6 @@
 AGENT_FRESH_MS = 2500
 # A load that a server stated is used for this long, in ms.
 LOAD_FRESH_MS = 1000
-# Time constant of the smoothed request rate of a model, in ms.
-DEMAND_MEMORY_MS = 12_000
-# A model that is asked for less often is forgotten, in requests a second.
-LEAST_RATE_PER_S = 0.001
 # Prompt parts that are remembered for each server.
 MOST_PARTS = 512
 
@@ -43,24 +40,18 @@
     load: Load
 
 
-@dataclasses.dataclass(slots=True)
-class _Rate:
-    per_s: float
-    updated_ms: float
-
-
 class Fleet:
     """Backend servers with what they hold and how busy they are."""
 
     def __init__(self) -> None:
         """Start empty."""
         self.roster = BackendRoster()
+        self.rates = RequestRates()
         self._health: dict[str, ServerHealth] = {}
         self._agents: dict[str, DatedAgent] = {}
         self._loads: dict[str, DatedLoad] = {}
         self._running: dict[str, collections.Counter[str]] = {}
         self._sends: dict[str, collections.deque[float]] = {}
-        self._rates: dict[str, _Rate] = {}
         self._parts: dict[str, collections.OrderedDict[str, float]] = {}
 
     # Facts.
@@ -69,29 +60,12 @@
         """Take an agent's state; tells whether what it holds changed."""
         before = self._agents.get(state.instance)
         self._agents[state.instance] = DatedAgent(now_ms, state)
-        if before is None:
-            return True
-        old = before.state
-        return (
-            _names(old.held) != _names(state.held)
-            or old.loading != state.loading
-            or old.denials != state.denials
-            or old.planned != state.planned
-        )
+        return before is None or _facts(before.state) != _facts(state)
 
     def note_load(self, instance: str, load: Load, now_ms: float) -> None:
         """Take the load that a server stated in an answer."""
         self._loads[instance] = DatedLoad(now_ms, load)
 
-    def note_demand(self, model: str, now_ms: float) -> None:
-        """Count a request for a model."""
-        rate = self._rates.get(model)
-        if rate is None:
-            rate = _Rate(0, now_ms)
-            self._rates[model] = rate
-        _decay(rate, now_ms)
-        rate.per_s += 1000 / DEMAND_MEMORY_MS
-
     def begin(self, instance: str, name: str, now_ms: float) -> None:
         """Count a request that is being sent.
 
@@ -193,31 +167,18 @@
         """This router's requests at a server, by model and adapter."""
         return dict(self._running.get(instance, {}))
 
-    def demand(self, now_ms: float) -> dict[str, float]:
-        """Requests a second by model, smoothed."""
-        found: dict[str, float] = {}
-        for model, rate in list(self._rates.items()):
-            _decay(rate, now_ms)
-            if rate.per_s < LEAST_RATE_PER_S:
-                self._rates.pop(model)
-            else:
-                found[model] = rate.per_s
-        return found
-
     def _sent_since(self, server: BackendServer, at_ms: float) -> int:
         sends = self._sends.get(server.instance, ())
         return sum(sent_ms > at_ms for sent_ms in sends)
 
 
-def _names(held: tuple[HeldState, ...]) -> set[str]:
-    return {
-        f'{one.name}/{adapter}'
-        for one in held
-        for adapter in ('', *one.adapters)
-    }
-
-
-def _decay(rate: _Rate, now_ms: float) -> None:
-    elapsed_ms = now_ms - rate.updated_ms
-    rate.per_s *= 0.5 ** (elapsed_ms / DEMAND_MEMORY_MS)
-    rate.updated_ms = now_ms
+def _facts(state: AgentState) -> list[object]:
+    """What waiting requests care for."""
+    held = {(one.name, one.adapters) for one in state.held}
+    return [
+        held,
+        state.loading,
+        state.planned,
+        state.denials,
+        state.is_down,
+    ]
--- /dev/null
+++ b/lagoonflow/backends/rates.py
@@ -0,0 +1,48 @@
+"""Smoothed request rates of models."""
+
+import dataclasses
+import math
+
+# Half-life of what was counted, in ms: demand moves to other models within
+# about this time.
+HALF_LIFE_MS = 12_000
+# A model that is asked for less often is forgotten, in requests a second.
+LEAST_RATE_PER_S = 0.001
+MS_PER_S = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class _Rate:
+    per_s: float
+    updated_ms: float
+
+
+class RequestRates:
+    """Counts requests by model."""
+
+    def __init__(self) -> None:
+        """Start with nothing counted."""
+        self._rates: dict[str, _Rate] = {}
+
+    def count(self, model: str, now_ms: float) -> None:
+        """Count a request for a model."""
+        rate = self._rates.setdefault(model, _Rate(0, now_ms))
+        _decay(rate, now_ms)
+        rate.per_s += math.log(2) * MS_PER_S / HALF_LIFE_MS
+
+    def per_s(self, now_ms: float) -> dict[str, float]:
+        """Requests a second by model."""
+        for counted in self._rates.values():
+            _decay(counted, now_ms)
+        self._rates = {
+            model: rate
+            for model, rate in self._rates.items()
+            if rate.per_s >= LEAST_RATE_PER_S
+        }
+        return {model: rate.per_s for model, rate in self._rates.items()}
+
+
+def _decay(rate: _Rate, now_ms: float) -> None:
+    elapsed_ms = now_ms - rate.updated_ms
+    rate.per_s *= 0.5 ** (elapsed_ms / HALF_LIFE_MS)
+    rate.updated_ms = now_ms
--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -85,6 +85,7 @@
     :param planned: models that will be loaded, in order.
     :param is_from_store: the load in progress is one from the weight store.
     :param store_wait_ms: how long requests have waited for one.
+    :param is_down: the runner does not answer its agent.
     """
 
     agent: str
@@ -105,6 +106,7 @@
     can_order: bool = False
     is_from_store: bool = False
     store_wait_ms: int = 0
+    is_down: bool = False
 
 
 class MeterState(_Message):
--- a/lagoonflow/platform/runner.py
+++ b/lagoonflow/platform/runner.py
@@ -13,7 +13,7 @@
 from lagoonflow.waking.messages import OrderOutcome, Step, StepKind
 
 # A runner on the same host answers in a few ms.
-REPORT_TIMEOUT_MS = 600
+REPORT_TIMEOUT_MS = 250
 # An order is accepted or rejected at once; its work follows.
 ORDER_TIMEOUT_MS = 300
 
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -117,7 +117,7 @@
         record.ticket = ticket
         self._budgets.of(ticket.service.name).count_request(now_ms)
         if ticket.call.model:
-            self._fleet.note_demand(ticket.call.model, now_ms)
+            self._fleet.rates.count(ticket.call.model, now_ms)
         attempts = Attempts()
         try:
             refusal = await self._serve_in_time(record, ticket, attempts, reply)
--- a/lagoonflow/waking/account.py
+++ b/lagoonflow/waking/account.py
@@ -11,6 +11,8 @@
 
 # A report older than this says nothing about room, in ms.
 REPORT_FRESH_MS = 800
+# A runner that misses this many reports in a row is down.
+MISSED_REPORTS = 2
 # An accepted order shows in the report after this time at the latest, in ms.
 ORDER_SHOWS_MS = 400
 
@@ -45,12 +47,14 @@
         self.can_order = False
         self.agents = 1
         self.store_load_at_ms = float('-inf')
+        self._missed_reports = 0
         self._report_at_ms = float('-inf')
         self._held_since_ms: dict[str, float] = {}
         self._used_at_ms: dict[str, float] = {}
 
     def take_report(self, report: RunnerReport, now_ms: float) -> None:
         """Take the runner's account of itself."""
+        self._missed_reports = 0
         known = self.report
         if known is not None and report.started_ms != known.started_ms:
             self.in_progress = None
@@ -66,6 +70,15 @@
             self._used_at_ms[name.partition('/')[0]] = now_ms
         self._settle(report, now_ms)
 
+    def note_no_report(self) -> None:
+        """Note that the runner did not answer."""
+        self._missed_reports += 1
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the runner has stopped answering."""
+        return self._missed_reports >= MISSED_REPORTS
+
     def note_accepted(self, step: Step, now_ms: float) -> None:
         """Note that the runner carries out an order."""
         if not step.adapter:
--- a/lagoonflow/waking/keeper.py
+++ b/lagoonflow/waking/keeper.py
@@ -60,6 +60,7 @@
             can_order=account.may_order(now_ms),
             is_from_store=order is not None and order.step.is_from_store,
             store_wait_ms=self._store_wait_ms(report, now_ms),
+            is_down=account.is_down,
         )
 
     def _models_in_progress(self) -> tuple[str, str]:
--- a/lagoonflow/waking/planning.py
+++ b/lagoonflow/waking/planning.py
@@ -16,6 +16,9 @@
 SETTLE_MS = 600
 # Adapters on their way to one runner at the same time, as the platform allows.
 MOST_PENDING_ADAPTERS = 4
+# A model with more requests a second at each of its replicas than this gets
+# another one where memory lies free.
+REFILL_RATE_PER_S = 0.4
 # Demand that was seen for this long tells which models are rare, in ms.
 KNOWN_DEMAND_MS = 8000
 # A wish that can't be met now is worth asking again after this time, in ms.
@@ -62,7 +65,8 @@
             step = self._model_step(spec, report, wish, now_ms)
             if step is not None:
                 return step
-        return self._fetch_step(spec, report, now_ms)
+        step = self._refill_step(spec, report, now_ms)
+        return step or self._fetch_step(spec, report, now_ms)
 
     # Adapters.
 
@@ -148,6 +152,34 @@
         cause = f'makes way for {wish.model}'
         return _unload(victims[0].name, '', report, cause)
 
+    def _refill_step(
+        self, spec: EngineSpec, report: RunnerReport, now_ms: float
+    ) -> Step | None:
+        """Load what is in demand into memory that lies free.
+
+        Runners start empty, and demand moves to models with few replicas.
+        """
+        rates = self._account.demand.rates(now_ms)
+        wanted = [
+            name
+            for name, rate_per_s in rates.items()
+            if rate_per_s >= REFILL_RATE_PER_S
+            and name in spec.models
+            and self._can_refill(spec.models[name], report, now_ms)
+        ]
+        if not wanted:
+            return None
+        name = max(wanted, key=lambda one: (rates[one], one))
+        return _load_model(spec.models[name], report, 'in demand elsewhere')
+
+    def _can_refill(
+        self, model: Model, report: RunnerReport, now_ms: float
+    ) -> bool:
+        is_held = self._account.holds(model.name) is not None
+        if is_held or load_time_ms(model, report)[1]:
+            return False
+        return self._missing_mb(model, now_ms) <= 0
+
     def _fetch_step(
         self, spec: EngineSpec, report: RunnerReport, now_ms: float
     ) -> Step | None:
--- a/lagoonflow/wiring/platform_agent.py
+++ b/lagoonflow/wiring/platform_agent.py
@@ -114,7 +114,9 @@
         while True:
             report = await self._runner.report()
             now_ms = boottime_ms()
-            if report is not None:
+            if report is None:
+                self._keeper.account.note_no_report()
+            else:
                 self._keeper.account.take_report(report, now_ms)
             step = self._keeper.decide(now_ms)
             if step is not None:
@@ -190,4 +192,5 @@
         state.denials,
         state.instance,
         state.can_order,
+        state.is_down,
     ]
--- a/lagoonflow/wiring/platform_telling.py
+++ b/lagoonflow/wiring/platform_telling.py
@@ -104,7 +104,7 @@
                 holders[held.name] = holders.get(held.name, 0) + 1
         return {
             model: round(rate / max(holders.get(model, 1), 1), 3)
-            for model, rate in self._fleet.demand(now_ms).items()
+            for model, rate in self._fleet.rates.per_s(now_ms).items()
         }
 
     def _plan_store_loads(
--- a/tests/backends/test_choosing.py
+++ b/tests/backends/test_choosing.py
@@ -165,3 +165,13 @@
     need = Need(call(), ENGINE)
     choice = Chooser(fleet, 'z').choose(need, later_ms)
     assert choice.server.instance == 'i-a'
+
+
+def test_nothing_is_sent_to_a_runner_that_is_down():
+    down = world(
+        agent('i-a', HeldState('m1'), is_down=True),
+        agent('i-b', on_disk=('m1',), free_mb=90_000),
+    )
+    choice = choose(down)
+    assert isinstance(choice, Wake)
+    assert choice.server.instance == 'i-b'
--- a/tests/waking/test_keeper.py
+++ b/tests/waking/test_keeper.py
@@ -168,3 +168,27 @@
     step = decide(made, account)
     made.account.note_unanswered(step, NOW_MS)
     assert decide(made, account, NOW_MS + 100).model == 'm2'
+
+
+def test_fills_free_memory_with_what_is_in_demand():
+    """A runner that started again holds nothing."""
+    made = keeper(router(demand={'m1': 0.01, 'm2': 1.5, 'm3': 0.9}))
+    step = decide(made, report())
+    assert (step.kind, step.model) == (StepKind.LOAD, 'm2')
+    assert not step.is_from_store
+
+
+def test_what_is_rarely_asked_for_is_not_loaded_without_a_wish():
+    made = keeper(router(demand={'m1': 0.01}))
+    assert decide(made, report()) is None
+
+
+def test_tells_routers_when_the_runner_does_not_answer():
+    made = keeper(router())
+    made.account.take_report(report(held('m1')), NOW_MS)
+    assert not made.describe(NOW_MS).is_down
+    made.account.note_no_report()
+    made.account.note_no_report()
+    assert made.describe(NOW_MS + 500).is_down
+    made.account.take_report(report(), NOW_MS + 900)
+    assert not made.describe(NOW_MS + 900).is_down
