--- a/loopback/platform_fleet.py
+++ b/loopback/platform_fleet.py
@@ -8,6 +8,7 @@
 
 from loopback import http
 from loopback.processes import Process, ProcessSet
+from loopback.relay import Relay
 
 PROGRAM = 'lagoonflow.cli.platform_process'
 STORE = 'standins.platform.store'
@@ -22,6 +23,7 @@
 STORE_PORT = 9000
 RUNNER_PORT = 9100
 READY_TIMEOUT_S = 15
+OK = 200
 POLL_S = 0.05
 
 
@@ -107,15 +109,18 @@
     """Starts a fleet on loopback addresses of its own.
 
     :param processes: where processes are started.
+    :param relayed: put relays before backend servers and the store.
     """
 
-    def __init__(self, processes: ProcessSet) -> None:
+    def __init__(self, processes: ProcessSet, *, relayed: bool = False) -> None:
         """Choose addresses that no other fleet of this machine uses."""
         self.routers: list[Host] = []
         self.runners: list[Host] = []
         self.plain: list[Host] = []
         self.version = 0
         self._processes = processes
+        self.relays: dict[str, Relay] = {}
+        self._relayed = relayed
         self._net = f'127.{random.randrange(1, 255)}.{random.randrange(255)}'
         self._hosts = 1
         self.store = f'{self._net}.1:{STORE_PORT}'
@@ -189,9 +194,16 @@
         self.put('keyed.op', 'config', body)
 
     def put(self, topic: str, key: str, value: Any) -> None:
-        """Write a record, or drop a key."""
+        """Write a record, or drop a key.
+
+        :raises OSError: when the store does not take it.
+        """
         record = {'topic': topic, 'key': key, 'value': value}
-        http.request(self.store, 'POST', '/test/put', record)
+        reply = http.request(
+            self.store, 'POST', '/test/put', record, timeout_s=2
+        )
+        if reply.status != OK:
+            raise OSError(f'the store answers {reply.status}')
 
     def faults(self, address: str, **change: Any) -> None:
         """Switch faults of a stand-in."""
@@ -273,6 +285,8 @@
             service,
             '--store',
             self.store,
+            '--advertise',
+            self._relay(f'server {host.ip}', host.ip, RUNNER_PORT),
             *flags,
         )
         process.wait_listening()
@@ -288,7 +302,7 @@
             'zone': 'zone-a',
             'ip': host.ip,
             'internal_ports': f'{PEER_PORT},{PEER_PORT + 15}',
-            'platform.address': self.store,
+            'platform.address': self._store_for(host),
             'bounds.revoke_strict': 'true',
             'bounds.revoke_ms': '5000',
             'bounds.grace_s': '8',
@@ -304,5 +318,23 @@
             env={'LAGOONFLOW_BOOT': str(path)},
         )
 
+    def _store_for(self, host: Host) -> str:
+        ip, port = self.store.split(':')
+        return self._relay(f'store {host.ip}', ip, int(port))
+
+    def _relay(self, name: str, ip: str, port: int) -> str:
+        """Return the address through the relay of this name."""
+        target = f'{ip}:{port}'
+        if not self._relayed:
+            return target
+        if name not in self.relays:
+            self.relays[name] = Relay(target, f'{ip}:0')
+        return self.relays[name].address
+
+    def close(self) -> None:
+        """Close all relays."""
+        for relay in self.relays.values():
+            relay.close()
+
     def _settings_path(self, role: str, host: Host) -> pathlib.Path:
         return self._processes.log_dir / f'{role}-{host.ip}.conf'
--- a/loopback/relay.py
+++ b/loopback/relay.py
@@ -18,6 +18,7 @@
         outer: asyncio.StreamWriter,
     ) -> None:
         self.is_silent = False
+        self.is_deaf = False
         self._writers = (inner, outer)
 
     def cut(self) -> None:
@@ -29,11 +30,15 @@
     """Passes bytes between callers and a target.
 
     :param target: `IP:port` behind the relay.
+    :param listen: `IP:port` to bind; a free port of loopback by default.
+    :ivar delay_s: how long each piece is held back.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, listen: str = '127.0.0.1:0') -> None:
         host, _, port = target.rpartition(':')
         self._target = (host, int(port))
+        self._listen = listen
+        self.delay_s: float = 0
         self._links: set[_Link] = set()
         self._accepted = 0
         self._refuses = False
@@ -61,6 +66,10 @@
         """Lose all bytes of the connections that are open now, for good."""
         self._call(self._silence_open)
 
+    def silence_answers(self) -> None:
+        """Lose what comes back on the connections that are open now."""
+        self._call(self._deafen_open)
+
     def silence_all(self) -> None:
         """Lose all bytes of open and of new connections."""
         self._silences_new = True
@@ -102,6 +111,10 @@
         for link in self._links:
             link.is_silent = True
 
+    def _deafen_open(self) -> None:
+        for link in self._links:
+            link.is_deaf = True
+
     def _cut_open(self) -> None:
         for link in list(self._links):
             link.cut()
@@ -114,7 +127,10 @@
             self._loop.close()
 
     async def _serve(self) -> None:
-        server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        listen_host, _, listen_port = self._listen.rpartition(':')
+        server = await asyncio.start_server(
+            self._accept, listen_host, int(listen_port)
+        )
         host, port = server.sockets[0].getsockname()[:2]
         self.address = f'{host}:{port}'
         self._ready.set()
@@ -149,24 +165,28 @@
             # Python 3.11 logs a cancelled handler as an error.
             with contextlib.suppress(asyncio.CancelledError):
                 await asyncio.gather(
-                    _pump(link, reader, far_writer),
-                    _pump(link, far_reader, writer),
+                    self._pump(link, reader, far_writer, is_answer=False),
+                    self._pump(link, far_reader, writer, is_answer=True),
                 )
         finally:
             self._links.discard(link)
             link.cut()
 
-
-async def _pump(
-    link: _Link,
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> None:
-    """Pass bytes on until the end; a silent link passes nothing on."""
-    with contextlib.suppress(OSError):
-        while piece := await reader.read(READ_BYTES):
-            if not link.is_silent:
-                writer.write(piece)
-                await writer.drain()
-        if not link.is_silent and writer.can_write_eof():
-            writer.write_eof()
+    async def _pump(
+        self,
+        link: _Link,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_answer: bool,
+    ) -> None:
+        """Pass bytes on until the end; a silent link passes nothing on."""
+        with contextlib.suppress(OSError):
+            while piece := await reader.read(READ_BYTES):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                if not link.is_silent and not (is_answer and link.is_deaf):
+                    writer.write(piece)
+                    await writer.drain()
+            if not link.is_silent and writer.can_write_eof():
+                writer.write_eof()
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -114,6 +114,7 @@
     def _counts(self) -> dict[str, Any]:
         return {
             'instance': self._instance,
+            'leaving': self._switch.now.is_leaving,
             'ran': dict(self._ran),
             'holders': sorted(self._holders),
             'overcommitted': self._overcommitted,
@@ -278,6 +279,7 @@
     parser.add_argument('--models', default='')
     parser.add_argument('--memory-models', type=int, default=2)
     parser.add_argument('--work-ms', type=float, default=20)
+    parser.add_argument('--advertise', default='')
     flags = parser.parse_args()
     runner = Runner(
         flags.service,
@@ -286,7 +288,7 @@
         flags.memory_models,
         flags.work_ms,
     )
-    runner.address = f'{flags.host}:{flags.port}'
+    runner.address = flags.advertise or f'{flags.host}:{flags.port}'
     serve(runner.app(), flags.host, flags.port)
 
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with the soak."""
