--- a/lagoonflow/declared/following.py
+++ b/lagoonflow/declared/following.py
@@ -17,8 +17,6 @@
 # Delay before a failed read is repeated; doubled up to the longest, in ms.
 FIRST_DELAY_MS = 150
 LONGEST_DELAY_MS = 900
-# Records that come one by one are gathered for this long, in ms.
-GATHER_MS = 40
 
 OnPage = Callable[[RecordPage, bool, float], None]
 OnFailure = Callable[[StoreFailure], None]
@@ -28,6 +26,8 @@
     """Reads a topic from its newest records on.
 
     :param wait_ms: longest time that one read waits for records.
+    :param gather_ms: pause after a page, so that records that come one by
+        one are read together.
     :param on_page: gets each page, whether it is a whole listing, and when
         it was asked for.
     :param on_failure: gets each failure.
@@ -38,6 +38,7 @@
         store: KeyedStore,
         topic: str,
         wait_ms: int,
+        gather_ms: int,
         on_page: OnPage,
         on_failure: OnFailure,
     ) -> None:
@@ -45,6 +46,7 @@
         self._store = store
         self._topic = topic
         self._wait_ms = wait_ms
+        self._gather_ms = gather_ms
         self._on_page = on_page
         self._on_failure = on_failure
         self._offset: int | None = None
@@ -71,7 +73,7 @@
                 self._offset = next_offset
                 self._on_page(page, is_whole, asked_at_ms)
                 if records:
-                    await asyncio.sleep(GATHER_MS / MS_PER_S)
+                    await asyncio.sleep(self._gather_ms / MS_PER_S)
 
     async def _read(self) -> RecordPage | HistoryLost | StoreFailure:
         if self._offset is None:
--- a/lagoonflow/wiring/platform_agent.py
+++ b/lagoonflow/wiring/platform_agent.py
@@ -28,6 +28,8 @@
 ROLE = 'agent'
 # Agents need the sizes of models only, which change seldom, in ms.
 CONFIGURATION_WAIT_MS = 20_000
+# Pause after a page of records, in ms.
+GATHER_MS = 500
 # Time between reports while an order is in progress, in ms.
 ORDERING_MS = 20
 # Time between reports while requests run or wait, in ms.
@@ -80,6 +82,7 @@
             self._store,
             CONFIGURATION_TOPIC,
             CONFIGURATION_WAIT_MS,
+            GATHER_MS,
             feed.take,
             feed.fail,
         )
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -51,6 +51,13 @@
 CONFIGURATION_WAIT_MS = 1200
 SERVERS_WAIT_MS = 1200
 MEMBERS_WAIT_MS = 20_000
+# Pause after a page of records, in ms; calls to the store are limited, and
+# leaving servers may get requests for two seconds more.
+CONFIGURATION_GATHER_MS = 20
+SERVERS_GATHER_MS = 300
+# A router whose proof is older has missed a read; callers should go to
+# others before keys stop working here, in ms.
+READY_PROOF_MS = 3300
 # Time between looks at what must be told to agents and routers, in ms.
 TICK_MS = 50
 # The platform takes a host out after two missed checks, a second apart.
@@ -133,13 +140,18 @@
         configuration = ConfigurationFeed(self._view, self._apply)
         servers = ServersFeed(self._fleet, self._apply_servers)
         members = MembersFeed(self._members, ROLE)
-        for topic, wait_ms, feed in (
-            (CONFIGURATION_TOPIC, CONFIGURATION_WAIT_MS, configuration),
-            (SERVERS_TOPIC, SERVERS_WAIT_MS, servers),
-            (MEMBERS_TOPIC, MEMBERS_WAIT_MS, members),
+        for topic, wait_ms, gather_ms, feed in (
+            (
+                CONFIGURATION_TOPIC,
+                CONFIGURATION_WAIT_MS,
+                CONFIGURATION_GATHER_MS,
+                configuration,
+            ),
+            (SERVERS_TOPIC, SERVERS_WAIT_MS, SERVERS_GATHER_MS, servers),
+            (MEMBERS_TOPIC, MEMBERS_WAIT_MS, SERVERS_GATHER_MS, members),
         ):
             yield TopicFollower(
-                self._store, topic, wait_ms, feed.take, feed.fail
+                self._store, topic, wait_ms, gather_ms, feed.take, feed.fail
             ).run()
         yield self._register()
         yield self._tell()
@@ -163,7 +175,10 @@
     def _is_ready(self) -> bool:
         if self._stop.is_set():
             return False
-        return self._admission.is_current(boottime_ms())
+        if not self._settings.withdrawal_ms:
+            return self._view.state is not None
+        now_ms = boottime_ms()
+        return self._view.age_ms(now_ms) <= READY_PROOF_MS
 
     def _limits(self) -> ServerLimits:
         limits = self._view.limits
--- a/tests/declared/test_following.py
+++ b/tests/declared/test_following.py
@@ -44,6 +44,7 @@
         store,
         'topic',
         900,
+        10,
         lambda got, is_whole, _at: pages.append((got, is_whole)),
         failures.append,
     )
