--- a/soak/faults.py
+++ b/soak/faults.py
@@ -169,6 +169,9 @@
         )
         if 'store' in self._busy:
             return
+        if self._random.random() < 0.3:
+            self._note('the store forgets its history')
+            http.request(self._fleet.store, 'POST', '/test/compact')
         self._note(f'the store gets {change}')
         self._fleet.faults(self._fleet.store, **change)
         calm = {'silent': False, 'outage': False, 'delay_ms': 0}
@@ -178,8 +181,6 @@
             for_s,
             lambda: self._fleet.faults(self._fleet.store, **calm),
         )
-        if self._random.random() < 0.3:
-            http.request(self._fleet.store, 'POST', '/test/compact')
 
     def _spoil_link(self) -> None:
         self._spoil('server ')
