--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -123,6 +123,7 @@
     ) -> None:
         """Prepare; ``listen`` binds."""
         self.is_stopping = False
+        self.is_accepting = True
         self._handler = handler
         self._refuse = refuse
         self._limits = limits
@@ -143,6 +144,7 @@
     def stop_accepting(self) -> None:
         """Close the listening socket and all connections without a request."""
         self.is_stopping = True
+        self.is_accepting = False
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
@@ -233,6 +235,8 @@
             self.channel.abort()
             return False
         self.is_busy = False
+        if not self._server.is_accepting:
+            return False
         http = self.channel.http
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -123,3 +123,28 @@
     assert raw.endswith(b'late')
     await harness.server.wait_until_closed(500)
     assert harness.server.open_connections == 0
+
+
+async def test_an_answer_begun_before_the_stop_is_the_last_one():
+    """Its head does not announce the close."""
+    release = asyncio.Event()
+    handled = []
+
+    async def stream(_request, reply) -> None:
+        handled.append(1)
+        await reply.start(200, b'OK', ())
+        await release.wait()
+        await reply.part(b'late')
+        await reply.end()
+
+    harness = Harness(stream)
+    reader, writer = await harness.connect()
+    writer.write(GET)
+    await reader.readuntil(b'\r\n\r\n')
+    harness.server.is_stopping = True
+    harness.server.stop_accepting()
+    release.set()
+    writer.write(GET)
+    await asyncio.wait_for(reader.read(), 1)
+    await harness.server.wait_until_closed(500)
+    assert len(handled) == 1
