--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -36,8 +36,6 @@
 KEEP_VALUE_MS = 600
 # No idle model can make way; running requests must end first, in ms.
 BUSY_VICTIM_MS = 3000
-# A denied wish is not repeated at the same runner, in ms.
-DENIED_MS = 30_000
 # Spreads equal choices over the runners, alike at all routers, in ms.
 SPREAD_MS = 60
 # A wake that was asked for is kept to against small differences, in ms.
@@ -311,7 +309,7 @@
 def _denied_ms(state: AgentState, call: Call) -> float:
     for denial in state.denials:
         if (denial.model, denial.adapter) == (call.model, call.adapter):
-            return DENIED_MS
+            return denial.retry_after_ms
     return 0
 
 
--- a/lagoonflow/relay/placing.py
+++ b/lagoonflow/relay/placing.py
@@ -70,6 +70,8 @@
                         Result.NO_RUNNER, reason, BUSY_RETRY_MS
                     )
             if choice.ready_in_ms > _left_ms(ticket, now_ms):
+                self.wishes.linger(ticket, choice.server.instance, now_ms)
+                self.wish_changed.set()
                 return _too_late(choice, attempts)
             if asked.instance != choice.server.instance:
                 record.note_choice(choice, now_ms)
@@ -117,5 +119,5 @@
     return attempts.refuse(
         Result.DEADLINE_UNREACHABLE,
         f'the model is ready in {int(wake.ready_in_ms)} ms, too late',
-        BUSY_RETRY_MS,
+        int(wake.ready_in_ms),
     )
--- a/lagoonflow/relay/wishes.py
+++ b/lagoonflow/relay/wishes.py
@@ -5,11 +5,23 @@
 from lagoonflow.gossip.messages import Wish
 from lagoonflow.relay.admission import Ticket
 
+# A wish of a request that was refused, because its model would come too late,
+# is kept for those who come after it, in ms.
+LINGER_MS = 2000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Waiting:
+class _Hope:
+    """What one request hopes for.
+
+    :param until_ms: when the request, or its lingering wish, has ended.
+    """
+
     instance: str
-    ticket: Ticket
+    model: str
+    adapter: str
+    urgency: int
+    until_ms: float
 
 
 class Wishes:
@@ -17,42 +29,51 @@
 
     def __init__(self) -> None:
         """Start without requests."""
-        self._waiting: dict[int, _Waiting] = {}
+        self._waiting: dict[int, _Hope] = {}
+        self._lingering: dict[tuple[str, str, str], _Hope] = {}
 
     def put(self, ticket: Ticket, instance: str) -> bool:
         """Note what a request waits for; tells whether that is new."""
-        waiting = _Waiting(instance, ticket)
-        is_new = self._waiting.get(id(ticket)) != waiting
-        self._waiting[id(ticket)] = waiting
+        hope = _hope(ticket, instance, ticket.limit_ms)
+        is_new = self._waiting.get(id(ticket)) != hope
+        self._waiting[id(ticket)] = hope
         return is_new
 
     def drop(self, ticket: Ticket) -> None:
         """Note that a request does not wait any more."""
         self._waiting.pop(id(ticket), None)
 
-    def instances(self) -> set[str]:
-        """Runners that requests hope for."""
-        return {waiting.instance for waiting in self._waiting.values()}
+    def linger(self, ticket: Ticket, instance: str, now_ms: float) -> None:
+        """Keep the wish of a request that is refused for a while."""
+        hope = _hope(ticket, instance, now_ms + LINGER_MS)
+        self._lingering[(instance, hope.model, hope.adapter)] = hope
 
     def at(self, instance: str, now_ms: float) -> tuple[Wish, ...]:
         """Wishes for one runner."""
-        groups: dict[tuple[str, str], list[Ticket]] = {}
-        for waiting in self._waiting.values():
-            if waiting.instance == instance:
-                call = waiting.ticket.call
-                key = (call.model, call.adapter)
-                groups.setdefault(key, []).append(waiting.ticket)
-        return tuple(
-            _wish(key, tickets, now_ms) for key, tickets in groups.items()
-        )
-
-
-def _wish(key: tuple[str, str], tickets: list[Ticket], now_ms: float) -> Wish:
-    left_ms = max(ticket.left_ms(now_ms) for ticket in tickets)
+        self._lingering = {
+            key: hope
+            for key, hope in self._lingering.items()
+            if hope.until_ms > now_ms
+        }
+        groups: dict[tuple[str, str], list[_Hope]] = {}
+        for hope in (*self._waiting.values(), *self._lingering.values()):
+            if hope.instance == instance:
+                key = (hope.model, hope.adapter)
+                groups.setdefault(key, []).append(hope)
+        return tuple(_wish(key, hopes, now_ms) for key, hopes in groups.items())
+
+
+def _hope(ticket: Ticket, instance: str, until_ms: float) -> _Hope:
+    call = ticket.call
+    return _Hope(instance, call.model, call.adapter, ticket.urgency, until_ms)
+
+
+def _wish(key: tuple[str, str], hopes: list[_Hope], now_ms: float) -> Wish:
+    left_ms = max(hope.until_ms for hope in hopes) - now_ms
     return Wish(
         model=key[0],
         adapter=key[1],
-        waiting=len(tickets),
-        urgency=min(ticket.urgency for ticket in tickets),
+        waiting=len(hopes),
+        urgency=min(hope.urgency for hope in hopes),
         deadline_left_ms=max(int(left_ms), 0),
     )
--- a/lagoonflow/waking/planning.py
+++ b/lagoonflow/waking/planning.py
@@ -21,8 +21,10 @@
 REFILL_RATE_PER_S = 0.4
 # Demand that was seen for this long tells which models are rare, in ms.
 KNOWN_DEMAND_MS = 8000
-# A wish that can't be met now is worth asking again after this time, in ms.
-DENIAL_RETRY_MS = 500
+# Running requests have made way after about this time, in ms.
+DENIAL_RETRY_MS = 1500
+# What is not declared or does not fit will not be loaded, in ms.
+NEVER_MS = 600_000
 
 
 class Planner:
@@ -85,7 +87,7 @@
             return None
         declared = spec.models.get(wish.model)
         if declared is None:
-            self._deny(wish)
+            self._deny(wish, NEVER_MS)
             return None
         if len(pending) >= MOST_PENDING_ADAPTERS:
             return None
@@ -135,7 +137,7 @@
             return None
         declared = spec.models.get(wish.model)
         if declared is None or declared.weights_mb > spec.weights_mb:
-            self._deny(wish)
+            self._deny(wish, NEVER_MS)
             return None
         is_from_store = load_time_ms(declared, report)[1]
         if is_from_store and not self._may_use_store(spec, now_ms):
@@ -252,8 +254,11 @@
         pause_ms = MS_PER_S * account.agents / loads_per_s
         return now_ms - account.store_load_at_ms >= pause_ms
 
-    def _deny(self, wish: Wanted) -> None:
-        self._denied.append(Denial(wish.model, wish.adapter, DENIAL_RETRY_MS))
+    def _deny(
+        self, wish: Wanted, retry_after_ms: int = DENIAL_RETRY_MS
+    ) -> None:
+        denial = Denial(wish.model, wish.adapter, retry_after_ms)
+        self._denied.append(denial)
 
 
 def _load_model(model: Model, report: RunnerReport, cause: str) -> Step:
--- a/tests/backends/test_choosing.py
+++ b/tests/backends/test_choosing.py
@@ -175,3 +175,11 @@
     choice = choose(down)
     assert isinstance(choice, Wake)
     assert choice.server.instance == 'i-b'
+
+
+def test_a_denied_wish_is_waited_for_when_there_is_no_other_place():
+    denial = Denial('m1', 'a9', 1500)
+    fleet = world(agent('i-a', HeldState('m1'), denials=(denial,)))
+    choice = choose(fleet, call(adapter='a9'))
+    assert isinstance(choice, Wake)
+    assert 1500 <= choice.ready_in_ms < 3000
--- a/tests/relay/test_serving.py
+++ b/tests/relay/test_serving.py
@@ -4,8 +4,15 @@
 
 import pytest
 
+from lagoonflow.backends.messages import BackendServer
 from lagoonflow.clock import boottime_ms
-from lagoonflow.declared.messages import Organisation
+from lagoonflow.declared.messages import (
+    Organisation,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from lagoonflow.gossip.messages import AgentState
 from tests.relay.world import (
     ORGANISATION,
     REJECTION,
@@ -20,6 +27,7 @@
     state,
     whole,
 )
+from tests.waking.builders import spec
 
 FINE = whole('200 OK', 'fine')
 
@@ -262,3 +270,21 @@
     status, _, _ = await world.ask('/read/x')
     assert status == 503
     assert world.meter.level(ORGANISATION.name) >= before
+
+
+async def test_a_model_that_comes_too_late_for_one_call_is_still_wished_for():
+    """Later callers find it loaded; else it would be refused for ever."""
+    world = World()
+    engine = Service('llm', 50, spec())
+    hot = route(RouteKind.STREAM, '/hot/', shares=(ServiceShare('llm', 1),))
+    world.view.put(state(2, routes=(hot,), services={'llm': engine}))
+    server = BackendServer('i-0', 'llm', '127.0.0.1:1', 'z', 8, started_ms=1)
+    world.fleet.roster.put(server, boottime_ms())
+    agent = AgentState('a', 'i-0', 1, free_mb=90_000, can_order=True)
+    world.fleet.hear(agent, boottime_ms())
+    status, headers, _ = await world.ask('/hot/x', 'Model: m1')
+    assert status == 503
+    assert float(headers['retry-after']) > 5
+    wishes = world.calls.placer.wishes
+    assert wishes.at('i-0', boottime_ms())[0].model == 'm1'
+    assert not wishes.at('i-0', boottime_ms() + 60_000)
