--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -11,7 +11,7 @@
 from lagoonflow.gossip.messages import AgentState, HeldState
 from lagoonflow.relay.messages import Call
 from lagoonflow.waking.copies import load_time_ms
-from lagoonflow.waking.store_loads import assign, missing_models
+from lagoonflow.waking.loads_ahead import assign, missing_models
 
 # Cost of reading one prompt token, in ms; from the engines' stated rate of
 # 38.4 tokens a ms.
@@ -48,10 +48,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Send:
-    """Send the request to a server now."""
+    """Send the request to a server now.
+
+    :param unread_tokens: tokens of its prompt that the server must read.
+    """
 
     server: BackendServer
     cost_ms: float
+    unread_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -213,7 +217,7 @@
         held = _find(self._fleet.held(server, now_ms), call.model)
         if held is not None:
             if not call.adapter or call.adapter in held.adapters:
-                return Send(server, base_ms)
+                return Send(server, base_ms, self._unread(call, server))
             if state is None or not state.can_order:
                 return None
             # No order is accepted while another one is carried out.
@@ -259,9 +263,9 @@
         now_ms: float,
     ) -> float:
         pressure = self._fleet.pressure(server, now_ms)
-        keys = self.prompt_keys(call)
-        kept = self._fleet.has_parts(server.instance, keys)
-        unread = sum(part.tokens for part in call.prompt[kept:])
+        unread = self._unread(call, server) + self._fleet.unread_tokens(
+            server, now_ms
+        )
         waiting = max(pressure - engine.slots, 0)
         cost_ms = (
             unread * PROMPT_TOKEN_MS
@@ -270,6 +274,11 @@
         )
         return cost_ms + self._common_cost_ms(server, now_ms)
 
+    def _unread(self, call: Call, server: BackendServer) -> int:
+        keys = self.prompt_keys(call)
+        kept = self._fleet.prompts.count_kept(server.instance, keys)
+        return sum(part.tokens for part in call.prompt[kept:])
+
     def _plain_cost_ms(self, server: BackendServer, now_ms: float) -> float:
         pressure = self._fleet.pressure(server, now_ms)
         share = pressure / max(server.slots, 1)
--- a/lagoonflow/backends/fleet.py
+++ b/lagoonflow/backends/fleet.py
@@ -5,6 +5,7 @@
 
 from lagoonflow.backends.health import ServerHealth
 from lagoonflow.backends.messages import BackendServer
+from lagoonflow.backends.prompts import PromptParts
 from lagoonflow.backends.rates import RequestRates
 from lagoonflow.backends.roster import BackendRoster
 from lagoonflow.gossip.messages import AgentState, HeldState
@@ -17,8 +18,6 @@
 AGENT_FRESH_MS = 2500
 # A load that a server stated is used for this long, in ms.
 LOAD_FRESH_MS = 1000
-# Prompt parts that are remembered for each server.
-MOST_PARTS = 512
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,7 +51,8 @@
         self._loads: dict[str, DatedLoad] = {}
         self._running: dict[str, collections.Counter[str]] = {}
         self._sends: dict[str, collections.deque[float]] = {}
-        self._parts: dict[str, collections.OrderedDict[str, float]] = {}
+        self._unread: collections.Counter[str] = collections.Counter()
+        self.prompts = PromptParts()
 
     # Facts.
 
@@ -66,11 +66,19 @@
         """Take the load that a server stated in an answer."""
         self._loads[instance] = DatedLoad(now_ms, load)
 
-    def begin(self, instance: str, name: str, now_ms: float) -> None:
+    def begin(
+        self,
+        instance: str,
+        name: str,
+        now_ms: float,
+        unread_tokens: int = 0,
+    ) -> None:
         """Count a request that is being sent.
 
         :param name: model, with its adapter after a slash.
+        :param unread_tokens: tokens of its prompt that the server must read.
         """
+        self._unread[instance] += unread_tokens
         self.health(instance).inflight += 1
         counter = self._running.setdefault(instance, collections.Counter())
         counter[name] += 1
@@ -78,6 +86,10 @@
             now_ms
         )
 
+    def note_read(self, instance: str, unread_tokens: int) -> None:
+        """Note that a prompt was read, or that its request has ended."""
+        self._unread[instance] -= unread_tokens
+
     def end(self, instance: str, name: str) -> None:
         """Count a request as ended."""
         self.health(instance).inflight -= 1
@@ -87,15 +99,6 @@
             if counter[name] <= 0:
                 counter.pop(name)
 
-    def remember_prompt(self, instance: str, keys: list[str]) -> None:
-        """Note which prompt parts a server has read."""
-        parts = self._parts.setdefault(instance, collections.OrderedDict())
-        for key in keys:
-            parts[key] = 0
-            parts.move_to_end(key)
-        while len(parts) > MOST_PARTS:
-            parts.popitem(last=False)
-
     def forget(self, instances: list[str]) -> None:
         """Drop what is known of servers that are gone."""
         for instance in instances:
@@ -104,9 +107,9 @@
                 self._loads,
                 self._running,
                 self._sends,
-                self._parts,
             ):
                 known.pop(instance, None)
+            self.prompts.forget(instance)
 
     # Questions.
 
@@ -153,15 +156,11 @@
             return max(known + self._sent_since(server, stated.at_ms), inflight)
         return inflight
 
-    def has_parts(self, instance: str, keys: list[str]) -> int:
-        """Count the leading prompt parts that a server has read."""
-        parts = self._parts.get(instance, {})
-        count = 0
-        for key in keys:
-            if key not in parts:
-                break
-            count += 1
-        return count
+    def unread_tokens(self, server: BackendServer, now_ms: float) -> float:
+        """Prompt tokens that wait to be read, other routers' included."""
+        own = self._unread[server.instance]
+        inflight = max(self.health(server.instance).inflight, 1)
+        return own * max(self.pressure(server, now_ms) / inflight, 1)
 
     def running(self, instance: str) -> dict[str, int]:
         """This router's requests at a server, by model and adapter."""
--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -37,7 +37,7 @@
         by the runners that hold it.
     :param agents: agents that share the weight store's loads.
     :param may_use_store: a load from the weight store may begin.
-    :param to_fetch: models that lie nowhere and fall to this agent.
+    :param to_load: models that fall to this agent ahead of requests.
     :param spare: held models that may make way for them.
     """
 
@@ -52,7 +52,7 @@
     is_leaving: bool = False
     agents: int = 1
     may_use_store: bool = False
-    to_fetch: tuple[str, ...] = ()
+    to_load: tuple[str, ...] = ()
     spare: tuple[str, ...] = ()
 
 
--- a/lagoonflow/relay/placing.py
+++ b/lagoonflow/relay/placing.py
@@ -11,7 +11,6 @@
     Send,
     Wake,
 )
-from lagoonflow.backends.messages import BackendServer
 from lagoonflow.clock import boottime_ms
 from lagoonflow.relay.admission import Ticket
 from lagoonflow.relay.attempts import BUSY_RETRY_MS, Attempts
@@ -54,17 +53,17 @@
 
     async def place(
         self, record: CallRecord, ticket: Ticket, attempts: Attempts
-    ) -> BackendServer | Refusal:
-        """Return the server to send to, once it can take the call."""
+    ) -> Send | Refusal:
+        """Return where to send, once a server can take the call."""
         asked = _Asked()
         while True:
             now_ms = boottime_ms()
             choice = self._choose(ticket, attempts, asked, now_ms)
             match choice:
-                case Send(server=server):
+                case Send():
                     self.wishes.drop(ticket)
                     record.note_choice(choice, now_ms)
-                    return server
+                    return choice
                 case Nowhere(reason=reason):
                     return attempts.refuse(
                         Result.NO_RUNNER, reason, BUSY_RETRY_MS
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from lagoonflow.backends.choosing import Send
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.clock import MS_PER_S, boottime_ms
@@ -80,6 +81,20 @@
 Outcome = Delivered | NotSent | NotRun | Failed | Broken | Withheld
 
 
+class _Reading:
+    """A prompt that a server has yet to read."""
+
+    def __init__(self, fleet: Fleet, instance: str, tokens: int) -> None:
+        self._fleet = fleet
+        self._instance = instance
+        self._tokens = tokens
+
+    def finish(self) -> None:
+        """Note once that it was read, or will not be."""
+        self._fleet.note_read(self._instance, self._tokens)
+        self._tokens = 0
+
+
 class Sender:
     """Sends calls over kept connections."""
 
@@ -103,7 +118,7 @@
     async def send(
         self,
         ticket: Ticket,
-        server: BackendServer,
+        choice: Send,
         progress: Progress,
         answer_timeout_ms: float,
     ) -> Outcome:
@@ -111,20 +126,29 @@
 
         :param answer_timeout_ms: time until the answer must begin.
         """
+        server = choice.server
         connection = await self._connect(server, ticket)
         if isinstance(connection, NotSent):
             return connection
         name = _full_name(ticket)
-        self._fleet.begin(server.instance, name, boottime_ms())
+        reading = _Reading(self._fleet, server.instance, choice.unread_tokens)
+        self._fleet.begin(
+            server.instance, name, boottime_ms(), choice.unread_tokens
+        )
         try:
             return await self._exchange(
-                ticket, server, connection, progress, answer_timeout_ms
+                ticket,
+                server,
+                connection,
+                progress,
+                answer_timeout_ms,
+                reading,
             )
         except ExchangeError as error:
             return Broken(str(error), progress.reply.has_started)
         finally:
-            self._fleet.end(server.instance, name)
-            self._pool(server).give_back(connection)
+            reading.finish()
+            self._release(server, name, connection)
 
     async def pass_whole(
         self, reply: Reply, answer: Answer, body: bytes
@@ -137,6 +161,12 @@
         )
         await reply.whole(head.status, head.reason, headers, body)
 
+    def _release(
+        self, server: BackendServer, name: str, connection: ClientConnection
+    ) -> None:
+        self._fleet.end(server.instance, name)
+        self._pool(server).give_back(connection)
+
     async def _connect(
         self, server: BackendServer, ticket: Ticket
     ) -> ClientConnection | NotSent:
@@ -158,6 +188,7 @@
         connection: ClientConnection,
         progress: Progress,
         answer_timeout_ms: float,
+        reading: '_Reading',
     ) -> Outcome:
         now_ms = boottime_ms()
         refusal = self._admission.recheck(ticket, now_ms)
@@ -168,6 +199,7 @@
         answer = await self._answer(
             ticket, connection, request, answer_timeout_ms
         )
+        reading.finish()
         if answer.load is not None:
             self._fleet.note_load(server.instance, answer.load, boottime_ms())
         if answer.is_success and answer.is_event_stream and answer.is_genuine:
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -162,15 +162,16 @@
         progress = Progress(reply, events)
         await _sleep_until(ticket.start_at_ms)
         while True:
-            server = await self.placer.place(record, ticket, attempts)
-            if isinstance(server, Refusal):
-                refusal = server
+            choice = await self.placer.place(record, ticket, attempts)
+            if isinstance(choice, Refusal):
+                refusal = choice
                 break
+            server = choice.server
             timeout_ms = self._answer_timeout_ms(ticket, attempts)
             # Counted before the send: a cancelled one may have run, too.
             attempts.may_have_run += 1
             outcome = await self._sender.send(
-                ticket, server, progress, timeout_ms
+                ticket, choice, progress, timeout_ms
             )
             record.note_send(server.instance, outcome, boottime_ms())
             if isinstance(outcome, Delivered):
@@ -185,7 +186,7 @@
     def _note_delivered(self, ticket: Ticket, server: BackendServer) -> None:
         self._fleet.health(server.instance).succeed(boottime_ms())
         keys = self._chooser.prompt_keys(ticket.call)
-        self._fleet.remember_prompt(server.instance, keys)
+        self._fleet.prompts.remember(server.instance, keys)
 
     def _judge(
         self,
--- /dev/null
+++ b/lagoonflow/waking/loads_ahead.py
@@ -0,0 +1,193 @@
+"""Which runner loads a model ahead of requests, and who may use the store.
+
+All routers see nearly the same states of the agents and decide alike, so that
+one runner of the fleet loads a model that lies nowhere, or a further replica
+of one that is asked for often.
+"""
+
+import collections
+import dataclasses
+import math
+from collections.abc import Callable, Mapping
+
+import xxhash
+
+from lagoonflow.declared.messages import EngineSpec
+from lagoonflow.gossip.messages import AgentState, HeldState
+
+# Loads from the store that run at full speed together; more of them only
+# slow each other down.
+LOADS_AT_ONCE = 4
+# A model that is asked for less often than this may make way for a model
+# that is loaded ahead, in requests a second.
+SPARE_RATE_PER_S = 0.05
+# A replica that gets more requests a second than this gets a companion: a
+# runner reads about four whole prompts a second.
+HOT_RATE_PER_S = 2.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """What one agent may load ahead.
+
+    :param may_use_store: a load from the store may begin now.
+    :param to_load: models to load ahead, the most wanted first.
+    :param spare: models it holds that may make way for them.
+    """
+
+    may_use_store: bool = False
+    to_load: tuple[str, ...] = ()
+    spare: tuple[str, ...] = ()
+
+
+def copies(state: AgentState) -> set[str]:
+    """Models that a runner has anywhere, or is about to have."""
+    held = {one.name for one in state.held}
+    coming = {state.loading} if state.loading else set()
+    return held | coming | set(state.in_memory) | set(state.on_disk)
+
+
+def missing_models(
+    spec: EngineSpec, states: Mapping[str, AgentState]
+) -> list[str]:
+    """Models that no runner has a copy of, in a fixed order."""
+    found: set[str] = set()
+    for state in states.values():
+        found |= copies(state)
+    return sorted(set(spec.models) - found)
+
+
+def assign(
+    models: list[str], states: Mapping[str, AgentState]
+) -> dict[str, str]:
+    """Return the instance that each model falls to, evenly spread."""
+    counts = {
+        instance: len(copies(state)) for instance, state in states.items()
+    }
+    if not counts:
+        return {}
+    most = math.ceil((sum(counts.values()) + len(models)) / len(counts))
+    assigned: dict[str, str] = {}
+    for model in models:
+        open_ones = [one for one in counts if counts[one] < most]
+        chosen = max(open_ones or counts, key=_weights_of(model))
+        counts[chosen] += 1
+        assigned[model] = chosen
+    return assigned
+
+
+def plan_all(
+    spec: EngineSpec,
+    states: Mapping[str, AgentState],
+    demand_per_s: Mapping[str, float],
+) -> dict[str, LoadPlan]:
+    """Return what each agent may load ahead.
+
+    :param demand_per_s: demand for models that no runner holds.
+    """
+    replicas = _hot_replicas(states)
+    missing = assign(missing_models(spec, states), states)
+    wanted = sorted(missing, key=lambda name: -demand_per_s.get(name, 0))
+    holders = _holders(states)
+    return {
+        instance: LoadPlan(
+            _may_use_store(instance, states),
+            (
+                *(one for one in replicas if replicas[one] == instance),
+                *(one for one in wanted if missing[one] == instance),
+            ),
+            _spare(states[instance], holders),
+        )
+        for instance in states
+    }
+
+
+def _hot_replicas(states: Mapping[str, AgentState]) -> dict[str, str]:
+    """Return where each model that is asked for often gets a replica."""
+    coming = {state.loading for state in states.values()}
+    chosen: dict[str, str] = {}
+    for model in _hot_models(states):
+        free = [
+            instance
+            for instance in states
+            if instance not in chosen.values()
+            and _can_take(states[instance], model)
+        ]
+        if free and model not in coming:
+            chosen[model] = min(free, key=_replica_rank(model, states))
+    return chosen
+
+
+def _hot_models(states: Mapping[str, AgentState]) -> list[str]:
+    """Models whose replicas are asked for often, the hottest first."""
+    values = {
+        held.name: held.keep_value
+        for state in states.values()
+        for held in state.held
+    }
+    hot = [name for name in values if values[name] > HOT_RATE_PER_S]
+    return sorted(hot, key=lambda name: (-values[name], name))
+
+
+def _can_take(state: AgentState, model: str) -> bool:
+    """Whether a runner without the model has no order in progress."""
+    is_held = any(held.name == model for held in state.held)
+    return not is_held and not state.loading and not state.unloading
+
+
+def _replica_rank(
+    model: str, states: Mapping[str, AgentState]
+) -> Callable[[str], tuple[bool, float, int]]:
+    """Rank runners: those with a copy, then those with the least demand."""
+    weight = _weights_of(model)
+
+    def rank(instance: str) -> tuple[bool, float, int]:
+        state = states[instance]
+        demand_per_s = sum(held.keep_value for held in state.held)
+        has_copy = model in copies(state)
+        return not has_copy, demand_per_s, weight(instance)
+
+    return rank
+
+
+def _holders(states: Mapping[str, AgentState]) -> collections.Counter[str]:
+    return collections.Counter(
+        held.name for state in states.values() for held in state.held
+    )
+
+
+def _spare(
+    state: AgentState, holders: collections.Counter[str]
+) -> tuple[str, ...]:
+    """Return what may make way: rare models, and replicas among many."""
+    return tuple(
+        held.name for held in state.held if _is_spare(held, holders[held.name])
+    )
+
+
+def _is_spare(held: HeldState, replicas: int) -> bool:
+    if held.running:
+        return False
+    is_rare = held.keep_value < SPARE_RATE_PER_S
+    return is_rare and (replicas == 1 or held.keep_value > 0)
+
+
+def _may_use_store(instance: str, states: Mapping[str, AgentState]) -> bool:
+    """Whether this agent is among the next to use the store."""
+    in_progress = sum(state.is_from_store for state in states.values())
+    own_rank = (-states[instance].store_wait_ms, instance)
+    ahead = sum(
+        (-state.store_wait_ms, other) < own_rank
+        for other, state in states.items()
+        if state.store_wait_ms > 0 and other != instance
+    )
+    return in_progress + ahead < LOADS_AT_ONCE
+
+
+def _weights_of(model: str) -> Callable[[str], int]:
+    """Rank instances for a model by rendezvous hashing."""
+
+    def weight(instance: str) -> int:
+        return xxhash.xxh3_64_intdigest(f'{model} {instance}'.encode())
+
+    return weight
--- a/lagoonflow/waking/planning.py
+++ b/lagoonflow/waking/planning.py
@@ -2,13 +2,13 @@
 
 from lagoonflow.backends.messages import HeldModel, RunnerReport
 from lagoonflow.declared.messages import EngineSpec, Model
-from lagoonflow.gossip.messages import Denial
+from lagoonflow.gossip.messages import Denial, RouterState
 from lagoonflow.waking.account import RunnerAccount
 from lagoonflow.waking.copies import load_time_ms
 from lagoonflow.waking.demand import Wanted
 from lagoonflow.waking.ledger import held_mb
+from lagoonflow.waking.loads_ahead import SPARE_RATE_PER_S
 from lagoonflow.waking.messages import Step, StepKind
-from lagoonflow.waking.store_loads import SPARE_RATE_PER_S
 
 MS_PER_S = 1000
 # A model that was just loaded stays this long, so that the requests that
@@ -68,7 +68,7 @@
             if step is not None:
                 return step
         step = self._refill_step(spec, report, now_ms)
-        return step or self._fetch_step(spec, report, now_ms)
+        return step or self._ahead_step(spec, report, now_ms)
 
     # Adapters.
 
@@ -182,29 +182,46 @@
             return False
         return self._missing_mb(model, now_ms) <= 0
 
-    def _fetch_step(
+    def _ahead_step(
         self, spec: EngineSpec, report: RunnerReport, now_ms: float
     ) -> Step | None:
-        """Load a model ahead that lies on no runner."""
+        """Load a model that falls to this runner ahead of requests."""
         told = self._account.demand.newest(now_ms)
-        if told is None or not self._may_use_store(spec, now_ms):
+        if told is None:
             return None
-        for name in told.to_fetch:
-            declared = spec.models.get(name)
-            if declared is None or not load_time_ms(declared, report)[1]:
-                continue
-            missing_mb = self._missing_mb(declared, now_ms)
-            if missing_mb <= 0:
-                return _load_model(declared, report, 'no runner has a copy')
-            spare = [
-                held
-                for held in self._droppable(report, now_ms)
-                if held.name in told.spare and self._is_spare(held, now_ms)
-            ]
-            if sum(held_mb(spec, held) for held in spare) >= missing_mb:
-                cause = f'makes way for {name}, fetched ahead'
-                return _unload(spare[0].name, '', report, cause)
-        return None
+        may_use_store = self._may_use_store(spec, now_ms)
+        steps = (
+            self._make_room(spec, report, spec.models[name], told, now_ms)
+            for name in told.to_load
+            if name in spec.models
+            and self._account.holds(name) is None
+            and (
+                may_use_store or not load_time_ms(spec.models[name], report)[1]
+            )
+        )
+        return next((step for step in steps if step is not None), None)
+
+    def _make_room(
+        self,
+        spec: EngineSpec,
+        report: RunnerReport,
+        wanted: Model,
+        told: RouterState,
+        now_ms: float,
+    ) -> Step | None:
+        """Load a model, or drop one that is not missed before."""
+        missing_mb = self._missing_mb(wanted, now_ms)
+        if missing_mb <= 0:
+            return _load_model(wanted, report, 'ahead of requests')
+        spare = [
+            held
+            for held in self._droppable(report, now_ms)
+            if held.name in told.spare and self._is_spare(held, now_ms)
+        ]
+        if sum(held_mb(spec, held) for held in spare) < missing_mb:
+            return None
+        cause = f'makes way for {wanted.name}, ahead of requests'
+        return _unload(spare[0].name, '', report, cause)
 
     def _missing_mb(self, model: Model, now_ms: float) -> float:
         return model.weights_mb - self._account.free_mb(now_ms, model.name)
--- a/lagoonflow/wiring/platform_telling.py
+++ b/lagoonflow/wiring/platform_telling.py
@@ -16,9 +16,9 @@
 from lagoonflow.platform.settings import PlatformSettings
 from lagoonflow.quotas.shared import SharedMeter
 from lagoonflow.relay.wishes import Wishes
-from lagoonflow.waking.store_loads import StorePlan, plan_all
+from lagoonflow.waking.loads_ahead import LoadPlan, plan_all
 
-# Loads from the weight store are planned anew this often, in ms.
+# Loads ahead of requests are planned anew this often, in ms.
 PLAN_MS = 200
 # Changed facts are told to an agent at most this often, in ms.
 AGENT_CHANGE_MS = 150
@@ -47,7 +47,7 @@
         self._gossip = gossip
         self._started_ms = time.time_ns() // 1_000_000
         self._told: dict[str, tuple[float, RouterState]] = {}
-        self._plans: dict[str, StorePlan] = {}
+        self._plans: dict[str, LoadPlan] = {}
         self._planned_at_ms = 0
 
     def tell(self, state: DeclaredState, now_ms: float) -> None:
@@ -61,7 +61,7 @@
         demand = self._demand(runners, now_ms)
         if now_ms - self._planned_at_ms >= PLAN_MS:
             self._planned_at_ms = now_ms
-            self._plan_store_loads(state, runners, demand, now_ms)
+            self._plan_loads(state, runners, demand, now_ms)
         for server in runners:
             message = self._message(server, len(runners), demand, now_ms)
             told_at_ms, told = self._told.get(server.instance, (0, None))
@@ -78,7 +78,7 @@
         now_ms: float,
     ) -> RouterState:
         settings = self._settings
-        store_plan = self._plans.get(server.instance, StorePlan())
+        load_plan = self._plans.get(server.instance, LoadPlan())
         return RouterState(
             router=settings.node,
             address=f'{settings.host}:{settings.peer_port}',
@@ -89,9 +89,9 @@
             running=self._fleet.running(server.instance),
             demand_per_s=demand,
             agents=agents,
-            may_use_store=store_plan.may_load,
-            to_fetch=store_plan.to_fetch,
-            spare=store_plan.spare,
+            may_use_store=load_plan.may_use_store,
+            to_load=load_plan.to_load,
+            spare=load_plan.spare,
         )
 
     def _demand(
@@ -107,7 +107,7 @@
             for model, rate in self._fleet.rates.per_s(now_ms).items()
         }
 
-    def _plan_store_loads(
+    def _plan_loads(
         self,
         state: DeclaredState,
         runners: list[BackendServer],
--- a/tests/backends/test_choosing.py
+++ b/tests/backends/test_choosing.py
@@ -59,7 +59,7 @@
 
 def test_prefers_the_runner_that_has_read_the_prompt():
     fleet = world(agent('i-a', HeldState('m1')), agent('i-b', HeldState('m1')))
-    fleet.remember_prompt('i-b', ['m1//p1'])
+    fleet.prompts.remember('i-b', ['m1//p1'])
     one = call(prompt=(PromptPart('p1', 6000), PromptPart('p2', 500)))
     assert choose(fleet, one).server.instance == 'i-b'
 
@@ -183,3 +183,13 @@
     choice = choose(fleet, call(adapter='a9'))
     assert isinstance(choice, Wake)
     assert 1500 <= choice.ready_in_ms < 3000
+
+
+def test_prompts_that_wait_to_be_read_count():
+    fleet = world(agent('i-a', HeldState('m1')), agent('i-b', HeldState('m1')))
+    first = choose(fleet).server.instance
+    fleet.begin(first, 'm1', NOW_MS, 9000)
+    assert choose(fleet).server.instance != first
+    fleet.note_read(first, 9000)
+    fleet.end(first, 'm1')
+    assert choose(fleet).server.instance == first
--- a/tests/waking/test_keeper.py
+++ b/tests/waking/test_keeper.py
@@ -135,25 +135,25 @@
 
 
 def test_fetches_ahead_what_lies_nowhere():
-    made = keeper(router(to_fetch=('m4',)))
+    made = keeper(router(to_load=('m4',)))
     step = decide(made, report(held('m1'), on_disk=('m1',)))
     assert (step.kind, step.model) == (StepKind.LOAD, 'm4')
 
 
 def test_fetching_ahead_displaces_spare_models_only():
-    made = keeper(router(to_fetch=('m4',), spare=('m2',)))
+    made = keeper(router(to_load=('m4',), spare=('m2',)))
     account = report(held('m1'), held('m2'), on_disk=('m1', 'm2'))
     made.account.take_report(account, NOW_MS - 700)
     step = decide(made, account)
     assert (step.kind, step.model) == (StepKind.UNLOAD, 'm2')
-    nothing_spare = keeper(router(to_fetch=('m4',)))
+    nothing_spare = keeper(router(to_load=('m4',)))
     nothing_spare.account.take_report(account, NOW_MS - 700)
     assert decide(nothing_spare, account) is None
 
 
 def test_fetching_ahead_waits_until_demand_is_known():
     account = report(held('m1'), held('m2'), on_disk=('m1', 'm2'))
-    state = router(to_fetch=('m4',), spare=('m2',), demand={'m1': 1.0})
+    state = router(to_load=('m4',), spare=('m2',), demand={'m1': 1.0})
     made = keeper(state)
     made.account.take_report(account, NOW_MS - 700)
     assert decide(made, account) is None
--- a/tests/waking/test_store_loads.py
+++ b/tests/waking/test_loads_ahead.py
@@ -1,7 +1,9 @@
 """One runner of the fleet loads a model that lies nowhere."""
 
+import msgspec
+
 from lagoonflow.gossip.messages import AgentState, HeldState
-from lagoonflow.waking.store_loads import (
+from lagoonflow.waking.loads_ahead import (
     LOADS_AT_ONCE,
     assign,
     missing_models,
@@ -49,11 +51,38 @@
     states = fleet(*busy, state('a', wait_ms=900), state('b', wait_ms=10))
     plans = plan_all(spec(), states, {})
     assert len(busy) + 1 == LOADS_AT_ONCE
-    assert plans['a'].may_load
-    assert not plans['b'].may_load
+    assert plans['a'].may_use_store
+    assert not plans['b'].may_use_store
 
 
 def test_only_rare_models_with_one_holder_are_spare():
-    states = fleet(state('a', 'm1', 'm2', 'm3'), state('b', 'm1'))
-    plans = plan_all(spec(), states, {'m3': 2.0})
+    busy = HeldState('m3', keep_value=2.0)
+    first = msgspec.structs.replace(
+        state('a', 'm1', 'm2'), held=(HeldState('m1'), HeldState('m2'), busy)
+    )
+    plans = plan_all(spec(), fleet(first, state('b', 'm1')), {})
     assert plans['a'].spare == ('m2',)
+
+
+def test_a_hot_model_gets_a_replica_where_a_copy_lies():
+    hot = msgspec.structs.replace(
+        state('a'), held=(HeldState('m1', keep_value=6.0),)
+    )
+    states = fleet(hot, state('b'), state('c', on_disk=('m1',)))
+    plans = plan_all(spec(), states, {})
+    assert plans['c'].to_load[0] == 'm1'
+    assert 'm1' not in plans['b'].to_load
+
+
+def test_one_replica_at_a_time():
+    hot = msgspec.structs.replace(
+        state('a'), held=(HeldState('m1', keep_value=6.0),)
+    )
+    coming = msgspec.structs.replace(state('b'), loading='m1')
+    plans = plan_all(spec(), fleet(hot, coming, state('c')), {})
+    assert 'm1' not in plans['c'].to_load
+
+
+def test_what_is_asked_for_most_is_loaded_ahead_first():
+    plans = plan_all(spec(), fleet(state('a')), {'m3': 1.0, 'm2': 0.5})
+    assert plans['a'].to_load == ('m3', 'm2', 'm1', 'm4')
