--- a/lagoonflow/waking/loads_ahead.py
+++ b/lagoonflow/waking/loads_ahead.py
@@ -25,6 +25,9 @@
 # runner reads about four whole prompts a second.
 HOT_RATE_PER_S = 2.5
 
+# Differences of demand below this do not count, in requests a second.
+DEMAND_STEP_PER_S = 2
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadPlan:
@@ -70,7 +73,7 @@
     assigned: dict[str, str] = {}
     for model in models:
         open_ones = [one for one in counts if counts[one] < most]
-        chosen = max(open_ones or counts, key=_weights_of(model))
+        chosen = max(open_ones or counts, key=_place_rank(model, states))
         counts[chosen] += 1
         assigned[model] = chosen
     return assigned
@@ -172,6 +175,23 @@
     return is_rare and (replicas == 1 or held.keep_value > 0)
 
 
+def _place_rank(
+    model: str, states: Mapping[str, AgentState]
+) -> Callable[[str], tuple[int, int]]:
+    """Rank runners for a load from the store, which blocks other orders.
+
+    Demand is compared in coarse steps, so that routers with nearly the same
+    view agree.
+    """
+    weight = _weights_of(model)
+
+    def rank(instance: str) -> tuple[int, int]:
+        demand = sum(held.keep_value for held in states[instance].held)
+        return -int(demand / DEMAND_STEP_PER_S), weight(instance)
+
+    return rank
+
+
 def _may_use_store(instance: str, states: Mapping[str, AgentState]) -> bool:
     """Whether this agent is among the next to use the store."""
     in_progress = sum(state.is_from_store for state in states.values())
--- a/lagoonflow/waking/planning.py
+++ b/lagoonflow/waking/planning.py
@@ -19,6 +19,11 @@
 # A model with more requests a second at each of its replicas than this gets
 # another one where memory lies free.
 REFILL_RATE_PER_S = 0.4
+# A model that made way is back after about this time, in ms.
+RELOAD_MS = 700
+# Requests that may miss their model for each one that waits, and again for
+# each second that it has waited.
+MISSED_FOR_ONE = 2
 # Demand that was seen for this long tells which models are rare, in ms.
 KNOWN_DEMAND_MS = 8000
 # Running requests have made way after about this time, in ms.
@@ -147,8 +152,8 @@
             return _load_model(
                 declared, report, f'{wish.waiting} requests wait'
             )
-        victims = self._droppable(report, now_ms)
-        if sum(held_mb(spec, held) for held in victims) < missing_mb:
+        victims = _enough(self._droppable(report, now_ms), spec, missing_mb)
+        if not victims or not self._is_worth(wish, declared, victims, now_ms):
             self._deny(wish)
             return None
         cause = f'makes way for {wish.model}'
@@ -223,6 +228,21 @@
         cause = f'makes way for {wanted.name}, ahead of requests'
         return _unload(spare[0].name, '', report, cause)
 
+    def _is_worth(
+        self,
+        wish: Wanted,
+        wanted: Model,
+        victims: list[HeldModel],
+        now_ms: float,
+    ) -> bool:
+        """Whether more requests gain than miss the models that make way."""
+        rates = self._account.demand.rates(now_ms)
+        load_ms = load_time_ms(wanted, self._account.report)[0]
+        missing_s = (load_ms + RELOAD_MS) / MS_PER_S
+        missed = sum(rates.get(held.name, 0) for held in victims) * missing_s
+        waited_s = (now_ms - wish.since_ms) / MS_PER_S
+        return missed <= MISSED_FOR_ONE * wish.waiting * (1 + waited_s)
+
     def _missing_mb(self, model: Model, now_ms: float) -> float:
         return model.weights_mb - self._account.free_mb(now_ms, model.name)
 
@@ -278,6 +298,19 @@
         self._denied.append(denial)
 
 
+def _enough(
+    victims: list[HeldModel], spec: EngineSpec, missing_mb: float
+) -> list[HeldModel]:
+    """Return the first models that make enough room; none if all don't."""
+    chosen: list[HeldModel] = []
+    for held in victims:
+        chosen.append(held)
+        missing_mb -= held_mb(spec, held)
+        if missing_mb <= 0:
+            return chosen
+    return []
+
+
 def _load_model(model: Model, report: RunnerReport, cause: str) -> Step:
     load_ms, is_from_store = load_time_ms(model, report)
     return Step(
--- a/tests/waking/test_keeper.py
+++ b/tests/waking/test_keeper.py
@@ -192,3 +192,21 @@
     assert made.describe(NOW_MS + 500).is_down
     made.account.take_report(report(), NOW_MS + 900)
     assert not made.describe(NOW_MS + 900).is_down
+
+
+def test_a_hot_model_does_not_make_way_for_a_slow_load():
+    """Six seconds without it hurt more requests than the one that waits."""
+    demand = {'m1': 3.0, 'm2': 3.0}
+    made = keeper(router(wish('m4'), demand=demand))
+    account = report(held('m1'), held('m2'), on_disk=('m1', 'm2'))
+    made.account.take_report(account, NOW_MS - 700)
+    assert decide(made, account) is None
+    assert made.describe(NOW_MS).denials[0].model == 'm4'
+
+
+def test_many_waiting_requests_outweigh_some_demand():
+    demand = {'m1': 3.0, 'm2': 2.0}
+    made = keeper(router(wish('m4', waiting=5), demand=demand))
+    account = report(held('m1'), held('m2'))
+    made.account.take_report(account, NOW_MS - 700)
+    assert decide(made, account).model == 'm2'
