--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -291,7 +291,7 @@
             cost_ms += AVOIDED_MS
         if self._fleet.has_fallen_silent(server, now_ms):
             cost_ms += SILENT_MS
-        return cost_ms + health.failure_rate * 100
+        return cost_ms + health.failure_rate * 100 + health.lag_ms(now_ms)
 
 
 def _displacing_ms(
--- a/lagoonflow/backends/health.py
+++ b/lagoonflow/backends/health.py
@@ -8,6 +8,12 @@
 LONGEST_PENALTY_MS = 4000
 # Weight of the newest answer in the failure rate.
 SMOOTHING = 0.15
+# Weight of the newest answer in the lag.
+LAG_SMOOTHING = 0.3
+# Time in which a lag is halved without answers, in ms.
+LAG_HALF_LIFE_MS = 1500
+# Answers of a server without load begin within this time, in ms.
+USUAL_WAIT_MS = 500
 # A server that fails more often than this is used only when others are not
 # there.
 FAILING_RATE = 0.4
@@ -28,6 +34,32 @@
     failures_in_row: int = 0
     avoided_until_ms: float = 0
     updated_at_ms: float = 0
+    _lag_ms: float = 0
+    _lag_at_ms: float = 0
+    _waiting: dict[int, float] = dataclasses.field(default_factory=dict)
+
+    def begin_wait(self, token: int, now_ms: float) -> None:
+        """Note a request whose answer has not begun.
+
+        :param token: identity of the request.
+        """
+        self._waiting[token] = now_ms
+
+    def end_wait(self, token: int) -> float | None:
+        """Note that an answer has begun; returns when its wait began."""
+        return self._waiting.pop(token, None)
+
+    def note_lag(self, lag_ms: float, now_ms: float) -> None:
+        """Note how much later than expected an answer has begun."""
+        known_ms = self._decayed_lag_ms(now_ms)
+        self._lag_ms = known_ms + LAG_SMOOTHING * (lag_ms - known_ms)
+        self._lag_at_ms = now_ms
+
+    def lag_ms(self, now_ms: float) -> float:
+        """How much later than expected answers begin, in ms."""
+        oldest_ms = min(self._waiting.values(), default=now_ms)
+        waited_ms = now_ms - oldest_ms - USUAL_WAIT_MS
+        return max(self._decayed_lag_ms(now_ms), waited_ms, 0)
 
     def succeed(self, now_ms: float) -> None:
         """Note a good answer."""
@@ -55,6 +87,10 @@
         is_penalised = now_ms < self.avoided_until_ms
         return is_penalised or self.failure_rate > FAILING_RATE
 
+    def _decayed_lag_ms(self, now_ms: float) -> float:
+        elapsed_ms = now_ms - self._lag_at_ms
+        return self._lag_ms * 0.5 ** (elapsed_ms / LAG_HALF_LIFE_MS)
+
     def _decay(self, now_ms: float) -> None:
         elapsed_ms = now_ms - self.updated_at_ms
         self.updated_at_ms = now_ms
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -84,14 +84,26 @@
 class _Reading:
     """A prompt that a server has yet to read."""
 
-    def __init__(self, fleet: Fleet, instance: str, tokens: int) -> None:
+    def __init__(self, fleet: Fleet, choice: Send) -> None:
         self._fleet = fleet
-        self._instance = instance
-        self._tokens = tokens
+        self._choice = choice
+        self._health = fleet.health(choice.server.instance)
+        self._tokens = choice.unread_tokens
+        self._health.begin_wait(id(self), boottime_ms())
+
+    def note_answer(self) -> None:
+        """Note that the answer has begun, and how late."""
+        now_ms = boottime_ms()
+        began_ms = self._health.end_wait(id(self))
+        if began_ms is not None:
+            lag_ms = now_ms - began_ms - self._choice.cost_ms
+            self._health.note_lag(max(lag_ms, 0), now_ms)
+        self.finish()
 
     def finish(self) -> None:
         """Note once that it was read, or will not be."""
-        self._fleet.note_read(self._instance, self._tokens)
+        self._health.end_wait(id(self))
+        self._fleet.note_read(self._choice.server.instance, self._tokens)
         self._tokens = 0
 
 
@@ -131,7 +143,7 @@
         if isinstance(connection, NotSent):
             return connection
         name = _full_name(ticket)
-        reading = _Reading(self._fleet, server.instance, choice.unread_tokens)
+        reading = _Reading(self._fleet, choice)
         self._fleet.begin(
             server.instance, name, boottime_ms(), choice.unread_tokens
         )
@@ -199,7 +211,7 @@
         answer = await self._answer(
             ticket, connection, request, answer_timeout_ms
         )
-        reading.finish()
+        reading.note_answer()
         if answer.load is not None:
             self._fleet.note_load(server.instance, answer.load, boottime_ms())
         if answer.is_success and answer.is_event_stream and answer.is_genuine:
--- a/lagoonflow/waking/planning.py
+++ b/lagoonflow/waking/planning.py
@@ -24,6 +24,8 @@
 # Requests that may miss their model for each one that waits, and again for
 # each second that it has waited.
 MISSED_FOR_ONE = 2
+# A model may make way for one that is asked for this much more often.
+SPARE_PART = 0.1
 # Demand that was seen for this long tells which models are rare, in ms.
 KNOWN_DEMAND_MS = 8000
 # Running requests have made way after about this time, in ms.
@@ -221,7 +223,7 @@
         spare = [
             held
             for held in self._droppable(report, now_ms)
-            if held.name in told.spare and self._is_spare(held, now_ms)
+            if self._is_spare(held, wanted, told, now_ms)
         ]
         if sum(held_mb(spec, held) for held in spare) < missing_mb:
             return None
@@ -270,16 +272,26 @@
             ),
         )
 
-    def _is_spare(self, held: HeldModel, now_ms: float) -> bool:
-        """Whether a model is not missed while a load from the store runs."""
+    def _is_spare(
+        self,
+        held: HeldModel,
+        wanted: Model,
+        told: RouterState,
+        now_ms: float,
+    ) -> bool:
+        """Whether a model is not missed while another one is loaded ahead."""
         if self._account.running_on(held.name, now_ms):
             return False
         rates = self._account.demand.rates(now_ms)
         if not rates:
+            return held.name in told.spare
+        rate_per_s = rates.get(held.name, 0)
+        if rate_per_s < SPARE_PART * rates.get(wanted.name, 0):
             return True
         self._demand_since_ms = min(self._demand_since_ms, now_ms)
         is_known = now_ms - self._demand_since_ms >= KNOWN_DEMAND_MS
-        return is_known and rates.get(held.name, 0) < SPARE_RATE_PER_S
+        is_rare = rate_per_s < SPARE_RATE_PER_S
+        return is_known and is_rare and held.name in told.spare
 
     def _may_use_store(self, spec: EngineSpec, now_ms: float) -> bool:
         """Keep to the order of the fleet and to this runner's part."""
--- a/tests/backends/test_choosing.py
+++ b/tests/backends/test_choosing.py
@@ -193,3 +193,22 @@
     fleet.note_read(first, 9000)
     fleet.end(first, 'm1')
     assert choose(fleet).server.instance == first
+
+
+def test_a_runner_that_answers_late_is_avoided():
+    fleet = world(agent('i-a', HeldState('m1')), agent('i-b', HeldState('m1')))
+    first = choose(fleet).server.instance
+    for _ in range(4):
+        fleet.health(first).note_lag(2000, NOW_MS)
+    assert choose(fleet).server.instance != first
+    fleet.health(first).note_lag(0, NOW_MS + 20_000)
+    assert fleet.health(first).lag_ms(NOW_MS + 20_000) < 50
+
+
+def test_requests_without_an_answer_count_as_lag():
+    fleet = world(agent('i-a', HeldState('m1')), agent('i-b', HeldState('m1')))
+    first = choose(fleet).server.instance
+    fleet.health(first).begin_wait(1, NOW_MS - 3000)
+    assert choose(fleet).server.instance != first
+    fleet.health(first).end_wait(1)
+    assert choose(fleet).server.instance == first
