--- a/lagoonflow/waking/planning.py
+++ b/lagoonflow/waking/planning.py
@@ -18,9 +18,11 @@
 MOST_PENDING_ADAPTERS = 4
 # A model with more requests a second at each of its replicas than this gets
 # another one where memory lies free.
-REFILL_RATE_PER_S = 0.4
+REFILL_RATE_PER_S = 1.5
 # A model that made way is back after about this time, in ms.
 RELOAD_MS = 700
+# An unload waits about this long for the runs of its model, in ms.
+RUNS_MS = 1500
 # Requests that may miss their model for each one that waits, and again for
 # each second that it has waited.
 MISSED_FOR_ONE = 2
@@ -240,7 +242,10 @@
         """Whether more requests gain than miss the models that make way."""
         rates = self._account.demand.rates(now_ms)
         load_ms = load_time_ms(wanted, self._account.report)[0]
-        missing_s = (load_ms + RELOAD_MS) / MS_PER_S
+        running = self._account.running_by_model(now_ms)
+        is_running = any(running[held.name] for held in victims)
+        runs_ms = RUNS_MS if is_running else 0
+        missing_s = (load_ms + RELOAD_MS + runs_ms) / MS_PER_S
         missed = sum(rates.get(held.name, 0) for held in victims) * missing_s
         waited_s = (now_ms - wish.since_ms) / MS_PER_S
         return missed <= MISSED_FOR_ONE * wish.waiting * (1 + waited_s)
--- a/tests/waking/test_keeper.py
+++ b/tests/waking/test_keeper.py
@@ -223,3 +223,16 @@
     made = keeper(router(to_load=('m4',), demand=demand))
     made.account.take_report(account, NOW_MS - 700)
     assert decide(made, account) is None
+
+
+def test_a_model_with_running_requests_is_kept_longer():
+    """An unload waits for its runs and holds all other orders back."""
+    demand = {'m1': 1.0, 'm2': 1.0}
+    running = {'m1': 3, 'm2': 3}
+    made = keeper(router(wish('m4'), demand=demand, running=running))
+    account = report(held('m1'), held('m2'))
+    made.account.take_report(account, NOW_MS - 700)
+    assert decide(made, account) is None
+    idle = keeper(router(wish('m4'), demand=demand))
+    idle.account.take_report(account, NOW_MS - 700)
+    assert decide(idle, account).kind is StepKind.UNLOAD
