--- a/soak/run.py
+++ b/soak/run.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import time
+from http.client import HTTPException
 
 from loopback.platform_fleet import KEY, PlatformFleet, configuration
 from loopback.processes import ProcessSet
@@ -101,7 +102,8 @@
 def _is_served(fleet: PlatformFleet, host, path, headers) -> bool:
     try:
         return fleet.ask(host, path, headers).status == 200
-    except OSError:
+    except (OSError, HTTPException):
+        # A stream that is still cut is not served.
         return False
 
 
