--- a/lagoonflow/backends/roster.py
+++ b/lagoonflow/backends/roster.py
@@ -11,8 +11,6 @@
 STEADY_AFTER_MS = 3000
 # More entries dropped at once than this look like a lapse, not like crashes.
 MOST_DROPPED_AT_ONCE = 2
-# Work at a server that leaves at short notice must end before it is gone.
-SHORT_NOTICE_MARGIN_MS = 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -20,7 +18,6 @@
     """A backend server, and when its removal takes effect."""
 
     server: BackendServer
-    seen_at_ms: float
     removed_at_ms: float | None = None
 
 
@@ -48,7 +45,7 @@
         entry = self._entries.get(server.instance)
         if entry is not None and server.started_ms < entry.server.started_ms:
             return False
-        self._entries[server.instance] = _Entry(server, now_ms)
+        self._entries[server.instance] = _Entry(server)
         return entry is None or entry.server != server
 
     def drop(self, instance: str, now_ms: float) -> None:
--- a/lagoonflow/http1/channel.py
+++ b/lagoonflow/http1/channel.py
@@ -36,7 +36,6 @@
         self.is_open = False
         self.has_peer_closed = False
         self.unread_bytes = 0
-        self.received_bytes = 0
         self.transport: asyncio.Transport | None = None
         self._on_peer_closed = on_peer_closed
         self._arrival: asyncio.Future[None] | None = None
@@ -53,7 +52,6 @@
     def data_received(self, data: bytes) -> None:
         """Hand bytes to ``h11`` and wake who waits for them."""
         self.unread_bytes += len(data)
-        self.received_bytes += len(data)
         self.http.receive_data(data)
         _resolve(self._arrival)
         if self.unread_bytes > READ_AHEAD_BYTES and not self._is_paused:
--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -206,7 +206,6 @@
         :param most_idle: idle connections that are kept at most.
         """
         self.address = address
-        self.opened = 0
         self._most_idle = most_idle
         self._idle: collections.deque[ClientConnection] = collections.deque()
 
@@ -226,7 +225,6 @@
         """
         host, _, port = self.address.rpartition(':')
         loop = asyncio.get_running_loop()
-        self.opened += 1
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_S):
                 transport, channel = await loop.create_connection(
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -114,7 +114,6 @@
         self, fleet: Fleet, admission: Admission, codec: CallCodec
     ) -> None:
         """Start without connections."""
-        self.connections_opened = 0
         self._fleet = fleet
         self._admission = admission
         self._codec = codec
@@ -187,7 +186,6 @@
         if connection is not None:
             return connection
         left_ms = ticket.left_ms(boottime_ms())
-        self.connections_opened += 1
         try:
             return await pool.connect(min(CONNECT_TIMEOUT_MS, left_ms))
         except ExchangeError as error:
