Log how an answer tells where it ends, and whether it ends inside an event

It did not say whether the answer had a length, chunks or neither, nor whether its last event was complete, so three explanations could not be told apart. New fields: framing, inside_event; new metric: lagoonflow_answers by framing and outcome. What is forwarded is unchanged.

--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -17,6 +17,7 @@
     Headers,
     RequestHead,
     ResponseHead,
+    response_framing,
 )
 
 # Longest head of a response. The limit for heads of callers' requests is a
@@ -162,7 +163,13 @@
             if not isinstance(event, h11.Response):
                 raise ConnectionClosedError('no response was received')
             headers = tuple(event.headers.raw_items())
-            return ResponseHead(event.status_code, event.reason, headers)
+            method = self._sent_request[0].method
+            return ResponseHead(
+                event.status_code,
+                event.reason,
+                headers,
+                response_framing(method, event.status_code, headers),
+            )
 
     async def _skip_response(self) -> None:
         """Skip a response that belongs to an earlier request."""
--- a/lagoonflow/http1/messages.py
+++ b/lagoonflow/http1/messages.py
@@ -4,6 +4,7 @@
 import enum
 
 Headers = tuple[tuple[bytes, bytes], ...]
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,13 +23,28 @@
         return find_header(self.headers, name)
 
 
+class BodyFraming(enum.Enum):
+    """How a message tells where its body ends.
+
+    A body with ``UNTIL_CLOSE`` ends with its connection.
+    """
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    UNTIL_CLOSE = 'until_close'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseHead:
-    """Status line and headers, as received."""
+    """Status line and headers, as received.
+
+    :param framing: how the response tells where its body ends.
+    """
 
     status: int
     reason: bytes
     headers: Headers
+    framing: BodyFraming = BodyFraming.LENGTH
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first header with this lower-case name, if any."""
@@ -69,6 +85,22 @@
     return None
 
 
+def response_framing(
+    method: bytes, status: int, headers: Headers
+) -> BodyFraming:
+    """Return the framing of a response's body, as in RFC 9112, section 6.3.
+
+    :param method: method of the request that is answered.
+    """
+    if method == b'HEAD' or status in STATUSES_WITHOUT_BODY:
+        return BodyFraming.LENGTH
+    if find_header(headers, b'transfer-encoding') is not None:
+        return BodyFraming.CHUNKED
+    if find_header(headers, b'content-length') is not None:
+        return BodyFraming.LENGTH
+    return BodyFraming.UNTIL_CLOSE
+
+
 def remove_headers(headers: Headers, names: frozenset[bytes]) -> list:
     """Return the headers except those with these lower-case names."""
     return [pair for pair in headers if pair[0].lower() not in names]
--- a/lagoonflow/relay/call_log.py
+++ b/lagoonflow/relay/call_log.py
@@ -8,6 +8,7 @@
 from lagoonflow.backends.choosing import Send, Wake
 from lagoonflow.clock import MS_PER_S
 from lagoonflow.declared.view import DeclaredView
+from lagoonflow.http1.messages import BodyFraming
 from lagoonflow.relay.admission import AdmittedCall
 from lagoonflow.relay.messages import Call
 from lagoonflow.relay.refusals import status_of
@@ -24,6 +25,9 @@
     :ivar answer_at_ms: boot time at which the answer began.
     :ivar longest_gap_ms: longest pause in ms between two parts of the
         answer.
+    :ivar framing: how the latest answer of a server told where it ends;
+        ``None`` when there was no answer.
+    :ivar is_inside_event: whether the latest stream ended inside an event.
     """
 
     call: Call
@@ -34,6 +38,8 @@
     steps: list[str] = dataclasses.field(default_factory=list)
     answer_at_ms: float | None = None
     longest_gap_ms: float = 0
+    framing: BodyFraming | None = None
+    is_inside_event: bool = False
 
     def note_choice(self, choice: Send | Wake, now_ms: float) -> None:
         """Record which server was chosen, and its estimated cost."""
@@ -74,6 +80,12 @@
             ['kind', 'outcome'],
             registry=registry,
         )
+        self._answers = prometheus.Counter(
+            'lagoonflow_answers',
+            'Answered calls by framing of the last answer and outcome.',
+            ['framing', 'outcome'],
+            registry=registry,
+        )
         self._latency = prometheus.Histogram(
             'lagoonflow_call_seconds',
             'Time from the whole request to the end of its answer.',
@@ -89,8 +101,11 @@
         admitted = record.admitted
         kind = 'none' if admitted is None else admitted.route.kind.value
         took_ms = now_ms - record.arrived_ms
-        self._calls.labels(kind, record.outcome.partition(':')[0]).inc()
+        outcome = record.outcome.partition(':')[0]
+        self._calls.labels(kind, outcome).inc()
         self._latency.labels(kind).observe(took_ms / MS_PER_S)
+        if record.framing is not None:
+            self._answers.labels(record.framing.value, outcome).inc()
         fields: dict[str, object] = {
             'request': record.call.request_id,
             'outcome': record.outcome,
@@ -112,6 +127,10 @@
                 fields['organisation'] = admitted.organisation.name
         if record.longest_gap_ms:
             fields['gap_ms'] = int(record.longest_gap_ms)
+        if record.framing is not None:
+            fields['framing'] = record.framing.value
+        if record.is_inside_event:
+            fields['inside_event'] = True
         if record.answer_at_ms is not None:
             fields['answer_ms'] = int(record.answer_at_ms - record.arrived_ms)
         if record.refusal is not None:
--- a/lagoonflow/relay/events.py
+++ b/lagoonflow/relay/events.py
@@ -1,9 +1,33 @@
-"""Splitting of an event stream into complete server-sent events."""
+"""Boundaries of server-sent events in an event stream."""
 
 _TERMINATORS = (b'\n\n', b'\r\n\r\n')
 _ID_FIELD = b'id:'
 
 
+_LINE_ENDS = (b'\r\n', b'\n', b'\r')
+
+
+class EventBoundary:
+    """Tells whether a stream's bytes so far end between two events.
+
+    An event ends with an empty line.
+    """
+
+    def __init__(self) -> None:
+        """Start at the beginning of a stream."""
+        self._last_bytes = b'\n\n'
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes so far end inside an event."""
+        return not _without_line_end(self._last_bytes).endswith(_LINE_ENDS)
+
+    def feed(self, data: bytes) -> None:
+        """Add received bytes."""
+        # Two line ends have at most four bytes.
+        self._last_bytes = (self._last_bytes + data[-4:])[-4:]
+
+
 class EventSplitter:
     """Buffers a stream's bytes until they make up complete events.
 
@@ -55,6 +79,13 @@
     return min(ends, default=None)
 
 
+def _without_line_end(text: bytes) -> bytes:
+    for line_end in _LINE_ENDS:
+        if text.endswith(line_end):
+            return text.removesuffix(line_end)
+    return b''
+
+
 def _event_id(event: bytes) -> str:
     for line in event.splitlines():
         if line.startswith(_ID_FIELD):
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -215,6 +215,8 @@
         answer = await self._receive_head(
             admitted, server.instance, connection, request, answer_timeout
         )
+        progress.framing = answer.head.framing
+        progress.is_inside_event = False
         prefill.note_answer()
         self._note_part(server.instance)
         if answer.load is not None:
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -208,6 +208,8 @@
             )
             record.note_send(server.instance, outcome, boottime_ms())
             record.longest_gap_ms = progress.longest_gap_ms
+            record.framing = progress.framing
+            record.is_inside_event = progress.is_inside_event
             if isinstance(outcome, Delivered):
                 self._note_delivered(admitted, server)
                 record.finish('delivered')
--- a/lagoonflow/relay/streaming.py
+++ b/lagoonflow/relay/streaming.py
@@ -7,13 +7,14 @@
 from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.http1.client import ClientConnection
 from lagoonflow.http1.messages import (
+    BodyFraming,
     ExchangeError,
     ExchangeStage,
     Headers,
     ResponseHead,
 )
 from lagoonflow.http1.server import ResponseWriter
-from lagoonflow.relay.events import EventSplitter
+from lagoonflow.relay.events import EventBoundary, EventSplitter
 
 # A resumable stream that has begun is continued at another server when nothing
 # arrives for this long: two and a half times the longest pause between parts
@@ -29,11 +30,16 @@
     :param events: splitter of the stream's events; ``None`` when the stream
         can't be resumed.
     :ivar longest_gap_ms: longest pause in ms between two parts from a server.
+    :ivar framing: how the latest answer of a server told where it ends.
+    :ivar is_inside_event: whether the bytes of the latest stream so far end
+        inside an event.
     """
 
     reply: ResponseWriter
     events: EventSplitter | None = None
     longest_gap_ms: float = 0
+    framing: BodyFraming | None = None
+    is_inside_event: bool = False
 
     @property
     def resume_after(self) -> str:
@@ -79,9 +85,12 @@
         if events is not None:
             events.discard_incomplete()
         progress = self._progress
+        boundary = EventBoundary()
         part = await self._next_part(first_part_timeout_ms)
         while part is not None:
             self._note_part()
+            boundary.feed(part)
+            progress.is_inside_event = boundary.is_inside_event
             await self._forward(part if events is None else events.feed(part))
             began_ms = boottime_ms()
             part = await self._next_part(MAX_STREAM_GAP_MS)
