--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Awaitable, Callable
 
+import h11
 import prometheus_client as prometheus
 
 from lagoonflow.backends.choosing import Chooser
@@ -261,6 +262,41 @@
     ).encode()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FramedAnswer:
+    """An answer as an HTTP client decodes it.
+
+    :param is_complete: whether the body's framing says that it has ended.
+    """
+
+    headers: dict[bytes, bytes]
+    body: bytes
+    is_complete: bool
+
+
+async def read_framed_answer(reader) -> FramedAnswer:
+    """Read one answer up to its end, or until the connection breaks."""
+    client = h11.Connection(h11.CLIENT)
+    client.send(h11.Request(method='GET', target='/', headers=[('Host', 'h')]))
+    client.send(h11.EndOfMessage())
+    headers: dict[bytes, bytes] = {}
+    body = b''
+    while True:
+        try:
+            event = client.next_event()
+            if event is h11.NEED_DATA:
+                part = await asyncio.wait_for(reader.read(1000), 4)
+                client.receive_data(part)
+        except (ConnectionError, h11.RemoteProtocolError):
+            return FramedAnswer(headers, body, is_complete=False)
+        if isinstance(event, h11.Response):
+            headers = dict(event.headers)
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            return FramedAnswer(headers, body, is_complete=True)
+
+
 async def read_answer(reader):
     head = (await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 4)).decode()
     first, *lines = head.strip().split('\r\n')
