Don't declare the first answer's length for a stream that may be resumed

A stream with Content-Length that broke off and went on at another server was cut: the caller's head bore the length of the first answer, so the end didn't fit and the connection was aborted. A stream that can be resumed is now sent in chunks.

--- a/lagoonflow/http1/messages.py
+++ b/lagoonflow/http1/messages.py
@@ -4,6 +4,7 @@
 import enum
 
 Headers = tuple[tuple[bytes, bytes], ...]
+LENGTH_HEADER = frozenset((b'content-length',))
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -11,10 +11,12 @@
 from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.http1.client import ClientConnection, ConnectionPool
 from lagoonflow.http1.messages import (
+    LENGTH_HEADER,
     ExchangeError,
     ExchangeStage,
     RequestHead,
     ResponseHead,
+    remove_headers,
 )
 from lagoonflow.http1.server import ResponseWriter
 from lagoonflow.relay.admission import Admission, AdmittedCall
@@ -173,9 +175,7 @@
         """Forward an answer with its whole body to the caller."""
         head = answer.head
         headers = self._codec.forwarded_answer_headers(head)
-        headers = tuple(
-            pair for pair in headers if pair[0].lower() != b'content-length'
-        )
+        headers = tuple(remove_headers(headers, LENGTH_HEADER))
         await reply.send_whole(head.status, head.reason, headers, body)
 
     def _release(
--- a/lagoonflow/relay/streaming.py
+++ b/lagoonflow/relay/streaming.py
@@ -7,11 +7,13 @@
 from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.http1.client import ClientConnection
 from lagoonflow.http1.messages import (
+    LENGTH_HEADER,
     BodyFraming,
     ExchangeError,
     ExchangeStage,
     Headers,
     ResponseHead,
+    remove_headers,
 )
 from lagoonflow.http1.server import ResponseWriter
 from lagoonflow.relay.events import EventBoundary, EventSplitter
@@ -71,6 +73,9 @@
         self._note_part = note_part
         self._progress = progress
         self._head = head
+        if progress.events is not None:
+            # Another server may continue the stream, with another length.
+            headers = tuple(remove_headers(headers, LENGTH_HEADER))
         self._headers = headers
 
     async def relay(self, first_part_timeout_ms: float) -> None:
--- a/tests/relay/test_broken_off_streams.py
+++ b/tests/relay/test_broken_off_streams.py
@@ -57,3 +57,16 @@
     assert answer.body == EVENTS + b'id: 3\ndata: x3\n\nid: 4\ndata: x4\n\n'
     assert answer.is_complete
     assert second.requests[0].headers['last-event-id'] == '2'
+
+
+async def test_a_resumed_stream_does_not_keep_the_length_of_its_first_answer():
+    harness = RelayHarness()
+    first = HEAD + b'Content-Length: 900\r\n\r\n' + BROKEN_OFF
+    await harness.add_backends(
+        answer_raw(first, ends=True), answer_events(3, 4)
+    )
+    reader, writer = await harness.connect()
+    writer.write(encode_request('/resume/x'))
+    answer = await read_framed_answer(reader)
+    assert answer.body.endswith(b'data: x4\n\n')
+    assert answer.is_complete
