Treat a stream that ends inside an event as broken off

Cause: the relay took the end of the message for the end of the stream. An answer with neither a length nor chunks ends with its connection, so a server that breaks it off and closes in order ends the message too; the relay then wrote the end chunk of its own answer.

Change: whatever the framing, a stream that ends inside an event has broken off: one that may be resumed goes on at another server, others end without the end of their framing. Streams are forwarded in chunks, as a whole Content-Length can't be taken back.

Not mended here: an answer without framing that breaks off between two events.

--- a/lagoonflow/relay/streaming.py
+++ b/lagoonflow/relay/streaming.py
@@ -73,13 +73,11 @@
         self._note_part = note_part
         self._progress = progress
         self._head = head
-        if progress.events is not None:
-            # Another server may continue the stream, with another length.
-            headers = tuple(remove_headers(headers, LENGTH_HEADER))
-        self._headers = headers
+        # The stream may break off, or another server may continue it.
+        self._headers = tuple(remove_headers(headers, LENGTH_HEADER))
 
     async def relay(self, first_part_timeout_ms: float) -> None:
-        """Relay parts until the end mark of the stream.
+        """Relay parts until the stream ends between two events.
 
         :param first_part_timeout_ms: time in ms until the first part must
             arrive; applies only to a stream that can be resumed.
@@ -101,6 +99,10 @@
             part = await self._next_part(MAX_STREAM_GAP_MS)
             gap_ms = boottime_ms() - began_ms
             progress.longest_gap_ms = max(progress.longest_gap_ms, gap_ms)
+        if boundary.is_inside_event:
+            raise ExchangeError(
+                ExchangeStage.ANSWERING, 'the stream ended inside an event'
+            )
         if events is not None:
             await self._forward(events.incomplete)
         await self._end()
