Forward an answer without framing as one without framing

An answer with neither a length nor chunks ends with its connection: whether it is complete can't be known from an orderly close between two events, or in the middle of a plain body.

Such an answer is now forwarded without framing and with Connection: close; one that breaks off is reset, so that it can't be taken for the end. A chunked answer that another server continues without framing ends as broken off.

--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -10,7 +10,7 @@
 
 from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.http1.channel import Channel, ConnectionClosedError
-from lagoonflow.http1.messages import Headers, RequestHead
+from lagoonflow.http1.messages import BodyFraming, Headers, RequestHead
 
 TIMEOUT_STATUS = 408
 TOO_LARGE_STATUS = 413
@@ -58,6 +58,9 @@
     """Writes the response to one request.
 
     Methods raise ``ConnectionClosedError`` after the connection is closed.
+
+    :ivar ends_with_connection: whether only the end of the connection tells
+        where the body ends.
     """
 
     def __init__(self, channel: Channel, *, closes: bool) -> None:
@@ -68,6 +71,7 @@
         """
         self.started_at_ms: float | None = None
         self.is_complete = False
+        self.ends_with_connection = False
         self._channel = channel
         self._closes = closes
 
@@ -76,9 +80,20 @@
         """Whether sending the response has begun."""
         return self.started_at_ms is not None
 
-    async def start(self, status: int, reason: bytes, headers: Headers) -> None:
-        """Send the head of the response."""
+    async def start(
+        self,
+        status: int,
+        reason: bytes,
+        headers: Headers,
+        framing: BodyFraming = BodyFraming.CHUNKED,
+    ) -> None:
+        """Send the head of the response.
+
+        :param framing: with ``UNTIL_CLOSE`` the body ends with the connection.
+        """
         self.started_at_ms = boottime_ms()
+        if framing is BodyFraming.UNTIL_CLOSE:
+            self._omit_framing()
         await self._channel.send(self._head(status, reason, headers))
 
     async def send_part(self, data: bytes) -> None:
@@ -92,18 +107,35 @@
         self.is_complete = True
 
     async def send_whole(
-        self, status: int, reason: bytes, headers: Headers, body: bytes
+        self,
+        status: int,
+        reason: bytes,
+        headers: Headers,
+        body: bytes,
+        framing: BodyFraming = BodyFraming.LENGTH,
     ) -> None:
-        """Send a response with its whole body."""
+        """Send a response with its whole body.
+
+        :param framing: with ``UNTIL_CLOSE`` the body ends with the connection.
+        """
         self.started_at_ms = boottime_ms()
-        length = (b'content-length', str(len(body)).encode())
-        head = self._head(status, reason, (*headers, length))
+        if framing is BodyFraming.UNTIL_CLOSE:
+            self._omit_framing()
+        else:
+            length = (b'content-length', str(len(body)).encode())
+            headers = (*headers, length)
+        head = self._head(status, reason, headers)
         events: list[h11.Event] = [head]
         if body:
             events.append(h11.Data(data=body))
         self._channel.write(*events, h11.EndOfMessage())
         self.is_complete = True
 
+    def _omit_framing(self) -> None:
+        # h11 leaves out the framing only for callers that speak HTTP/1.0.
+        self._channel.http.their_http_version = b'1.0'
+        self.ends_with_connection = True
+
     def _head(
         self, status: int, reason: bytes, headers: Headers
     ) -> h11.Response:
@@ -207,6 +239,7 @@
     def __init__(self, server: HttpServer, limits: ServerLimits) -> None:
         self.is_busy = False
         self.task: asyncio.Task[None] | None = None
+        self._reply: ResponseWriter | None = None
         self._server = server
         self._limits = limits
         self.channel = Channel(
@@ -217,12 +250,12 @@
         try:
             await self._serve_requests()
         except (ConnectionClosedError, asyncio.CancelledError):
-            self.channel.abort()
+            self._break_off()
         except h11.LocalProtocolError as error:
             _LOG.error(
                 'connection closed: response violates HTTP/1.1', why=str(error)
             )
-            self.channel.abort()
+            self._break_off()
         finally:
             self.channel.close()
 
@@ -250,9 +283,10 @@
             return False
         closes = self._server.is_stopping
         reply = ResponseWriter(self.channel, closes=closes)
+        self._reply = reply
         await self._server.handle(request, reply)
         if not reply.is_complete:
-            self.channel.abort()
+            self._break_off()
             return False
         self.is_busy = False
         if not self._server.is_accepting:
@@ -260,6 +294,13 @@
         http = self.channel.http
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
+    def _break_off(self) -> None:
+        """Close the connection so that an unfinished response shows."""
+        if self._reply is not None and self._reply.ends_with_connection:
+            self.channel.reset()
+        else:
+            self.channel.abort()
+
     async def _refuse_unreadable(self, error: _BadRequestError) -> None:
         reply = ResponseWriter(self.channel, closes=True)
         if self.channel.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -176,7 +176,9 @@
         head = answer.head
         headers = self._codec.forwarded_answer_headers(head)
         headers = tuple(remove_headers(headers, LENGTH_HEADER))
-        await reply.send_whole(head.status, head.reason, headers, body)
+        await reply.send_whole(
+            head.status, head.reason, headers, body, head.framing
+        )
 
     def _release(
         self, server: BackendServer, name: str, connection: ClientConnection
--- a/lagoonflow/relay/streaming.py
+++ b/lagoonflow/relay/streaming.py
@@ -109,7 +109,13 @@
 
     async def _end(self) -> None:
         await self._start()
-        await self._progress.reply.end()
+        reply = self._progress.reply
+        is_end_known = self._head.framing is not BodyFraming.UNTIL_CLOSE
+        if not is_end_known and not reply.ends_with_connection:
+            raise ExchangeError(
+                ExchangeStage.ANSWERING, 'the end of the stream is not marked'
+            )
+        await reply.end()
 
     async def _forward(self, part: bytes) -> None:
         if part:
@@ -120,7 +126,9 @@
         reply = self._progress.reply
         if not reply.has_started:
             head = self._head
-            await reply.start(head.status, head.reason, self._headers)
+            await reply.start(
+                head.status, head.reason, self._headers, head.framing
+            )
 
     async def _next_part(self, timeout_ms: float) -> bytes | None:
         if self._progress.events is None:
