Reset a broken off answer to an HTTP/1.0 caller

A caller that speaks HTTP/1.0 gets answers that end with their connection. Found while looking for the cause elsewhere. The connection is now reset. The test failed before.

--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -10,7 +10,12 @@
 
 from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.http1.channel import Channel, ConnectionClosedError
-from lagoonflow.http1.messages import BodyFraming, Headers, RequestHead
+from lagoonflow.http1.messages import (
+    BodyFraming,
+    Headers,
+    RequestHead,
+    find_header,
+)
 
 TIMEOUT_STATUS = 408
 TOO_LARGE_STATUS = 413
@@ -134,11 +139,13 @@
     def _omit_framing(self) -> None:
         # h11 leaves out the framing only for callers that speak HTTP/1.0.
         self._channel.http.their_http_version = b'1.0'
-        self.ends_with_connection = True
 
     def _head(
         self, status: int, reason: bytes, headers: Headers
     ) -> h11.Response:
+        has_length = find_header(headers, b'content-length') is not None
+        version = self._channel.http.their_http_version or b''
+        self.ends_with_connection = not has_length and version < b'1.1'
         extra = CLOSE_HEADER if self._closes else ()
         return h11.Response(
             status_code=status, reason=reason, headers=[*headers, *extra]
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -152,3 +152,15 @@
         await asyncio.wait_for(reader.read(), 1)
     await harness.server.wait_until_closed(500)
     assert len(handled) == 1
+
+
+async def test_an_unfinished_response_to_an_http_1_0_caller_is_reset():
+    async def send_half(_request, reply) -> None:
+        await reply.start(200, b'OK', ())
+        await reply.send_part(b'half')
+        await asyncio.sleep(0.05)
+
+    reader, writer = await Harness(send_half).connect()
+    writer.write(GET.replace(b'HTTP/1.1', b'HTTP/1.0'))
+    with pytest.raises(ConnectionResetError):
+        await reader.read()
