--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -269,6 +269,7 @@
     :param is_complete: whether the body's framing says that it has ended.
     """
 
+    status: int
     headers: dict[bytes, bytes]
     body: bytes
     is_complete: bool
@@ -279,6 +280,7 @@
     client = h11.Connection(h11.CLIENT)
     client.send(h11.Request(method='GET', target='/', headers=[('Host', 'h')]))
     client.send(h11.EndOfMessage())
+    status = 0
     headers: dict[bytes, bytes] = {}
     body = b''
     while True:
@@ -288,13 +290,13 @@
                 part = await asyncio.wait_for(reader.read(1000), 4)
                 client.receive_data(part)
         except (ConnectionError, h11.RemoteProtocolError):
-            return FramedAnswer(headers, body, is_complete=False)
+            return FramedAnswer(status, headers, body, is_complete=False)
         if isinstance(event, h11.Response):
-            headers = dict(event.headers)
+            status, headers = event.status_code, dict(event.headers)
         elif isinstance(event, h11.Data):
             body += bytes(event.data)
         elif isinstance(event, h11.EndOfMessage):
-            return FramedAnswer(headers, body, is_complete=True)
+            return FramedAnswer(status, headers, body, is_complete=True)
 
 
 async def read_answer(reader):
--- a/tests/relay/test_unframed_answers.py
+++ b/tests/relay/test_unframed_answers.py
@@ -1,8 +1,6 @@
 """Tests of answers with neither a length nor chunks."""
 
 import asyncio
-import socket
-import struct
 
 from tests.relay.harness import (
     RelayHarness,
@@ -11,6 +9,7 @@
     encode_request,
     read_framed_answer,
 )
+from tests.support.sockets import reset
 
 SEALED = b'HTTP/1.1 200 OK\r\nServer-Seal: s\r\n'
 STREAM_HEAD = SEALED + b'Content-Type: text/event-stream\r\n\r\n'
@@ -76,10 +75,7 @@
         await writer.drain()
         # The bytes are read before the reset discards them.
         await asyncio.sleep(0.1)
-        raw = writer.get_extra_info('socket')
-        no_linger = struct.pack('ii', 1, 0)
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
-        writer.transport.abort()
+        reset(writer)
         return False
 
     return script
