Don't take a page that lacks records for the newest state

A page of the store says where its topic ends. The reader ignored that, so a page cut at a record's boundary, by the size limit or by the end of a connection without framing, confirmed the configuration as current although a newer one (a withdrawn key, say) was missing. Such a page is applied but confirms nothing.

--- a/lagoonflow/declared/records.py
+++ b/lagoonflow/declared/records.py
@@ -17,10 +17,12 @@
     """Records that one request to the store returned.
 
     :param next_offset: offset from which to read the records after them.
+    :param is_current: whether the topic had no records after them.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    is_current: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagoonflow/platform/store.py
+++ b/lagoonflow/platform/store.py
@@ -159,9 +159,8 @@
 
 
 def _decode_page(body: bytes, offset: int) -> RecordPage:
-    # Raises struct.error when the body is too short for the page head, whose
-    # values aren't used.
-    _PAGE_HEAD.unpack_from(body)
+    # Raises struct.error when the body is too short for the page head.
+    end_offset, _ = _PAGE_HEAD.unpack_from(body)
     records: list[KeyedRecord] = []
     position = _PAGE_HEAD.size
     next_offset = offset
@@ -176,7 +175,7 @@
         if record is not None:
             records.append(record)
         position += length
-    return RecordPage(tuple(records), next_offset)
+    return RecordPage(tuple(records), next_offset, next_offset >= end_offset)
 
 
 def _decode_record(raw: bytes) -> KeyedRecord | None:
--- a/lagoonflow/wiring/platform_feeds.py
+++ b/lagoonflow/wiring/platform_feeds.py
@@ -58,7 +58,8 @@
             if record.key == CONFIGURATION_KEY and record.value is not None
         ]
         is_readable = not newest or self._apply(newest[-1])
-        if is_readable and self._view.state is not None:
+        is_proof = is_readable and page.is_current
+        if is_proof and self._view.state is not None:
             self._view.confirm(requested_at_ms)
 
     def on_failure(self, failure: StoreFailure) -> None:
