Let a stream go on only at the software version that began it

Servers of several software versions may serve side by side, and what two of them write doesn't fit together; servers don't check it. A stream that broke off went on at any server, within an answer and when its caller came back.

Routers now tell each other which version sent the first event of a resumable stream. A resumed stream is sent to servers of that version only; when the version is not known for certain, the call is refused at once as not run, with a Retry-After. The version of weights is called weights_version.

--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -109,6 +109,8 @@
     :param rejecting: servers that rejected it, as they are unloading its model.
     :param load_target: server that was asked to load its model; empty for
         none.
+    :param software_version: version that the server must have; ``None`` for
+        any.
     """
 
     call: Call
@@ -116,6 +118,15 @@
     excluded: frozenset[str] = frozenset()
     rejecting: frozenset[str] = frozenset()
     load_target: str = ''
+    software_version: str | None = None
+
+    def allows(self, server: BackendServer) -> bool:
+        """Return whether the request may be sent to a server."""
+        is_version_allowed = self.software_version in {
+            None,
+            server.software_version,
+        }
+        return is_version_allowed and server.instance not in self.excluded
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,7 +165,7 @@
         servers = [
             server
             for server in self._fleet.roster.usable(requirements.service.name)
-            if server.instance not in requirements.excluded
+            if requirements.allows(server)
         ]
         if not servers:
             return NoServer('no backend server is available')
--- a/lagoonflow/backends/messages.py
+++ b/lagoonflow/backends/messages.py
@@ -8,7 +8,7 @@
     """A model that a runner holds, with its adapters."""
 
     name: str
-    version: int
+    weights_version: int
     adapters: frozenset[str] = frozenset()
 
 
@@ -20,6 +20,8 @@
     :param service: service that it belongs to.
     :param address: host and port.
     :param zone: availability zone.
+    :param software_version: version of its software; streams of two versions
+        can't be joined.
     :param slots: number of requests that it runs at once.
     :param started_ms: wall clock of its start; tells apart the starts under
         one id.
@@ -44,6 +46,7 @@
     models: tuple[HeldModel, ...] = ()
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
+    software_version: str = ''
 
     @property
     def host(self) -> str:
--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -164,7 +164,27 @@
     levels: dict[str, float] = {}
 
 
-Message = RouterState | AgentState | MeterState
+class OriginEntry(msgspec.Struct, array_like=True, frozen=True):
+    """The software version that began a stream.
+
+    :param request_id: id of the caller's attempt.
+    :param left_ms: time for which callers may resume the stream, in ms.
+    """
+
+    request_id: str
+    service: str
+    software_version: str
+    left_ms: int
+
+
+class OriginsState(_Message):
+    """Streams that a router has begun, sent to the other routers."""
+
+    router: str
+    origins: tuple[OriginEntry, ...] = ()
+
+
+Message = RouterState | AgentState | MeterState | OriginsState
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/lagoonflow/platform/headers.py
+++ b/lagoonflow/platform/headers.py
@@ -1,5 +1,7 @@
 """Decodes and encodes headers of callers' requests and servers' answers."""
 
+import re
+
 from lagoonflow.http1.messages import (
     Headers,
     RequestHead,
@@ -51,6 +53,8 @@
 # A server that isn't the expected one answers 421 and doesn't run the request.
 NOT_RUN_STATUS = 421
 RESUME_HEADER = b'last-event-id'
+RESUMED_ATTEMPT_HEADER = b'resumes'
+ATTEMPT_ID = re.compile('[!-~]{1,64}')
 
 
 def decode_call(head: RequestHead, body: bytes) -> Call:
@@ -76,6 +80,7 @@
         output_tokens=int(_parse_number(tokens_out) or 0),
         prompt=_parse_prompt(_header_text(head, b'prompt-prefix')),
         resume_after=_header_text(head, RESUME_HEADER),
+        resumed_request_id=_parse_resumed_attempt(head),
     )
 
 
@@ -140,6 +145,17 @@
     return (head.get(name) or b'').decode('latin-1').strip()
 
 
+def _parse_resumed_attempt(head: RequestHead) -> str:
+    """Return the id of the resumed attempt; empty if absent or malformed."""
+    stated = {
+        text.decode('latin-1').strip()
+        for name, text in head.headers
+        if name.lower() == RESUMED_ATTEMPT_HEADER
+    }
+    attempt_id = stated.pop() if len(stated) == 1 else ''
+    return attempt_id if ATTEMPT_ID.fullmatch(attempt_id) else ''
+
+
 def _parse_key(authorization: bytes | None) -> str:
     scheme, _, key = (authorization or b'').strip().partition(b' ')
     if scheme.lower() != KEY_SCHEME:
--- a/lagoonflow/platform/servers.py
+++ b/lagoonflow/platform/servers.py
@@ -29,6 +29,8 @@
     address: str
     zone: str
     state: str
+    # Version of the server's software, not of any weights.
+    version: str | int = ''
     slots: int = 1
     # Unix time of the start, in ms.
     born: int = 0
@@ -72,6 +74,7 @@
         models=decode_held_models(entry.models),
         in_memory=frozenset(entry.available.in_memory),
         on_disk=frozenset(entry.available.on_disk),
+        software_version=str(entry.version),
     )
 
 
--- a/lagoonflow/relay/admission.py
+++ b/lagoonflow/relay/admission.py
@@ -12,12 +12,20 @@
 from lagoonflow.quotas.fleet_rate_limiter import FleetRateLimiter
 from lagoonflow.relay.messages import Call
 from lagoonflow.results import Refusal, Result
+from lagoonflow.resumption.decision import VersionRule
+from lagoonflow.resumption.messages import (
+    AnyVersion,
+    OneVersion,
+    UnknownVersion,
+)
 
 # A withdrawn key must stop working within a set time. Keys are accepted only if
 # the configuration was confirmed as current within that time less this margin.
 CONFIRMATION_MARGIN_MS = 500
 # Callers retry after this time when a router has no current configuration.
 STALE_VIEW_RETRY_MS = 500
+# Other routers probably know the version of a stream that this one doesn't.
+UNKNOWN_VERSION_RETRY_MS = 250
 # A caller of a stream gives up when the stream has not begun within the longest
 # of these: a fixed time, and multiples of the route's latency target and of
 # its target for gaps between events.
@@ -26,6 +34,9 @@
 STREAM_START_GAPS = 8
 # Timeout of a call when neither the caller nor the route states one.
 DEFAULT_TIMEOUT_MS = 30_000
+# A caller whose stream broke off just before its deadline may still be on its
+# way back after it.
+RESUME_MARGIN_MS = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,6 +47,8 @@
     :ivar deadline_at_ms: boot time by which its answer must be complete.
     :ivar start_by_ms: boot time by which its answer must have begun.
     :ivar charged_tokens: tokens charged to its organisation.
+    :ivar software_version: version that began the stream that it resumes;
+        ``None`` when any server may run it.
     """
 
     call: Call
@@ -46,6 +59,7 @@
     deadline_at_ms: float
     start_by_ms: float
     charged_tokens: float
+    software_version: str | None = None
 
     @property
     def urgency(self) -> int:
@@ -55,6 +69,15 @@
             return organisation.urgency
         return self.route.urgency
 
+    @property
+    def resumable_until_ms(self) -> float:
+        """Boot time until which the caller may resume the answer."""
+        timeout_ms = max(
+            self.call.deadline_ms or 0,
+            self.route.timeout_ms or DEFAULT_TIMEOUT_MS,
+        )
+        return self.arrived_ms + timeout_ms + RESUME_MARGIN_MS
+
     def start_time_left_ms(self, now_ms: float) -> float:
         """Return the time in ms until the answer must have begun."""
         return min(self.start_by_ms, self.deadline_at_ms) - now_ms
@@ -71,6 +94,7 @@
     :param rate_limiter: token buckets of the organisations.
     :param withdrawal_ms: time in ms after which a withdrawn key must not be
         accepted; 0 for no such bound.
+    :param version_rule: at which software version a resumed stream may run.
     """
 
     def __init__(
@@ -78,8 +102,10 @@
         view: DeclaredView,
         rate_limiter: FleetRateLimiter,
         withdrawal_ms: float,
+        version_rule: VersionRule,
     ) -> None:
         """Set the greatest age at which the configuration is trusted."""
+        self._version_rule = version_rule
         self._view = view
         self._rate_limiter = rate_limiter
         self._max_view_age_ms = float('inf')
@@ -103,7 +129,10 @@
         organisation = self._authenticate(call, route, now_ms)
         if isinstance(organisation, Refusal):
             return organisation
-        service_name = pick_service(route, call.request_id)
+        # A resumed stream goes on at the service that began it.
+        service_name = pick_service(
+            route, call.resumed_request_id or call.request_id
+        )
         service = state.services.get(service_name or '')
         if service is None:
             reason = 'the route names no declared service'
@@ -167,6 +196,15 @@
         timeout_ms = min(
             caller_timeout_ms, route.timeout_ms or caller_timeout_ms
         )
+        requirement = self._version_rule.require(
+            call, route, service.name, now_ms
+        )
+        if isinstance(requirement, UnknownVersion):
+            return Refusal(
+                Result.NO_RUNNER,
+                requirement.reason,
+                retry_after_ms=UNKNOWN_VERSION_RETRY_MS,
+            )
         admitted = AdmittedCall(
             call,
             route,
@@ -176,6 +214,7 @@
             deadline_at_ms=now_ms + timeout_ms,
             start_by_ms=now_ms + min(_start_timeout_ms(route), timeout_ms),
             charged_tokens=0,
+            software_version=_required_version(requirement),
         )
         if organisation is not None:
             return self._charge_organisation(admitted, organisation, now_ms)
@@ -203,6 +242,14 @@
         return admitted
 
 
+def _required_version(requirement: AnyVersion | OneVersion) -> str | None:
+    match requirement:
+        case OneVersion(software_version=version):
+            return version
+        case AnyVersion():
+            return None
+
+
 def _start_timeout_ms(route: Route) -> float:
     """Return how long a caller waits for its answer to begin, in ms."""
     if route.kind is not RouteKind.STREAM:
--- a/lagoonflow/relay/attempts.py
+++ b/lagoonflow/relay/attempts.py
@@ -22,6 +22,8 @@
         the call.
     :ivar last_failure: latest failure that a server answered with.
     :ivar last_failure_reason: why the latest send failed.
+    :ivar software_version: version that a server must have, as another one
+        began the stream that the call resumes; ``None`` for any.
     """
 
     excluded: set[str] = dataclasses.field(default_factory=set)
@@ -30,6 +32,7 @@
     rejected_sends: int = 0
     last_failure: Failed | None = None
     last_failure_reason: str = ''
+    software_version: str | None = None
 
     def refuse(
         self, code: Result, reason: str, retry_after_ms: int = 0
--- a/lagoonflow/relay/call_log.py
+++ b/lagoonflow/relay/call_log.py
@@ -12,6 +12,7 @@
 from lagoonflow.relay.admission import AdmittedCall
 from lagoonflow.relay.messages import Call
 from lagoonflow.relay.refusals import status_of
+from lagoonflow.relay.streaming import Progress
 from lagoonflow.results import Refusal
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.5, 0.8, 1.5, 2.5, 5, 10, 20)
@@ -28,6 +29,8 @@
     :ivar framing: how the latest answer of a server told where it ends;
         ``None`` when there was no answer.
     :ivar is_inside_event: whether the latest stream ended inside an event.
+    :ivar software_version: version of the server that began the stream;
+        ``None`` before its first event.
     """
 
     call: Call
@@ -40,6 +43,7 @@
     longest_gap_ms: float = 0
     framing: BodyFraming | None = None
     is_inside_event: bool = False
+    software_version: str | None = None
 
     def note_choice(self, choice: Send | Wake, now_ms: float) -> None:
         """Record which server was chosen, and its estimated cost."""
@@ -58,6 +62,14 @@
         kind = type(outcome).__name__
         self.steps.append(f'{at_ms}ms {kind} {instance} {reason}'.rstrip())
 
+    def note_progress(self, progress: Progress) -> None:
+        """Record how the latest answer of a server went."""
+        self.longest_gap_ms = progress.longest_gap_ms
+        self.framing = progress.framing
+        self.is_inside_event = progress.is_inside_event
+        if progress.software_version is not None:
+            self.software_version = progress.software_version
+
     def refuse(self, refusal: Refusal) -> None:
         """Record the refusal that ends the call."""
         self.refusal = refusal
@@ -125,14 +137,7 @@
             fields['target_ms'] = admitted.route.target_latency_ms
             if admitted.organisation is not None:
                 fields['organisation'] = admitted.organisation.name
-        if record.longest_gap_ms:
-            fields['gap_ms'] = int(record.longest_gap_ms)
-        if record.framing is not None:
-            fields['framing'] = record.framing.value
-        if record.is_inside_event:
-            fields['inside_event'] = True
-        if record.answer_at_ms is not None:
-            fields['answer_ms'] = int(record.answer_at_ms - record.arrived_ms)
+        fields.update(_answer_fields(record))
         if record.refusal is not None:
             fields['status'] = status_of(record.refusal)[0]
             fields['reason'] = record.refusal.reason
@@ -146,6 +151,24 @@
         self._log.info('request not read', status=status, reason=reason)
 
 
+def _answer_fields(record: CallRecord) -> dict[str, object]:
+    """Return the fields that tell how the answer went."""
+    fields: dict[str, object] = {}
+    if record.longest_gap_ms:
+        fields['gap_ms'] = int(record.longest_gap_ms)
+    if record.software_version is not None:
+        fields['software_version'] = record.software_version
+    if record.call.resume_after:
+        fields['resumes'] = record.call.resumed_request_id or 'unknown'
+    if record.framing is not None:
+        fields['framing'] = record.framing.value
+    if record.is_inside_event:
+        fields['inside_event'] = True
+    if record.answer_at_ms is not None:
+        fields['answer_ms'] = int(record.answer_at_ms - record.arrived_ms)
+    return fields
+
+
 def _proof_age_ms(view: DeclaredView, now_ms: float) -> int:
     """Return the time since the configuration was confirmed; -1 for never."""
     age_ms = view.age_ms(now_ms)
--- a/lagoonflow/relay/messages.py
+++ b/lagoonflow/relay/messages.py
@@ -33,6 +33,8 @@
     :param prompt: parts of the prompt, in order.
     :param resume_after: id of the last event that the caller has received;
         empty when it does not resume a stream.
+    :param resumed_request_id: attempt of the caller that received the first
+        event of the stream that it resumes; empty when unstated.
     """
 
     request_id: str
@@ -48,6 +50,7 @@
     output_tokens: int = 0
     prompt: tuple[PromptPart, ...] = ()
     resume_after: str = ''
+    resumed_request_id: str = ''
 
     @property
     def tokens(self) -> int:
--- a/lagoonflow/relay/placing.py
+++ b/lagoonflow/relay/placing.py
@@ -118,6 +118,7 @@
             frozenset(attempts.excluded),
             frozenset(attempts.rejecting),
             requested.instance,
+            attempts.software_version,
         )
         return self._chooser.choose(requirements, now_ms)
 
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import functools
+from collections.abc import Callable
 
 from lagoonflow.backends.choosing import Send
 from lagoonflow.backends.fleet import Fleet
@@ -25,6 +26,7 @@
 from lagoonflow.relay.streaming import AnswerStream, Progress
 from lagoonflow.relay.waits import AnswerTimeout, AnswerWaits
 from lagoonflow.results import Refusal
+from lagoonflow.resumption.messages import StreamOrigin
 
 # A connection must open within this time; a host on the same network accepts
 # within a few ms.
@@ -80,6 +82,7 @@
     refusal: Refusal
 
 
+AnnounceStream = Callable[[StreamOrigin], None]
 Outcome = Delivered | NotSent | NotRun | Failed | Broken | Withheld
 
 
@@ -112,13 +115,20 @@
 class Sender:
     """Sends calls over pooled connections to backend servers.
 
+    :param announce_stream: called before the first event of a stream that can
+        be resumed is forwarded.
     :ivar waits: waits for answers that have not begun.
     """
 
     def __init__(
-        self, fleet: Fleet, admission: Admission, codec: CallCodec
+        self,
+        fleet: Fleet,
+        admission: Admission,
+        codec: CallCodec,
+        announce_stream: AnnounceStream,
     ) -> None:
         """Start with empty connection pools."""
+        self._announce_stream = announce_stream
         self._fleet = fleet
         self._admission = admission
         self._codec = codec
@@ -230,6 +240,7 @@
                 answer.head,
                 self._codec.forwarded_answer_headers(answer.head),
                 functools.partial(self._note_part, server.instance),
+                functools.partial(self._note_start, admitted, server, progress),
             )
             await stream.relay(answer_timeout.timeout_ms)
             return Delivered(answer.head.status)
@@ -282,6 +293,19 @@
     def _note_part(self, instance: str) -> None:
         self._fleet.liveness.note_answer_part(instance, boottime_ms())
 
+    def _note_start(
+        self, admitted: AdmittedCall, server: BackendServer, progress: Progress
+    ) -> None:
+        progress.software_version = server.software_version
+        if admitted.route.is_resumable:
+            origin = StreamOrigin(
+                admitted.call.request_id,
+                server.service,
+                server.software_version,
+                admitted.resumable_until_ms,
+            )
+            self._announce_stream(origin)
+
     def _pool(self, server: BackendServer) -> ConnectionPool:
         pool = self._pools.get(server.instance)
         if pool is None or pool.address != server.address:
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -137,11 +137,12 @@
             await self._refuse(record, reply, admitted)
             return
         record.admitted = admitted
+        record.software_version = admitted.software_version
         admitted.deadline_at_ms = min(admitted.deadline_at_ms, self._stop_at_ms)
         self._budgets.budget_for(admitted.service.name).count_request(now_ms)
         if admitted.call.model:
             self._fleet.rates.count(admitted.call.model, now_ms)
-        attempts = Attempts()
+        attempts = Attempts(software_version=admitted.software_version)
         try:
             refusal = await self._serve_before_deadline(
                 record, admitted, attempts, reply
@@ -207,9 +208,9 @@
                 admitted, choice, progress, answer_timeout
             )
             record.note_send(server.instance, outcome, boottime_ms())
-            record.longest_gap_ms = progress.longest_gap_ms
-            record.framing = progress.framing
-            record.is_inside_event = progress.is_inside_event
+            record.note_progress(progress)
+            if progress.software_version is not None:
+                attempts.software_version = progress.software_version
             if isinstance(outcome, Delivered):
                 self._note_delivered(admitted, server)
                 record.finish('delivered')
--- a/lagoonflow/relay/streaming.py
+++ b/lagoonflow/relay/streaming.py
@@ -33,6 +33,8 @@
         can't be resumed.
     :ivar longest_gap_ms: longest pause in ms between two parts from a server.
     :ivar framing: how the latest answer of a server told where it ends.
+    :ivar software_version: version of the server that sent the first event
+        that the caller received; ``None`` before it.
     :ivar is_inside_event: whether the bytes of the latest stream so far end
         inside an event.
     """
@@ -42,6 +44,7 @@
     longest_gap_ms: float = 0
     framing: BodyFraming | None = None
     is_inside_event: bool = False
+    software_version: str | None = None
 
     @property
     def resume_after(self) -> str:
@@ -58,6 +61,7 @@
     :param head: head of the server's answer.
     :param headers: headers that the caller receives.
     :param note_part: called for each part that arrives from the server.
+    :param note_start: called before the first part is forwarded.
     """
 
     def __init__(
@@ -67,10 +71,12 @@
         head: ResponseHead,
         headers: Headers,
         note_part: Callable[[], None],
+        note_start: Callable[[], None],
     ) -> None:
         """Prepare the relay; nothing is read yet."""
         self._connection = connection
         self._note_part = note_part
+        self._note_start = note_start
         self._progress = progress
         self._head = head
         # The stream may break off, or another server may continue it.
@@ -125,6 +131,7 @@
     async def _start(self) -> None:
         reply = self._progress.reply
         if not reply.has_started:
+            self._note_start()
             head = self._head
             await reply.start(
                 head.status, head.reason, self._headers, head.framing
--- /dev/null
+++ b/lagoonflow/resumption/__init__.py
@@ -0,0 +1,1 @@
+"""At which software version a stream that broke off may go on."""
--- /dev/null
+++ b/lagoonflow/resumption/decision.py
@@ -0,0 +1,54 @@
+"""Decides at which software version a call may run."""
+
+from lagoonflow.declared.messages import Route
+from lagoonflow.relay.messages import Call
+from lagoonflow.resumption.messages import (
+    AnyVersion,
+    OneVersion,
+    UnknownVersion,
+    VersionRequirement,
+)
+from lagoonflow.resumption.origins import StreamOrigins
+from lagoonflow.resumption.versions import VersionHistory
+
+# Longest time between a stream's first event and its resumption when its route
+# states no timeout, in ms.
+DEFAULT_WINDOW_MS = 30_000
+
+
+class VersionRule:
+    """Finds the software version that a resumed stream began with.
+
+    :param origins: streams whose version is known.
+    :param history: versions of the servers of each service.
+    """
+
+    def __init__(self, origins: StreamOrigins, history: VersionHistory) -> None:
+        """Decide by what the router knows."""
+        self.origins = origins
+        self.history = history
+
+    def require(
+        self, call: Call, route: Route, service: str, now_ms: float
+    ) -> VersionRequirement:
+        """Return at which version the call may run.
+
+        A version that is not known for certain is never assumed: servers do
+        not check that they continue a stream of their own version.
+        """
+        if not call.resume_after:
+            return AnyVersion()
+        origin = self.origins.find(call.resumed_request_id, now_ms)
+        if origin is not None:
+            if origin.service != service:
+                return UnknownVersion('the stream began at another service')
+            return OneVersion(origin.software_version)
+        window_ms = max(
+            route.timeout_ms or DEFAULT_WINDOW_MS, call.deadline_ms or 0
+        )
+        version = self.history.only_version(service, window_ms, now_ms)
+        if version is None:
+            return UnknownVersion(
+                'the software version that began the stream is not known'
+            )
+        return OneVersion(version)
--- /dev/null
+++ b/lagoonflow/resumption/versions.py
@@ -0,0 +1,47 @@
+"""Software versions that the servers of a service have had lately."""
+
+# The list of servers may be this old, in ms, when a version is concluded from
+# it: a read waits up to 500 ms, and up to 1500 ms pass between reads.
+MAX_LIST_AGE_MS = 3000
+
+
+class VersionHistory:
+    """Remembers when each software version of a service was last listed."""
+
+    def __init__(self) -> None:
+        """Start without a list of servers."""
+        self._listed_at_ms: dict[str, dict[str, float]] = {}
+        self._first_confirmed_at_ms: float | None = None
+        self._confirmed_at_ms = float('-inf')
+
+    def note(self, service: str, software_version: str, now_ms: float) -> None:
+        """Record that a server of this version is listed."""
+        versions = self._listed_at_ms.setdefault(service, {})
+        versions[software_version] = now_ms
+
+    def confirm(self, at_ms: float) -> None:
+        """Record that the list of servers was complete at a time."""
+        if self._first_confirmed_at_ms is None:
+            self._first_confirmed_at_ms = at_ms
+        self._confirmed_at_ms = max(self._confirmed_at_ms, at_ms)
+
+    def only_version(
+        self, service: str, window_ms: float, now_ms: float
+    ) -> str | None:
+        """Return the version that all servers have had over a time.
+
+        ``None`` if there were several, or if the list of servers was not
+        followed all the time or may be out of date.
+
+        :param window_ms: length of the time until now, in ms.
+        """
+        first_ms = self._first_confirmed_at_ms
+        was_followed = first_ms is not None and first_ms <= now_ms - window_ms
+        if not was_followed or now_ms - self._confirmed_at_ms > MAX_LIST_AGE_MS:
+            return None
+        recent = [
+            version
+            for version, at_ms in self._listed_at_ms.get(service, {}).items()
+            if now_ms - at_ms <= window_ms
+        ]
+        return recent[0] if len(recent) == 1 else None
--- a/lagoonflow/wiring/platform_feeds.py
+++ b/lagoonflow/wiring/platform_feeds.py
@@ -15,6 +15,7 @@
 )
 from lagoonflow.platform.servers import EntryError, decode_server
 from lagoonflow.platform.store import CONFIGURATION_KEY
+from lagoonflow.resumption.versions import VersionHistory
 
 
 class MemberRecord(msgspec.Struct):
@@ -82,12 +83,16 @@
     """Updates the fleet from the entries of backend servers.
 
     :param fleet: its roster of backend servers is updated.
+    :param history: the software versions of listed servers are noted there.
     :param on_change: called after each page of entries.
     """
 
-    def __init__(self, fleet: Fleet, on_change) -> None:
+    def __init__(
+        self, fleet: Fleet, history: VersionHistory, on_change
+    ) -> None:
         """Start without entries."""
         self._fleet = fleet
+        self._history = history
         self._on_change = on_change
         self._log = structlog.get_logger(part='servers')
 
@@ -114,18 +119,33 @@
                 )
         if is_snapshot:
             self._fleet.roster.replace(servers, now_ms)
-            self._on_change()
-            return
+        else:
+            self._apply_changes(servers, removed_instances, now_ms)
+        self._note_versions(page, requested_at_ms)
+        self._on_change()
+
+    def on_failure(self, failure: StoreFailure) -> None:
+        """Record that the store can't be read, so entries may be outdated."""
+        self._fleet.roster.note_store_failure(boottime_ms())
+
+    def _apply_changes(
+        self,
+        servers: list[BackendServer],
+        removed_instances: list[str],
+        now_ms: float,
+    ) -> None:
         for server in servers:
             self._update_server(server, now_ms)
         if removed_instances:
             self._log.info('entries removed', servers=removed_instances)
             self._fleet.roster.remove_together(removed_instances, now_ms)
-        self._on_change()
 
-    def on_failure(self, failure: StoreFailure) -> None:
-        """Record that the store can't be read, so entries may be outdated."""
-        self._fleet.roster.note_store_failure(boottime_ms())
+    def _note_versions(self, page: RecordPage, requested_at_ms: float) -> None:
+        now_ms = boottime_ms()
+        for server in self._fleet.roster.all():
+            self._history.note(server.service, server.software_version, now_ms)
+        if page.is_current:
+            self._history.confirm(requested_at_ms)
 
     def _update_server(self, server: BackendServer, now_ms: float) -> None:
         known = self._fleet.roster.get(server.instance)
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -14,7 +14,12 @@
 from lagoonflow.declared.topic_follower import TopicFollower
 from lagoonflow.declared.view import DeclaredView
 from lagoonflow.gossip.members import Members
-from lagoonflow.gossip.messages import AgentState, Message, MeterState
+from lagoonflow.gossip.messages import (
+    AgentState,
+    Message,
+    MeterState,
+    OriginsState,
+)
 from lagoonflow.gossip.transport import GossipSocket
 from lagoonflow.http1.server import HttpServer, ServerLimits
 from lagoonflow.platform import headers as codec
@@ -35,6 +40,9 @@
 from lagoonflow.relay.call_log import CallLog
 from lagoonflow.relay.sending import Sender
 from lagoonflow.relay.serving import CallService
+from lagoonflow.resumption.decision import VersionRule
+from lagoonflow.resumption.origins import StreamOrigins
+from lagoonflow.resumption.versions import VersionHistory
 from lagoonflow.retries.budget import RetryBudgets
 from lagoonflow.wiring.platform_admin import AdminServer
 from lagoonflow.wiring.platform_feeds import (
@@ -50,6 +58,7 @@
 )
 from lagoonflow.wiring.platform_publishing import (
     ChargePublisher,
+    OriginPublisher,
     RouterStatePublisher,
 )
 
@@ -97,10 +106,24 @@
         self._fleet = Fleet()
         self._members = Members(settings.node)
         self._rate_limiter = FleetRateLimiter(now_ms, wall_clock_ms())
+        origins = StreamOrigins()
+        self._versions = VersionHistory()
         self._admission = Admission(
-            self._view, self._rate_limiter, settings.withdrawal_ms
+            self._view,
+            self._rate_limiter,
+            settings.withdrawal_ms,
+            VersionRule(origins, self._versions),
+        )
+        self._gossip = GossipSocket(self._receive)
+        self._origin_publisher = OriginPublisher(
+            settings, self._members, origins, self._gossip
+        )
+        self._sender = Sender(
+            self._fleet,
+            self._admission,
+            codec,
+            self._origin_publisher.announce,
         )
-        self._sender = Sender(self._fleet, self._admission, codec)
         self._budgets = RetryBudgets(
             settings.retry_ratio,
             settings.extra_retries,
@@ -120,7 +143,6 @@
             self._calls.handle, self._calls.refuse_unreadable, self._limits
         )
         self._admin = AdminServer(self._registry, self._is_ready)
-        self._gossip = GossipSocket(self._receive)
         self._store = StoreClient(settings.store_address)
         self._stop = asyncio.Event()
         self._state_publisher = RouterStatePublisher(
@@ -162,7 +184,7 @@
 
     def _background_coroutines(self) -> Iterator[Coroutine[Any, Any, None]]:
         configuration = ConfigurationFeed(self._view, self._apply_configuration)
-        servers = ServersFeed(self._fleet, self._apply_servers)
+        servers = ServersFeed(self._fleet, self._versions, self._apply_servers)
         members = MembersFeed(self._members, ROLE)
         servers_gather_ms = gather_time_ms(self._settings.drain_ms)
         for topic, wait_ms, gather_ms, feed in (
@@ -262,6 +284,8 @@
                     message.levels,
                 )
                 self._rate_limiter.apply_report(message.router, report, now_ms)
+            case OriginsState():
+                self._origin_publisher.receive(message, now_ms)
 
     # Updates to agents and other routers.
 
@@ -280,6 +304,7 @@
                 now_ms, is_leaving=self._stop.is_set() and has_finished
             )
             self._budgets.update_router_count(routers)
+            self._origin_publisher.publish_due(now_ms)
             self._sender.waits.abort_waits_on_silent_hosts(now_ms)
             if self._fleet.roster.has_due_removals(now_ms):
                 self._apply_servers()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,5 +1,7 @@
 """Decoding and encoding of the headers of requests and answers."""
 
+import pytest
+
 from lagoonflow.http1.messages import RequestHead, ResponseHead
 from lagoonflow.platform.headers import (
     answers_call,
@@ -155,3 +157,16 @@
         ),
     )
     assert forwarded_answer_headers(head) == ((b'Server-Seal', b's'),)
+
+
+def test_decodes_the_attempt_that_is_resumed():
+    assert call((b'Resumes', b' a0 ')).resumed_request_id == 'a0'
+
+
+@pytest.mark.parametrize(
+    'values',
+    [(), (b'',), (b'a b',), (b'x' * 65,), (b'a1', b'a2')],
+)
+def test_a_malformed_or_ambiguous_resumed_attempt_counts_as_absent(values):
+    headers = [(b'Resumes', text) for text in values]
+    assert not call(*headers).resumed_request_id
--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -27,6 +27,9 @@
 from lagoonflow.relay.call_log import CallLog
 from lagoonflow.relay.sending import Sender
 from lagoonflow.relay.serving import CallService
+from lagoonflow.resumption.decision import VersionRule
+from lagoonflow.resumption.origins import StreamOrigins
+from lagoonflow.resumption.versions import VersionHistory
 from lagoonflow.retries.budget import RetryBudgets
 from tests.waking.builders import spec
 
@@ -203,8 +206,16 @@
         self.rate_limiter = FleetRateLimiter(now_ms - 60_000)
         limit = Limit(10_000, 50_000)
         self.rate_limiter.set_limits({ORGANISATION.name: limit}, now_ms)
-        admission = Admission(self.view, self.rate_limiter, 5000)
-        self.sender = Sender(self.fleet, admission, codec)
+        self.origins = StreamOrigins()
+        self.versions = VersionHistory()
+        rule = VersionRule(self.origins, self.versions)
+        admission = Admission(self.view, self.rate_limiter, 5000, rule)
+        self.sender = Sender(
+            self.fleet,
+            admission,
+            codec,
+            lambda origin: self.origins.record(origin, boottime_ms()),
+        )
         self.budgets = RetryBudgets(0.2, 50, 10_000)
         self.calls = CallService(
             self.view,
@@ -221,12 +232,22 @@
         )
 
     async def add_backends(
-        self, *scripts: Script, service: str = SERVICE
+        self,
+        *scripts: Script,
+        service: str = SERVICE,
+        software_versions: tuple[str, ...] = (),
     ) -> list[Backend]:
-        """Start one backend server per script; the first is chosen first."""
+        """Start one backend server per script; the first is chosen first.
+
+        :param software_versions: versions of the servers, in order.
+        """
         backends = [Backend(script) for script in scripts]
+        versions = software_versions or ('v1',) * len(backends)
         for index, backend in enumerate(backends):
             server = await backend.start(f'i-{index}', service)
+            server = dataclasses.replace(
+                server, software_version=versions[index]
+            )
             self.fleet.roster.put(server, boottime_ms())
         return backends
 
--- /dev/null
+++ b/tests/resumption/test_versions.py
@@ -0,0 +1,49 @@
+"""Tests of what is concluded from the list of servers."""
+
+from lagoonflow.resumption.versions import MAX_LIST_AGE_MS, VersionHistory
+
+WINDOW_MS = 10_000
+
+
+def followed(now_ms):
+    """Return a history that was followed for long enough until now."""
+    history = VersionHistory()
+    history.confirm(now_ms - WINDOW_MS)
+    history.confirm(now_ms)
+    return history
+
+
+def test_the_only_version_is_concluded():
+    history = followed(20_000)
+    history.note('llm', 'v1', 20_000)
+    assert history.only_version('llm', WINDOW_MS, 20_000) == 'v1'
+
+
+def test_nothing_is_concluded_while_two_versions_serve():
+    history = followed(20_000)
+    history.note('llm', 'v1', 20_000)
+    history.note('llm', 'v2', 20_000)
+    assert history.only_version('llm', WINDOW_MS, 20_000) is None
+
+
+def test_a_version_that_has_gone_still_counts_within_the_window():
+    history = followed(20_000)
+    history.note('llm', 'v1', 20_000 - WINDOW_MS)
+    history.note('llm', 'v2', 20_000)
+    assert history.only_version('llm', WINDOW_MS, 20_000) is None
+    assert history.only_version('llm', WINDOW_MS, 20_001) == 'v2'
+
+
+def test_nothing_is_concluded_from_an_old_list():
+    history = followed(20_000)
+    history.note('llm', 'v1', 20_000)
+    late_ms = 20_000 + MAX_LIST_AGE_MS
+    assert history.only_version('llm', WINDOW_MS, late_ms) == 'v1'
+    assert history.only_version('llm', WINDOW_MS, late_ms + 1) is None
+
+
+def test_nothing_is_concluded_just_after_the_start():
+    history = VersionHistory()
+    history.confirm(20_000)
+    history.note('llm', 'v1', 20_000)
+    assert history.only_version('llm', WINDOW_MS, 20_000) is None
