Send nothing to servers that say they leave or ask for a pause

A runner that leaves now says so in its answers, and a full one may say for how long it wants nothing. The router went by the store's list alone, which it reads up to two seconds later, and went on sending to full servers.

Both statements count from the head of any answer, are looked at again right before a send, and hold until the server is started anew. When all servers asked for a pause, callers are refused at once with the earliest end. An agent heeds its own runner's pause and passes on that it leaves.

Not measured: whether routers should tell each other of pauses.

--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 
+from lagoonflow.backends.candidates import pause_left_ms, usable_servers
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.backends.wake_costs import (
@@ -92,10 +93,13 @@
     :param reason: one sentence that the caller is shown.
     :param may_change: waiting may help: agents that could load the model have
         not sent their state yet, or a runner is just unloading it.
+    :param retry_after_ms: when a server takes requests again, in ms; 0 when
+        unknown.
     """
 
     reason: str
     may_change: bool = False
+    retry_after_ms: float = 0
 
 
 Choice = Send | Wake | NoServer
@@ -164,11 +168,21 @@
         """
         servers = [
             server
-            for server in self._fleet.roster.usable(requirements.service.name)
+            for server in usable_servers(self._fleet, requirements.service.name)
             if requirements.allows(server)
         ]
         if not servers:
             return NoServer('no backend server is available')
+        pauses_ms = {
+            server.instance: pause_left_ms(self._fleet, server, now_ms)
+            for server in servers
+        }
+        servers = [one for one in servers if not pauses_ms[one.instance]]
+        if not servers:
+            return NoServer(
+                'all backend servers asked for a pause',
+                retry_after_ms=min(pauses_ms.values()),
+            )
         engine = requirements.service.engine
         if engine is None or not requirements.call.model:
             return self._choose_plain(servers, now_ms)
--- a/lagoonflow/backends/fleet.py
+++ b/lagoonflow/backends/fleet.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Mapping
 
+from lagoonflow.backends.availability import Availability
 from lagoonflow.backends.health import ServerHealth
 from lagoonflow.backends.liveness import HostLiveness
 from lagoonflow.backends.messages import BackendServer
@@ -49,6 +50,7 @@
     :ivar rates: request rates of models at this router.
     :ivar prompts: prompt parts that each server has probably cached.
     :ivar liveness: when each host was last heard from.
+    :ivar availability: servers that are leaving or asked for a pause.
     """
 
     def __init__(self) -> None:
@@ -63,6 +65,7 @@
         self._prefill_tokens: collections.Counter[str] = collections.Counter()
         self.prompts = PromptCaches()
         self.liveness = HostLiveness()
+        self.availability = Availability()
 
     # Updates.
 
@@ -71,6 +74,10 @@
 
         :return: whether a change in it may matter to waiting calls.
         """
+        if state.is_leaving:
+            self.availability.note_leaving(
+                state.instance, state.runner_started_ms
+            )
         before = self._agents.get(state.instance)
         if state.is_stopping:
             # From now on its silence does not mean that the host has failed.
@@ -263,4 +270,5 @@
         state.planned,
         state.load_rejections,
         state.is_down,
+        state.is_leaving,
     ]
--- a/lagoonflow/backends/messages.py
+++ b/lagoonflow/backends/messages.py
@@ -65,6 +65,7 @@
     :param active: number of requests that are running.
     :param cache_used_tokens: cache that running requests occupy, in tokens.
     :param cache_total_tokens: size of the cache, in tokens.
+    :param is_leaving: it said that it is leaving.
     :param pending_adapters: adapters being loaded, as ``model/adapter``.
     :param in_memory: models with a copy in the host's memory.
     :param on_disk: models with a copy on the host's disk.
@@ -81,3 +82,4 @@
     pending_adapters: frozenset[str] = frozenset()
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
+    is_leaving: bool = False
--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -120,6 +120,7 @@
     :param is_stopping: the agent is about to stop, but its runner isn't.
     :param store_concurrency: the agent's estimate of the number of loads that
         the weight store serves at full speed together; 0 while unknown.
+    :param is_leaving: the runner said that it is leaving.
     """
 
     agent: str
@@ -143,6 +144,7 @@
     is_down: bool = False
     is_stopping: bool = False
     store_concurrency: float = 0
+    is_leaving: bool = False
 
 
 class MeterState(_Message):
--- a/lagoonflow/platform/headers.py
+++ b/lagoonflow/platform/headers.py
@@ -2,6 +2,9 @@
 
 import re
 
+import structlog
+
+from lagoonflow.clock import MS_PER_S
 from lagoonflow.http1.messages import (
     Headers,
     RequestHead,
@@ -49,9 +52,15 @@
     ),
 )
 KEY_SCHEME = b'token'
+_LOG = structlog.get_logger(part='call')
 EVENT_STREAM = b'text/event-stream'
 # A server that isn't the expected one answers 421 and doesn't run the request.
 NOT_RUN_STATUS = 421
+UNAVAILABLE_STATUS = 503
+LEAVING_HEADER = b'server-leaving'
+PAUSE_HEADER = b'retry-after'
+# Longer pauses are taken for this long.
+MAX_PAUSE_S = 600
 RESUME_HEADER = b'last-event-id'
 RESUMED_ATTEMPT_HEADER = b'resumes'
 ATTEMPT_ID = re.compile('[!-~]{1,64}')
@@ -132,6 +141,16 @@
         is_encoded=head.get(b'content-encoding') is not None,
         is_event_stream=content_type.startswith(EVENT_STREAM),
         load=_parse_load(head.get(b'instance-load')),
+        is_leaving=says_leaving(head.headers),
+        pause_ms=parse_pause(head.status, head.headers),
+    )
+
+
+def says_leaving(headers: Headers) -> bool:
+    """Return whether a server says in its answer that it is leaving."""
+    return any(
+        name.lower() == LEAVING_HEADER and text.strip() == b'1'
+        for name, text in headers
     )
 
 
@@ -141,6 +160,25 @@
     return tuple(remove_headers(head.headers, HOP_BY_HOP | options))
 
 
+def parse_pause(status: int, headers: Headers) -> float | None:
+    """Return the pause that a full server asks for, in ms.
+
+    Of several values the longest counts.
+    """
+    if status != UNAVAILABLE_STATUS:
+        return None
+    pauses_s: list[float] = []
+    for name, text in headers:
+        if name.lower() != PAUSE_HEADER:
+            continue
+        pause_s = _parse_number(text.decode('latin-1'))
+        if pause_s is None:
+            _LOG.warning('pause not readable', value=text.decode('latin-1'))
+        else:
+            pauses_s.append(min(pause_s, MAX_PAUSE_S))
+    return max(pauses_s) * MS_PER_S if pauses_s else None
+
+
 def _header_text(head: RequestHead, name: bytes) -> str:
     return (head.get(name) or b'').decode('latin-1').strip()
 
--- a/lagoonflow/platform/runner.py
+++ b/lagoonflow/platform/runner.py
@@ -3,8 +3,10 @@
 import msgspec
 
 from lagoonflow.backends.messages import RunnerReport
+from lagoonflow.clock import boottime_ms
 from lagoonflow.http1.client import ConnectionPool, WholeResponse, send_request
 from lagoonflow.http1.messages import ExchangeError, ExchangeStage, RequestHead
+from lagoonflow.platform.headers import parse_pause, says_leaving
 from lagoonflow.platform.servers import (
     AvailableCopies,
     ModelEntry,
@@ -65,14 +67,17 @@
         self._pool = ConnectionPool(address)
         self._address = address.encode()
         self._holder = holder
+        self._paused_until_ms = float('-inf')
+
+    def is_paused(self, now_ms: float) -> bool:
+        """Return whether the runner asked for no requests until later."""
+        return now_ms < self._paused_until_ms
 
     async def report(self) -> RunnerReport | None:
         """Read the runner's report; ``None`` when it gives no valid one."""
         head = RequestHead(b'GET', b'/report', ((b'host', self._address),))
         try:
-            answer = await send_request(
-                self._pool, head, b'', REPORT_TIMEOUT_MS
-            )
+            answer = await self._send(head, b'', REPORT_TIMEOUT_MS)
             return _decode_report(answer)
         except (ExchangeError, msgspec.MsgspecError):
             return None
@@ -86,9 +91,7 @@
         target = health_check_path.encode()
         head = RequestHead(b'GET', target, ((b'host', self._address),))
         try:
-            answer = await send_request(
-                self._pool, head, b'', REPORT_TIMEOUT_MS
-            )
+            answer = await self._send(head, b'', REPORT_TIMEOUT_MS)
         except ExchangeError:
             return ''
         for name, text in answer.headers:
@@ -120,15 +123,23 @@
         ]
         head = RequestHead(b'POST', b'/order', tuple(headers))
         try:
-            answer = await send_request(
-                self._pool, head, body, ORDER_TIMEOUT_MS
-            )
+            answer = await self._send(head, body, ORDER_TIMEOUT_MS)
         except ExchangeError as error:
             if error.stage is ExchangeStage.CONNECTING:
                 return OrderOutcome.NOT_SENT
             return OrderOutcome.UNKNOWN
         return _OUTCOMES_BY_STATUS.get(answer.status, OrderOutcome.REJECTED)
 
+    async def _send(
+        self, head: RequestHead, body: bytes, timeout_ms: float
+    ) -> WholeResponse:
+        answer = await send_request(self._pool, head, body, timeout_ms)
+        pause_ms = parse_pause(answer.status, answer.headers)
+        if pause_ms is not None:
+            until_ms = boottime_ms() + pause_ms
+            self._paused_until_ms = max(self._paused_until_ms, until_ms)
+        return answer
+
 
 def _decode_report(answer: WholeResponse) -> RunnerReport | None:
     if answer.status != 200:
@@ -148,6 +159,7 @@
         ),
         in_memory=frozenset(body.available.in_memory),
         on_disk=frozenset(body.available.on_disk),
+        is_leaving=says_leaving(answer.headers),
     )
 
 
--- a/lagoonflow/relay/messages.py
+++ b/lagoonflow/relay/messages.py
@@ -95,6 +95,9 @@
     :param is_encoded: the body has a content encoding.
     :param is_event_stream: the body is a stream of server-sent events.
     :param load: load that the server reports; ``None`` when unstated.
+    :param is_leaving: the server says that it is leaving.
+    :param pause_ms: time in ms for which a full server wants no requests;
+        ``None`` when unstated or malformed.
     """
 
     head: ResponseHead
@@ -103,6 +106,8 @@
     is_encoded: bool
     is_event_stream: bool
     load: ServerLoad | None = None
+    is_leaving: bool = False
+    pause_ms: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/lagoonflow/relay/placing.py
+++ b/lagoonflow/relay/placing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 from lagoonflow.backends.choosing import (
     Choice,
@@ -86,10 +87,8 @@
                     await self.fleet_changed.wait(RECHECK_MS)
                     now_ms = boottime_ms()
                     continue
-                case NoServer(reason=reason):
-                    return attempts.refuse(
-                        Result.NO_RUNNER, reason, BUSY_RETRY_MS
-                    )
+                case NoServer():
+                    return _without_server(choice, attempts)
             if choice.ready_in_ms > _time_left_ms(admitted, now_ms):
                 self.load_requests.keep_after_refusal(
                     admitted,
@@ -146,6 +145,11 @@
     return admitted.start_time_left_ms(now_ms) - ANSWER_MARGIN_MS
 
 
+def _without_server(choice: NoServer, attempts: Attempts) -> Refusal:
+    retry_after_ms = math.ceil(choice.retry_after_ms) or BUSY_RETRY_MS
+    return attempts.refuse(Result.NO_RUNNER, choice.reason, retry_after_ms)
+
+
 def _too_late(wake: Wake, attempts: Attempts) -> Refusal:
     return attempts.refuse(
         Result.DEADLINE_UNREACHABLE,
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -5,6 +5,9 @@
 import functools
 from collections.abc import Callable
 
+import structlog
+
+from lagoonflow.backends.candidates import may_send
 from lagoonflow.backends.choosing import Send
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
@@ -129,6 +132,7 @@
     ) -> None:
         """Start with empty connection pools."""
         self._announce_stream = announce_stream
+        self._log = structlog.get_logger(part='servers')
         self._fleet = fleet
         self._admission = admission
         self._codec = codec
@@ -222,10 +226,12 @@
         refusal = self._admission.recheck_key(admitted, now_ms)
         if refusal is not None:
             return Withheld(refusal)
+        if not may_send(self._fleet, server, now_ms):
+            return NotSent('the server is leaving or asked for a pause')
         target = _target(admitted, server, progress, now_ms)
         request = self._codec.encode_call(admitted.call, target)
         answer = await self._receive_head(
-            admitted, server.instance, connection, request, answer_timeout
+            admitted, server, connection, request, answer_timeout
         )
         progress.framing = answer.head.framing
         progress.is_inside_event = False
@@ -267,12 +273,14 @@
     async def _receive_head(
         self,
         admitted: AdmittedCall,
-        instance: str,
+        server: BackendServer,
         connection: ClientConnection,
         request: RequestHead,
         answer_timeout: AnswerTimeout,
     ) -> Answer:
         def is_expected(head: ResponseHead) -> bool:
+            # Also answers to earlier requests tell how the server is.
+            self._note_availability(server, self._codec.decode_answer(head))
             return self._codec.answers_call(admitted.call, head)
 
         await connection.send(request, admitted.call.body)
@@ -281,7 +289,7 @@
                 answer_timeout.timeout_ms / MS_PER_S
             ) as timer:
                 with self.waits.watch(
-                    admitted, instance, answer_timeout, timer
+                    admitted, server.instance, answer_timeout, timer
                 ):
                     head = await connection.read_head(is_expected)
         except TimeoutError as error:
@@ -293,6 +301,23 @@
     def _note_part(self, instance: str) -> None:
         self._fleet.liveness.note_answer_part(instance, boottime_ms())
 
+    def _note_availability(self, server: BackendServer, answer: Answer) -> None:
+        availability = self._fleet.availability
+        instance, started_ms = server.instance, server.started_ms
+        if answer.is_leaving and availability.note_leaving(
+            instance, started_ms
+        ):
+            self._log.info('server is leaving', server=instance)
+        if answer.pause_ms:
+            availability.note_pause(
+                instance, started_ms, answer.pause_ms, boottime_ms()
+            )
+            self._log.info(
+                'server asked for a pause',
+                server=instance,
+                pause_ms=int(answer.pause_ms),
+            )
+
     def _note_start(
         self, admitted: AdmittedCall, server: BackendServer, progress: Progress
     ) -> None:
--- a/lagoonflow/waking/controller.py
+++ b/lagoonflow/waking/controller.py
@@ -69,6 +69,7 @@
             store_demand_per_s=self._store_demand_per_s(report, now_ms),
             store_concurrency=runner_view.store_concurrency.estimate,
             is_down=runner_view.is_down,
+            is_leaving=report.is_leaving,
         )
 
     def _models_in_progress(self) -> tuple[str, str]:
--- a/lagoonflow/wiring/platform_agent.py
+++ b/lagoonflow/wiring/platform_agent.py
@@ -126,6 +126,11 @@
 
     async def _control_runner(self) -> None:
         while True:
+            now_ms = boottime_ms()
+            if self._runner.is_paused(now_ms):
+                self._publish_state(now_ms)
+                await self._wait_for_next_report(is_busy=False)
+                continue
             report = await self._runner.report()
             now_ms = boottime_ms()
             if report is None:
@@ -275,4 +280,5 @@
         state.instance,
         state.can_order,
         state.is_down,
+        state.is_leaving,
     ]
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from lagoonflow.clock import boottime_ms
 from lagoonflow.platform.runner import RunnerClient
 
 
@@ -37,3 +38,23 @@
 async def test_an_unreachable_runner_has_no_identity():
     client = RunnerClient('127.0.0.1:1', 'agent-1')
     assert not await client.identify('/healthz')
+
+
+async def test_a_runner_that_says_it_leaves_is_reported_as_leaving():
+    address = await serve_answer(
+        b'HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\n{}'
+    )
+    report = await RunnerClient(address, 'agent-1').report()
+    assert report.is_leaving
+
+
+async def test_an_agent_knows_that_its_runner_asked_for_a_pause():
+    address = await serve_answer(
+        b'HTTP/1.1 503 Full\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n'
+    )
+    client = RunnerClient(address, 'agent-1')
+    assert not client.is_paused(boottime_ms())
+    await client.report()
+    now_ms = boottime_ms()
+    assert client.is_paused(now_ms)
+    assert not client.is_paused(now_ms + 500)
