Let the soak mix software versions and end streams inside an event

Runners restart and are replaced at either of two versions, say that they leave, ask for a pause when they reject, and end streams inside an event with the regular end of the answer. Callers take broken off streams up at any router. New invariant: a stream, over all tries of its caller, holds events of one version.

--- a/loopback/platform_fleet.py
+++ b/loopback/platform_fleet.py
@@ -162,13 +162,20 @@
         self.start_agent(host)
         return host
 
-    def start_runner(self, host: Host, models: str) -> None:
+    def start_runner(
+        self, host: Host, models: str, software_version: str = 'v1'
+    ) -> None:
         """Start the runner of a host.
 
         :param models: names of the models it has loaded, separated by commas.
         """
         host.runner = self._start_backend(
-            host, MODEL_SERVICE, '--models', models
+            host,
+            MODEL_SERVICE,
+            '--models',
+            models,
+            '--software-version',
+            software_version,
         )
 
     def add_plain_server(self) -> Host:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -44,7 +44,9 @@
     state = 'BROKEN' if report.violations else 'held'
     sys.stdout.write(
         f'seed {report.seed}: {state}, {report.served} of'
-        f' {report.requests} served, {len(report.faults)} faults\n'
+        f' {report.requests} served, {report.went_on} of'
+        f' {report.resumed} resumed streams went on,'
+        f' {len(report.faults)} faults\n'
     )
     for line in report.violations:
         sys.stdout.write(f'    {line}\n')
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,9 @@
 DEADLINE_MS = 3000
 TIMEOUT_S = 5
 EVENTS_PER_STREAM = 6
+OK = 200
+RESUME_TRIES = 4
+RESUME_DELAY_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,6 +30,7 @@
     :param is_sealed: whether the answer had the header `Server-Seal`.
     :param is_complete: whether the answer was received up to its marked end.
     :param body: the part of the body that was received.
+    :param is_resumed: whether the caller resumed the stream after a break.
     """
 
     request_id: str
@@ -37,6 +41,18 @@
     is_sealed: bool = False
     is_complete: bool = False
     body: bytes = b''
+    is_resumed: bool = False
+
+    @property
+    def is_broken_off(self) -> bool:
+        """Whether a stream ended after an event, but not at its end."""
+        return bool(self.whole_events) and not self.is_complete
+
+    @property
+    def whole_events(self) -> bytes:
+        """The received events without the part of a cut one."""
+        head, separator, _ = self.body.rpartition(b'\n\n')
+        return head + separator
 
 
 class Caller(threading.Thread):
@@ -58,16 +74,47 @@
     def run(self) -> None:
         """Send requests until `stop` is called."""
         while not self._stop_event.wait(self._random.uniform(0, 0.06)):
-            host = self._random.choice(self._fleet.routers)
-            self.outcomes.append(self._send_request(host.ip))
+            outcome = self._send_request(self._new_outcome(), {})
+            if outcome.is_broken_off and outcome.kind == 'resume':
+                outcome = self._resume(outcome)
+            self.outcomes.append(outcome)
+
+    def _resume(self, broken: Outcome) -> Outcome:
+        """Take a broken off stream up, at any router."""
+        resumed = broken
+        for _ in range(RESUME_TRIES):
+            events = resumed.whole_events
+            headers = {
+                'Last-Event-Id': str(events.count(b'\n\n')),
+                'Resumes': broken.request_id,
+            }
+            again = dataclasses.replace(
+                self._new_outcome(), kind=broken.kind, key=broken.key
+            )
+            answer = self._send_request(again, headers)
+            if answer.status == OK:
+                resumed = dataclasses.replace(
+                    resumed,
+                    body=events + answer.body,
+                    is_complete=answer.is_complete,
+                )
+            if resumed.is_complete:
+                break
+            self._stop_event.wait(RESUME_DELAY_S)
+        return dataclasses.replace(resumed, is_resumed=True)
 
-    def _send_request(self, ip: str) -> Outcome:
-        outcome = Outcome(
+    def _new_outcome(self) -> Outcome:
+        return Outcome(
             request_id=f'{self._random.getrandbits(64):016x}',
             kind=self._random.choice(KINDS),
             key=self._random.choice((KEY, KEY, KEY, OTHER_KEY)),
             sent_at_s=time.monotonic(),
         )
+
+    def _send_request(
+        self, outcome: Outcome, headers: dict[str, str]
+    ) -> Outcome:
+        ip = self._random.choice(self._fleet.routers).ip
         connection = self._connections.get(ip)
         if connection is None:
             connection = http.client.HTTPConnection(
@@ -75,16 +122,20 @@
             )
             self._connections[ip] = connection
         try:
-            return self._exchange(connection, outcome)
+            return self._exchange(connection, outcome, headers)
         except (OSError, http.client.HTTPException):
             connection.close()
             self._connections.pop(ip)
             return outcome
 
     def _exchange(
-        self, connection: http.client.HTTPConnection, outcome: Outcome
+        self,
+        connection: http.client.HTTPConnection,
+        outcome: Outcome,
+        extra_headers: dict[str, str],
     ) -> Outcome:
         headers = {
+            **extra_headers,
             'Host': 'desk.example',
             'Attempt-Id': outcome.request_id,
             'Deadline-Ms': str(DEADLINE_MS),
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 # A planned stop must end within the grace period of the settings, in s; the
 # difference to `bounds.grace_s` is a margin for the end of the process.
 STOP_LIMIT_S = 9
+SOFTWARE_VERSIONS = ('v1', 'v2')
 
 
 class Faults:
@@ -43,6 +44,7 @@
                 self._restart_agent,
                 self._pause_agent,
                 self._restart_runner,
+                self._replace_runner,
                 self._change_server_faults,
                 self._change_store_faults,
                 self._disturb_server_link,
@@ -158,10 +160,29 @@
             self._checker.collect([host])
             host.runner.kill()
             wait_s = self._random.uniform(0, 1.5)
+            version = self._random.choice(SOFTWARE_VERSIONS)
             self._run_later(
-                host.ip, wait_s, lambda: self._fleet.start_runner(host, '')
+                host.ip,
+                wait_s,
+                lambda: self._fleet.start_runner(host, '', version),
             )
 
+    def _replace_runner(self) -> None:
+        """Let a runner leave; start one of another version in its place."""
+        host = self._choose_free_host(self._fleet.runners)
+        if host is None or host.runner is None:
+            return
+        version = self._random.choice(SOFTWARE_VERSIONS)
+        self._record(f'the runner on {host.ip} leaves, {version} replaces it')
+        self._fleet.set_faults(f'{host.ip}:{RUNNER_PORT}', is_leaving=True)
+
+        def replace() -> None:
+            self._checker.collect([host])
+            host.runner.kill()
+            self._fleet.start_runner(host, '', version)
+
+        self._run_later(host.ip, self._random.uniform(1, 3), replace)
+
     def _change_server_faults(self) -> None:
         host = self._choose_free_host(
             [*self._fleet.runners, *self._fleet.plain_servers]
@@ -172,6 +193,7 @@
             (
                 {'lose_answers': 2},
                 {'cut_streams': 2},
+                {'end_streams': 2},
                 {'late_orders': 2},
                 {'reject': True},
                 {'reject': False},
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -72,6 +72,13 @@
                 self.add_violation('ran more than once', name)
             if outcome.status in NOT_RUN_STATUSES and runs:
                 self.add_violation('a refusal was not true', name)
+        versions = {
+            line.rpartition(b' ')[2]
+            for line in outcome.whole_events.splitlines()
+            if line.startswith(b'data: piece')
+        }
+        if len(versions) > 1:
+            self.add_violation('two versions in a stream', name)
         if outcome.status == 200 and outcome.is_complete:
             self._check_success(outcome, name)
         if withdrawn_at_s is None or outcome.key != OTHER_KEY:
--- a/soak/run.py
+++ b/soak/run.py
@@ -26,6 +26,8 @@
     :param seed: seed of the run.
     :param requests: requests that callers sent.
     :param served: requests that got a complete answer with status 200.
+    :param resumed: streams that callers took up after a break.
+    :param went_on: those of them that were received to their end.
     :param faults: a line for each injected fault.
     :param violations: violated invariants; empty when all held.
     """
@@ -33,6 +35,8 @@
     seed: int
     requests: int
     served: int
+    resumed: int
+    went_on: int
     faults: tuple[str, ...]
     violations: tuple[str, ...]
 
@@ -130,6 +134,8 @@
         seed,
         len(outcomes),
         served,
+        sum(one.is_resumed for one in outcomes),
+        sum(one.is_resumed and one.is_complete for one in outcomes),
         tuple(faults.log),
         tuple(checker.violations),
     )
--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -27,6 +27,7 @@
 HEARTBEAT_S = 0.3
 EVENTS_PER_STREAM = 6
 SEAL = 'sealed'
+PAUSE_S = '0.4'
 
 
 class RunnerFaults(Faults, frozen=True, kw_only=True):
@@ -36,14 +37,18 @@
         answer.
     :param cut_streams: how many of the next streams break off within their
         third event.
+    :param end_streams: how many of the next streams end inside their third
+        event, with the regular end of the answer.
     :param late_orders: how many of the next orders get no answer and are
         executed 1 s later.
-    :param reject: reject every request as not executed.
-    :param is_leaving: register with the state `draining`.
+    :param reject: reject every request as not executed, and ask for a pause.
+    :param is_leaving: register with the state `draining`, and say so in
+        answers.
     """
 
     lose_answers: int = 0
     cut_streams: int = 0
+    end_streams: int = 0
     late_orders: int = 0
     reject: bool = False
     is_leaving: bool = False
@@ -69,6 +74,7 @@
     :param memory_models: number of models that fit into its memory.
     :param work_ms: duration of a plain request and of each event of a stream,
         in ms.
+    :param software_version: version that it registers and writes into streams.
     :ivar address: address at which it is registered.
     """
 
@@ -79,6 +85,7 @@
         models: tuple[str, ...],
         memory_models: int,
         work_ms: float,
+        software_version: str,
     ) -> None:
         self.address = ''
         self._instance = f'i-{uuid.uuid4().hex[:8]}'
@@ -88,6 +95,7 @@
         self._models: dict[str, set[str]] = {name: set() for name in models}
         self._memory_models = memory_models
         self._work_s = work_ms / MS_PER_S
+        self._software_version = software_version
         self._sequence = 0
         self._busy = False
         self._active = 0
@@ -148,7 +156,7 @@
                 'service': self._service,
                 'address': self.address,
                 'zone': 'zone-a',
-                'version': 'v1',
+                'version': self._software_version,
                 'slots': 8,
                 'state': state,
                 **self._state(),
@@ -173,6 +181,9 @@
             return
 
     async def _report(self, request: Request) -> Response:
+        headers = (
+            {'Server-Leaving': '1'} if self._switch.current.is_leaving else {}
+        )
         return reply(
             {
                 **self._state(),
@@ -183,6 +194,7 @@
                 'kv_used': 0,
                 'kv_total': 1000,
             },
+            headers=headers,
         )
 
     async def _health(self, request: Request) -> Response:
@@ -235,11 +247,14 @@
         body = await request.body()
         attempt = request.headers.get('attempt-id', '')
         headers = {'Attempt-Id': attempt, 'Instance-Load': '1,0,8'}
+        if self._switch.current.is_leaving:
+            headers['Server-Leaving'] = '1'
         expected = request.headers.get('expect-instance', self._instance)
         if expected != self._instance or not self._has_model(request):
             return reply({}, MISDIRECTED, headers)
         if self._switch.current.reject:
-            return reply({}, BUSY, {**headers, 'Not-Executed': '1'})
+            headers.update({'Not-Executed': '1', 'Retry-After': PAUSE_S})
+            return reply({}, BUSY, headers)
         self._ran[attempt] += 1
         headers['Server-Seal'] = SEAL
         headers['Saw-Tenant'] = request.headers.get('tenant', '')
@@ -266,15 +281,20 @@
     async def _events(self, request: Request) -> AsyncIterator[bytes]:
         first = int(request.headers.get('last-event-id') or 0) + 1
         is_cut = self._switch.use_one('cut_streams')
+        is_ended = not is_cut and self._switch.use_one('end_streams')
         try:
             for number in range(first, EVENTS_PER_STREAM + 1):
                 await asyncio.sleep(self._work_s)
-                if is_cut and number - first == 2:
+                is_last = number - first == 2 and (is_cut or is_ended)
+                if is_last:
                     yield b'id: '
                     await asyncio.sleep(0.02)
+                if is_last and is_cut:
                     request.scope['abort']()
+                if is_last:
                     return
-                yield f'id: {number}\ndata: piece {number}\n\n'.encode()
+                piece = f'piece {number} {self._software_version}'
+                yield f'id: {number}\ndata: {piece}\n\n'.encode()
         finally:
             self._active -= 1
 
@@ -288,6 +308,7 @@
     parser.add_argument('--memory-models', type=int, default=2)
     parser.add_argument('--work-ms', type=float, default=20)
     parser.add_argument('--advertise', default='')
+    parser.add_argument('--software-version', default='v1')
     flags = parser.parse_args()
     runner = Runner(
         flags.service,
@@ -295,6 +316,7 @@
         tuple(filter(None, flags.models.split(','))),
         flags.memory_models,
         flags.work_ms,
+        flags.software_version,
     )
     runner.address = flags.advertise or f'{flags.host}:{flags.port}'
     serve(runner.app(), flags.host, flags.port)
