--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -278,9 +278,12 @@
         request: RequestHead,
         answer_timeout: AnswerTimeout,
     ) -> Answer:
+        answers: list[Answer] = []
+
         def is_expected(head: ResponseHead) -> bool:
-            # Also answers to earlier requests tell how the server is.
-            self._note_availability(server, self._codec.decode_answer(head))
+            # Answers to earlier requests, too, tell whether the server leaves.
+            answers.append(self._codec.decode_answer(head))
+            self._note_availability(server, answers[-1])
             return self._codec.answers_call(admitted.call, head)
 
         await connection.send(request, admitted.call.body)
@@ -291,12 +294,12 @@
                 with self.waits.watch(
                     admitted, server.instance, answer_timeout, timer
                 ):
-                    head = await connection.read_head(is_expected)
+                    await connection.read_head(is_expected)
         except TimeoutError as error:
             raise ExchangeError(
                 ExchangeStage.SENT, 'no answer in time'
             ) from error
-        return self._codec.decode_answer(head)
+        return answers[-1]
 
     def _note_part(self, instance: str) -> None:
         self._fleet.liveness.note_answer_part(instance, boottime_ms())
