Keep a test's callers running while a router starts

The address of a router that has not printed it yet raised KeyError in the thread of a caller, which ended: tests went on with fewer callers than they state. Such a router now counts as one that refuses the connection, and the caller takes the next one.

--- a/tests/support/fleet_steps.py
+++ b/tests/support/fleet_steps.py
@@ -117,11 +117,18 @@
 @pytest.fixture
 def traffic(cluster):
     """Return callers in the background, which stop after the test."""
-    one = Traffic(lambda name: cluster.process(name).addresses[CALLERS])
+    one = Traffic(lambda name: _address_for_callers(cluster, name))
     yield one
     one.finish()
 
 
+def _address_for_callers(cluster, name):
+    address = cluster.process(name).addresses.get(CALLERS)
+    if address is None:
+        raise ConnectionRefusedError(f'{name} is starting')
+    return address
+
+
 def get_next_offset(cluster, name, stream='releases'):
     """Return the stream offset that a program reads next.
 
