Require a version only of calls that can be resumed

A request on another kind of route that carries Last-Event-Id was refused when the version of its service was not known. Found on reading the change again; the test failed before.

--- a/lagoonflow/resumption/decision.py
+++ b/lagoonflow/resumption/decision.py
@@ -36,7 +36,7 @@
         A version that is not known for certain is never assumed: servers do
         not check that they continue a stream of their own version.
         """
-        if not call.resume_after:
+        if not (route.is_resumable and call.resume_after):
             return AnyVersion()
         origin = self.origins.find(call.resumed_request_id, now_ms)
         if origin is not None:
--- a/tests/relay/test_software_versions.py
+++ b/tests/relay/test_software_versions.py
@@ -5,6 +5,7 @@
 from tests.relay.harness import (
     RelayHarness,
     answer_events,
+    answer_with,
     encode_request,
     read_framed_answer,
 )
@@ -107,3 +108,10 @@
     harness.versions.note('app', 'v1', now_ms)
     status, _, _ = await harness.send_request('/resume/x', RESUME[0])
     assert status == 200
+
+
+async def test_a_request_that_cannot_be_resumed_needs_no_version():
+    harness = RelayHarness()
+    await harness.add_backends(answer_with('200 OK', 'fine'))
+    status, _, _ = await harness.send_request('/read/x', *RESUME)
+    assert status == 200
