Leave a timeout alone that is just ending

A router that had been paused ended by itself at its wake: abort_waits_on_silent_hosts moved the timeout of a wait that had just run out, asyncio raised RuntimeError ('Cannot change state of expiring Timeout'), the publishing task failed, and the process stopped. Callers of this router got 503 until then.

Timeouts of calls in flight are moved the same way (changed route timeouts, a stopping router) and are mended with it. The test failed before with that error.

--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -31,6 +31,7 @@
     Withheld,
 )
 from lagoonflow.relay.streaming import Progress
+from lagoonflow.relay.timers import move_timeout
 from lagoonflow.relay.waits import AnswerTimeout
 from lagoonflow.results import Refusal, Result
 from lagoonflow.retries.budget import RetryBudgets
@@ -342,7 +343,7 @@
     if limit_ms < admitted.deadline_at_ms:
         admitted.deadline_at_ms = limit_ms
         left_s = max(limit_ms - boottime_ms(), 0) / MS_PER_S
-        timer.reschedule(asyncio.get_running_loop().time() + left_s)
+        move_timeout(timer, asyncio.get_running_loop().time() + left_s)
 
 
 def _answer_timeout(
--- /dev/null
+++ b/lagoonflow/relay/timers.py
@@ -0,0 +1,12 @@
+"""Moving of timeouts that may be about to end."""
+
+import asyncio
+
+
+def move_timeout(timer: asyncio.Timeout, at_s: float) -> None:
+    """Let a timeout end at a time, unless it is ending already.
+
+    :param at_s: time of the event loop, in s.
+    """
+    if not timer.expired():
+        timer.reschedule(at_s)
--- a/lagoonflow/relay/waits.py
+++ b/lagoonflow/relay/waits.py
@@ -7,6 +7,7 @@
 
 from lagoonflow.backends.liveness import HostLiveness
 from lagoonflow.relay.admission import AdmittedCall
+from lagoonflow.relay.timers import move_timeout
 
 # A host that has sent nothing for this long is paused or unreachable: its agent
 # repeats its state each 500 ms, and two in a row may be lost.
@@ -79,4 +80,4 @@
                 continue
             left_ms = wait.admitted.start_time_left_ms(now_ms)
             if wait.may_retry or left_ms < CALLER_LEAVES_MARGIN_MS:
-                wait.timer.reschedule(loop.time())
+                move_timeout(wait.timer, loop.time())
--- a/tests/relay/test_silence.py
+++ b/tests/relay/test_silence.py
@@ -40,6 +40,16 @@
     assert body.endswith(b'0\r\n\r\n')
 
 
+async def test_a_wait_that_is_just_ending_may_be_aborted_again():
+    harness = RelayHarness()
+    pending_answer = await send_then_fall_silent(harness, '/resume/x')
+    harness.sender.waits.abort_waits_on_silent_hosts(boottime_ms())
+    await asyncio.sleep(0)
+    harness.sender.waits.abort_waits_on_silent_hosts(boottime_ms())
+    status, _, _ = await asyncio.wait_for(pending_answer, 0.5)
+    assert status == 200
+
+
 async def test_an_unrepeatable_request_waits_in_case_the_host_recovers():
     harness = RelayHarness()
     pending_answer = await send_then_fall_silent(harness, '/once/x')
