--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -10,7 +10,7 @@
     # had printed nothing. It may then end by the signal.
     (7, 10, 'a planned stop of a process that has not started'),
     # A router that had been paused moved a timeout that was just ending.
-    (493953, 10, 'the publishing task failed and ended its process'),
+    (493953, 20, 'the publishing task failed and ended its process'),
 ]
 
 
