--- a/lagoonflow/relay/call_log.py
+++ b/lagoonflow/relay/call_log.py
@@ -15,6 +15,8 @@
 from lagoonflow.relay.streaming import Progress
 from lagoonflow.results import Refusal
 
+# Parts of a prompt that a log line names at most.
+MAX_LOGGED_PARTS = 8
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.5, 0.8, 1.5, 2.5, 5, 10, 20)
 
 
@@ -131,6 +133,8 @@
         if record.call.model:
             fields['model'] = record.call.model
             fields['adapter'] = record.call.adapter
+        if record.call.shared_parts:
+            fields['prompt'] = record.call.shared_parts[:MAX_LOGGED_PARTS]
         if admitted is not None:
             fields['route'] = admitted.route.name
             fields['urgency'] = admitted.urgency
--- a/lagoonflow/relay/messages.py
+++ b/lagoonflow/relay/messages.py
@@ -57,6 +57,14 @@
         """Tokens charged for the request; 0 when unstated."""
         return self.input_tokens + self.output_tokens
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the prompt parts that other requests may share.
+
+        The last part belongs to the request or its session alone.
+        """
+        return tuple(part.part_id for part in self.prompt[:-1])
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
