--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -1,6 +1,7 @@
 """Stand-in for a model runner or a plain application server."""
 
 import asyncio
+import os
 import time
 import uuid
 from collections import Counter
@@ -28,6 +29,8 @@
 EVENTS_PER_STREAM = 6
 SEAL = 'sealed'
 PAUSE_S = '0.4'
+# Time from the first event on a crashing part to the crash, in s.
+CRASH_DELAY_S = 0.05
 
 
 class RunnerFaults(Faults, frozen=True, kw_only=True):
@@ -44,6 +47,8 @@
     :param reject: reject every request as not executed, and ask for a pause.
     :param is_leaving: register with the state `draining`, and say so in
         answers.
+    :param crash_on_part: end the process once it begins to answer a request
+        with this part in its prompt; empty for none.
     """
 
     lose_answers: int = 0
@@ -52,6 +57,7 @@
     late_orders: int = 0
     reject: bool = False
     is_leaving: bool = False
+    crash_on_part: str = ''
 
 
 class OrderBody(msgspec.Struct, frozen=True):
@@ -280,6 +286,7 @@
 
     async def _events(self, request: Request) -> AsyncIterator[bytes]:
         first = int(request.headers.get('last-event-id') or 0) + 1
+        crashing_part = self._switch.current.crash_on_part
         is_cut = self._switch.use_one('cut_streams')
         is_ended = not is_cut and self._switch.use_one('end_streams')
         try:
@@ -295,10 +302,20 @@
                     return
                 piece = f'piece {number} {self._software_version}'
                 yield f'id: {number}\ndata: {piece}\n\n'.encode()
+                await _crash_on_part(request, crashing_part)
         finally:
             self._active -= 1
 
 
+async def _crash_on_part(request: Request, crashing_part: str) -> None:
+    """End the process if a request has a part in its prompt."""
+    prompt = request.headers.get('prompt-prefix', '')
+    parts = {part.partition(':')[0] for part in prompt.split(',')}
+    if crashing_part and crashing_part in parts:
+        await asyncio.sleep(CRASH_DELAY_S)
+        os._exit(1)
+
+
 def main() -> None:
     """Read the flags and serve."""
     parser = build_parser('Model runner or plain server.')
--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -253,6 +253,10 @@
 
     async def connect(self):
         await self.http.listen('127.0.0.1:0')
+        return await self.open_connection()
+
+    async def open_connection(self):
+        """Connect to the relay, which listens already."""
         port = self.http._server.sockets[0].getsockname()[1]
         return await asyncio.open_connection('127.0.0.1', port)
 
