Give the test of a call's log line a logger of its own

In a full run the test failed, as loggers that other tests have used before aren't captured. It passed alone, and checks the same fields now.

--- a/tests/relay/test_call_log.py
+++ b/tests/relay/test_call_log.py
@@ -1,14 +1,24 @@
 """Tests of the log line of each call."""
 
-from structlog.testing import capture_logs
-
 from tests.relay.harness import RelayHarness, answer_with
 
 
+class RecordingLog:
+    """A logger that keeps the fields of its lines."""
+
+    def __init__(self) -> None:
+        self.lines = []
+
+    def info(self, event, **fields) -> None:
+        self.lines.append({'event': event, **fields})
+
+
 async def test_the_line_of_a_call_names_the_shared_parts_of_its_prompt():
     harness = RelayHarness()
+    log = RecordingLog()
+    harness.calls._call_log._log = log
     await harness.add_backends(answer_with('200 OK', 'fine'))
-    with capture_logs() as lines:
-        await harness.send_request('/read/x', 'Prompt-Prefix: a1:9,b2:4,c3:1')
-    ended = [line for line in lines if line['event'] == 'ended']
-    assert ended[0]['prompt'] == ('a1', 'b2')
+    await harness.send_request('/read/x', 'Prompt-Prefix: a1:9,b2:4,c3:1')
+    (line,) = log.lines
+    assert line['event'] == 'ended'
+    assert line['prompt'] == ('a1', 'b2')
