Refuse prompt parts that crash one server after the other

Callers saw 502 and broken streams, of sound requests on the same servers too, while a part of a prompt ended up to 14 servers.

Cause: a router counted a crash against the server only. Nothing was remembered about the request, so the next one with that part went to the next server; and nothing was shared, so each router would have had to learn alone. Class of fault: a failure is charged to the place where it shows, not to what all its occurrences have in common.

Change: routers collect which shared parts were in requests whose answers had just begun when a server crashed, tell each other and write it to the store. A part that explains three crashes, and isn't cleared by an answer, is refused at once at all routers, with 503 and the time until the evidence is forgotten.

--- /dev/null
+++ b/lagoonflow/crashes/blame.py
@@ -0,0 +1,155 @@
+"""Decides which prompt parts are to blame for crashes of servers."""
+
+import dataclasses
+from collections.abc import Iterable
+
+from lagoonflow.gossip.messages import CrashEntry
+
+# Crashes after which a part is blamed, if no request with it was ever answered.
+MIN_CRASHES = 3
+# The same for a part on which requests have been answered before.
+MIN_CRASHES_OF_PROVEN_PART = 6
+# A part is blamed only if it explains this share of the crashes since its
+# first one; otherwise servers also crash without it.
+MIN_SHARE = 0.4
+# Servers that crash within this time, in ms, may crash for one reason.
+TOGETHER_MS = 250
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Blame:
+    """Prompt parts that crash servers when a request has all of them.
+
+    Parts that occurred together in each of their crashes can't be told apart.
+
+    :param crashed_at_ms: wall clock of the crashes that prove it, in order.
+    """
+
+    parts: frozenset[str]
+    crashed_at_ms: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Suspicion:
+    """A part and the crashes that it may have caused.
+
+    :param crash_ids: all of them, by instance and start of the server.
+    :param at_ms: wall clock of those whose request was sent after the one
+        before; only these count.
+    :param explained: their number, each multiplied by the share of the servers
+        that crashed at the time and had a request with the part.
+    :param share: the same, relative to all occasions since the first crash.
+    """
+
+    part: str
+    crash_ids: frozenset[tuple[str, int]]
+    at_ms: tuple[int, ...]
+    explained: float
+    share: float
+
+    @property
+    def rank(self) -> tuple[float, int, str]:
+        """Sort key; the most suspicious part has the highest."""
+        return self.explained, len(self.crash_ids), self.part
+
+
+def find_blame(crashes: Iterable[CrashEntry]) -> tuple[Blame, ...]:
+    """Return the parts that are to blame for crashes.
+
+    The most suspicious part comes first. Crashes that it explains don't count
+    against the parts that were in flight beside it.
+    """
+    unexplained = sorted(crashes, key=lambda crash: crash.at_ms)
+    proven = {part for crash in unexplained for part in crash.proven}
+    blames: list[Blame] = []
+    for is_proven, min_crashes in (
+        (False, MIN_CRASHES),
+        (True, MIN_CRASHES_OF_PROVEN_PART),
+    ):
+        while True:
+            suspicions = _find_suspicions(unexplained)
+            guilty = [
+                suspicion
+                for suspicion in suspicions
+                if (suspicion.part in proven) == is_proven
+                and suspicion.explained >= min_crashes
+                and suspicion.share >= MIN_SHARE
+            ]
+            if not guilty:
+                break
+            worst = max(guilty, key=lambda suspicion: suspicion.rank)
+            inseparable = frozenset(
+                suspicion.part
+                for suspicion in suspicions
+                if suspicion.crash_ids == worst.crash_ids
+            )
+            blames.append(Blame(inseparable, worst.at_ms))
+            unexplained = [
+                crash
+                for crash in unexplained
+                if crash.crash_id not in worst.crash_ids
+            ]
+    return tuple(blames)
+
+
+def _find_suspicions(crashes: list[CrashEntry]) -> list[_Suspicion]:
+    """Return the parts that occur in enough crashes to be blamed."""
+    crashes_by_part: dict[str, list[CrashEntry]] = {}
+    for crash in crashes:
+        for suspect in crash.suspects:
+            crashes_by_part.setdefault(suspect, []).append(crash)
+    return [
+        _suspect(part, under_it, crashes)
+        for part, under_it in crashes_by_part.items()
+        if len(under_it) >= MIN_CRASHES
+    ]
+
+
+def _suspect(
+    part: str, under_it: list[CrashEntry], crashes: list[CrashEntry]
+) -> _Suspicion:
+    independent = _independent_crashes(part, under_it)
+    explained = sum(
+        _count_together(crash, under_it) / _count_together(crash, crashes)
+        for crash in independent
+    )
+    others = _count_occasions_without(under_it, crashes)
+    return _Suspicion(
+        part,
+        frozenset(crash.crash_id for crash in under_it),
+        tuple(crash.at_ms for crash in independent),
+        explained,
+        explained / (explained + others),
+    )
+
+
+def _independent_crashes(
+    part: str, under_it: list[CrashEntry]
+) -> list[CrashEntry]:
+    """Return the crashes whose request was sent after the one before."""
+    independent: list[CrashEntry] = []
+    for crash in under_it:
+        sent_at_ms = crash.at_ms - crash.suspect_ages_ms[part]
+        if not independent or sent_at_ms > independent[-1].at_ms:
+            independent.append(crash)
+    return independent
+
+
+def _count_together(crash: CrashEntry, crashes: list[CrashEntry]) -> int:
+    """Count the crashes that may have the same cause as one of them."""
+    return sum(abs(one.at_ms - crash.at_ms) < TOGETHER_MS for one in crashes)
+
+
+def _count_occasions_without(
+    under_it: list[CrashEntry], crashes: list[CrashEntry]
+) -> int:
+    """Count the times since the first crash when servers crashed without it."""
+    occasions = 0
+    occasion_ms = float('-inf')
+    for crash in crashes:
+        since_ms = crash.at_ms - max(under_it[0].at_ms, occasion_ms)
+        if since_ms < TOGETHER_MS or _count_together(crash, under_it):
+            continue
+        occasions += 1
+        occasion_ms = crash.at_ms
+    return occasions
--- /dev/null
+++ b/lagoonflow/crashes/watch.py
@@ -0,0 +1,168 @@
+"""Tells crashes of servers from other ends of connections."""
+
+import dataclasses
+
+from lagoonflow.backends.fleet import Fleet
+from lagoonflow.backends.messages import BackendServer
+from lagoonflow.crashes.evidence import CrashEvidence
+from lagoonflow.gossip.messages import CrashEntry
+
+# A request whose answer began longer ago has not caused the crash.
+SUSPECT_MS = 600
+# An ended connection counts as a sign of a crash for this long.
+SIGN_MS = 3000
+# A confirmed crash is extended by further ended connections for this long.
+CONFIRMED_MS = 10_000
+# Connections that end together lead to one check of their server.
+CHECK_INTERVAL_MS = 50
+# Parts of one request that are suspected at most, and their greatest length.
+MAX_PARTS = 32
+MAX_PART_LENGTH = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BrokenSend:
+    """A request whose connection the server's side has ended.
+
+    :param parts: shared parts of its prompt.
+    :param sent_at_ms: boot time of the send.
+    :param has_begun: the head of the answer had arrived.
+    :param first_part_at_ms: boot time of the first part of the answer's body;
+        ``None`` before it.
+    """
+
+    server: BackendServer
+    parts: tuple[str, ...]
+    sent_at_ms: float
+    has_begun: bool
+    first_part_at_ms: float | None
+
+    def is_suspect(self, now_ms: float) -> bool:
+        """Return whether the answer had just begun, or had not."""
+        if self.first_part_at_ms is None:
+            return True
+        return now_ms - self.first_part_at_ms < SUSPECT_MS
+
+
+@dataclasses.dataclass(slots=True)
+class _Signs:
+    """Ended connections of one start of a server.
+
+    :ivar begun_sent_ms: boot time of the newest send by suspected part, for
+        requests whose answers had begun.
+    :ivar waiting_sent_ms: the same for those whose answers had not.
+    :ivar checked_at_ms: boot time of the newest check of the server.
+    :ivar confirmed_at_ms: boot time at which the crash was confirmed.
+    """
+
+    server: BackendServer
+    first_at_ms: float
+    begun_sent_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    waiting_sent_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    checked_at_ms: float = float('-inf')
+    confirmed_at_ms: float | None = None
+
+    def add(self, broken: BrokenSend, parts: list[str]) -> None:
+        """Add the parts of a request as suspects."""
+        table = self.begun_sent_ms if broken.has_begun else self.waiting_sent_ms
+        for part in parts:
+            known_ms = table.get(part, broken.sent_at_ms)
+            table[part] = max(broken.sent_at_ms, known_ms)
+
+    def ages_ms(self, sent_ms: dict[str, float]) -> dict[str, int]:
+        """Return the time from sends to the first sign of the crash."""
+        return {
+            part: max(int(self.first_at_ms - sent_at_ms), 0)
+            for part, sent_at_ms in sorted(sent_ms.items())
+        }
+
+    def is_over(self, now_ms: float) -> bool:
+        """Return whether nothing more will come of these signs."""
+        if self.confirmed_at_ms is None:
+            return now_ms - self.first_at_ms > SIGN_MS
+        return now_ms - self.confirmed_at_ms > CONFIRMED_MS
+
+
+class CrashWatch:
+    """Reports a crash once a server whose connections ended is down.
+
+    :param fleet: what agents and the listing of servers say of them.
+    :param evidence: receives the crashes.
+    """
+
+    def __init__(self, fleet: Fleet, evidence: CrashEvidence) -> None:
+        """Start without signs of crashes."""
+        self._fleet = fleet
+        self._evidence = evidence
+        self._signs: dict[tuple[str, int], _Signs] = {}
+
+    def note_broken(
+        self, broken: BrokenSend, now_ms: float, wall_ms: int
+    ) -> bool:
+        """Record an ended connection.
+
+        :returns: whether it should be checked now that the server listens.
+        """
+        parts = [
+            part
+            for part in broken.parts[:MAX_PARTS]
+            if len(part) <= MAX_PART_LENGTH
+        ]
+        if not parts or not broken.is_suspect(now_ms):
+            return False
+        key = _key(broken.server)
+        signs = self._signs.get(key)
+        if signs is None or signs.is_over(now_ms):
+            signs = _Signs(broken.server, now_ms)
+            self._signs[key] = signs
+        signs.add(broken, parts)
+        if signs.confirmed_at_ms is not None:
+            self._report(signs, now_ms, wall_ms)
+            return False
+        if now_ms - signs.checked_at_ms < CHECK_INTERVAL_MS:
+            return False
+        signs.checked_at_ms = now_ms
+        return True
+
+    def confirm(
+        self, server: BackendServer, now_ms: float, wall_ms: int
+    ) -> None:
+        """Report the crash of a server that no longer accepts connections."""
+        signs = self._signs.get(_key(server))
+        if signs is not None and signs.confirmed_at_ms is None:
+            signs.confirmed_at_ms = now_ms
+            self._report(signs, now_ms, wall_ms)
+
+    def confirm_by_fleet(self, now_ms: float, wall_ms: int) -> None:
+        """Report crashes that agents or the listing of servers show."""
+        for key, signs in list(self._signs.items()):
+            if signs.is_over(now_ms):
+                self._signs.pop(key)
+            elif signs.confirmed_at_ms is None and self._is_down(
+                signs.server, now_ms
+            ):
+                self.confirm(signs.server, now_ms, wall_ms)
+
+    def _is_down(self, server: BackendServer, now_ms: float) -> bool:
+        agent = self._fleet.agent(server, now_ms)
+        if agent is not None and agent.is_down:
+            return True
+        return any(
+            other.address == server.address and _key(other) != _key(server)
+            for other in self._fleet.roster.all()
+        )
+
+    def _report(self, signs: _Signs, now_ms: float, wall_ms: int) -> None:
+        crash_age_ms = int(now_ms - signs.first_at_ms)
+        crash = CrashEntry(
+            signs.server.instance,
+            signs.server.started_ms,
+            wall_ms - crash_age_ms,
+            signs.ages_ms(signs.begun_sent_ms),
+            signs.ages_ms(signs.waiting_sent_ms),
+        )
+        self._evidence.report(crash, wall_ms)
+
+
+def _key(server: BackendServer) -> tuple[str, int]:
+    return server.instance, server.started_ms
--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -186,7 +186,53 @@
     origins: tuple[OriginEntry, ...] = ()
 
 
-Message = RouterState | AgentState | MeterState | OriginsState
+class CrashEntry(msgspec.Struct, array_like=True, frozen=True):
+    """A crash of a backend server, with the requests that it had just begun.
+
+    :param started_ms: wall clock of the start of the server that crashed.
+    :param at_ms: wall clock of the crash.
+    :param request_ages_ms: prompt parts of requests whose answers had just
+        begun, with the time from the newest send to the crash, in ms.
+    :param waiting_ages_ms: the same for requests whose answers had not begun.
+    :param proven: those parts on which requests had been answered before.
+    :param cleared: those parts on which requests have been answered since.
+    """
+
+    instance: str
+    started_ms: int
+    at_ms: int
+    request_ages_ms: dict[str, int]
+    waiting_ages_ms: dict[str, int] = {}
+    proven: tuple[str, ...] = ()
+    cleared: tuple[str, ...] = ()
+
+    @property
+    def crash_id(self) -> tuple[str, int]:
+        """Identity of the start of the server that crashed."""
+        return self.instance, self.started_ms
+
+    @property
+    def suspects(self) -> frozenset[str]:
+        """Parts that may have caused the crash.
+
+        Those of waiting requests are suspected only if no answer had begun.
+        """
+        return frozenset(self.suspect_ages_ms).difference(self.cleared)
+
+    @property
+    def suspect_ages_ms(self) -> dict[str, int]:
+        """Ages of the requests that may have caused the crash, by part."""
+        return self.request_ages_ms or self.waiting_ages_ms
+
+
+class CrashesState(_Message):
+    """Crashes of backend servers, sent to the other routers."""
+
+    router: str
+    crashes: tuple[CrashEntry, ...] = ()
+
+
+Message = RouterState | AgentState | MeterState | OriginsState | CrashesState
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/lagoonflow/http1/messages.py
+++ b/lagoonflow/http1/messages.py
@@ -77,6 +77,11 @@
         super().__init__(reason)
         self.stage = stage
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether no process listens at the address of the server."""
+        return isinstance(self.__cause__, ConnectionRefusedError)
+
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first header with this lower-case name, if any."""
--- a/lagoonflow/platform/store.py
+++ b/lagoonflow/platform/store.py
@@ -19,6 +19,7 @@
 CONFIGURATION_KEY = 'config'
 SERVERS_TOPIC = 'keyed.servers'
 MEMBERS_TOPIC = 'keyed.lagoonflow-members'
+CRASHES_TOPIC = 'keyed.lagoonflow-crashes'
 
 OK_STATUS = 200
 GONE_STATUS = 410
--- a/lagoonflow/relay/admission.py
+++ b/lagoonflow/relay/admission.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from lagoonflow.clock import wall_clock_ms
+from lagoonflow.crashes.evidence import CrashEvidence, blamed_for_ms
 from lagoonflow.declared.messages import (
     Organisation,
     Route,
@@ -95,6 +97,7 @@
     :param withdrawal_ms: time in ms after which a withdrawn key must not be
         accepted; 0 for no such bound.
     :param version_rule: at which software version a resumed stream may run.
+    :param crashes: which prompt parts crash servers.
     """
 
     def __init__(
@@ -103,9 +106,11 @@
         rate_limiter: FleetRateLimiter,
         withdrawal_ms: float,
         version_rule: VersionRule,
+        crashes: CrashEvidence,
     ) -> None:
         """Set the greatest age at which the configuration is trusted."""
         self._version_rule = version_rule
+        self._crashes = crashes
         self._view = view
         self._rate_limiter = rate_limiter
         self._max_view_age_ms = float('inf')
@@ -129,6 +134,9 @@
         organisation = self._authenticate(call, route, now_ms)
         if isinstance(organisation, Refusal):
             return organisation
+        crashing = self.refuse_crashing_prompt(call)
+        if crashing is not None:
+            return crashing
         # A resumed stream goes on at the service that began it.
         service_name = pick_service(
             route, call.resumed_request_id or call.request_id
@@ -161,6 +169,23 @@
             return Refusal(Result.KEY_UNKNOWN, 'the API key was withdrawn')
         return None
 
+    def refuse_crashing_prompt(self, call: Call) -> Refusal | None:
+        """Refuse a call whose prompt has a part that crashes servers.
+
+        :return: ``None`` when the call may be sent.
+        """
+        part_ids = [part.part_id for part in call.prompt]
+        blame = self._crashes.find_blame(part_ids)
+        if blame is None:
+            return None
+        named = ', '.join(sorted(blame.parts))
+        return Refusal(
+            Result.PROMPT_CRASHES_SERVERS,
+            f'{len(blame.crashed_at_ms)} servers crashed under requests with'
+            f' the prompt part {named}',
+            retry_after_ms=blamed_for_ms(blame, wall_clock_ms()),
+        )
+
     def refund(self, admitted: AdmittedCall) -> None:
         """Refund the charge of a call that has not run."""
         if admitted.organisation is not None and admitted.charged_tokens:
--- a/lagoonflow/relay/placing.py
+++ b/lagoonflow/relay/placing.py
@@ -13,7 +13,7 @@
     Wake,
 )
 from lagoonflow.clock import boottime_ms
-from lagoonflow.relay.admission import AdmittedCall
+from lagoonflow.relay.admission import Admission, AdmittedCall
 from lagoonflow.relay.attempts import BUSY_RETRY_MS, Attempts
 from lagoonflow.relay.call_log import CallRecord
 from lagoonflow.relay.changes import ChangeNotifier
@@ -53,8 +53,12 @@
     :ivar load_requests_changed: set when agents must be sent load requests.
     """
 
-    def __init__(self, chooser: Chooser) -> None:
-        """Place calls by the choices of a chooser."""
+    def __init__(self, chooser: Chooser, admission: Admission) -> None:
+        """Place calls by the choices of a chooser.
+
+        :param admission: refuses calls that must no longer be sent.
+        """
+        self._admission = admission
         self.load_requests = LoadRequests()
         self.fleet_changed = ChangeNotifier()
         self.load_requests_changed = asyncio.Event()
@@ -77,6 +81,8 @@
         while True:
             choice = self._choose(admitted, attempts, requested, now_ms)
             match choice:
+                case Refusal():
+                    return attempts.correct_not_run(choice)
                 case Send():
                     self.load_requests.remove(admitted)
                     record.note_choice(choice, now_ms)
@@ -98,9 +104,9 @@
                 )
                 self.load_requests_changed.set()
                 return _too_late(choice, attempts)
-            if requested.instance != choice.server.instance:
-                record.note_choice(choice, now_ms)
-            self._request_load(admitted, attempts, requested, choice, now_ms)
+            self._request_load(
+                record, admitted, attempts, requested, choice, now_ms
+            )
             await self.fleet_changed.wait(RECHECK_MS)
             now_ms = boottime_ms()
 
@@ -110,7 +116,10 @@
         attempts: Attempts,
         requested: _RequestedLoad,
         now_ms: float,
-    ) -> Choice:
+    ) -> Choice | Refusal:
+        refusal = self._admission.refuse_crashing_prompt(admitted.call)
+        if refusal is not None:
+            return refusal
         requirements = Requirements(
             admitted.call,
             admitted.service,
@@ -123,6 +132,7 @@
 
     def _request_load(
         self,
+        record: CallRecord,
         admitted: AdmittedCall,
         attempts: Attempts,
         requested: _RequestedLoad,
@@ -133,6 +143,7 @@
         instance = wake.server.instance
         attempts.rejecting.discard(instance)
         if requested.instance != instance:
+            record.note_choice(wake, now_ms)
             requested.instance = instance
             requested.give_up_at_ms = now_ms + wake.ready_in_ms + WAKE_SLACK_MS
         elif now_ms > requested.give_up_at_ms and not wake.is_load_pending:
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -13,6 +13,7 @@
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.backends.names import full_name
 from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.crashes.watch import BrokenSend
 from lagoonflow.http1.client import ClientConnection, ConnectionPool
 from lagoonflow.http1.messages import (
     LENGTH_HEADER,
@@ -24,6 +25,7 @@
 )
 from lagoonflow.http1.server import ResponseWriter
 from lagoonflow.relay.admission import Admission, AdmittedCall
+from lagoonflow.relay.crash_monitor import CrashMonitor
 from lagoonflow.relay.messages import Answer, Target
 from lagoonflow.relay.ports import CallCodec
 from lagoonflow.relay.streaming import AnswerStream, Progress
@@ -34,6 +36,9 @@
 # A connection must open within this time; a host on the same network accepts
 # within a few ms.
 CONNECT_TIMEOUT_MS = 400
+# A part of an answer that comes this long after the first one proves that the
+# prompt does not crash its server.
+PROVEN_AFTER_MS = 1000
 # Answers other than event streams are read whole, up to this length.
 MAX_BODY_BYTES = 16_777_216
 # Callers take these statuses to mean that their request has not run. A server's
@@ -97,17 +102,39 @@
         self._choice = choice
         self._health = fleet.health(choice.server.instance)
         self._tokens = choice.prefill_tokens
-        self._health.begin_wait(id(self), boottime_ms())
+        self.sent_at_ms = boottime_ms()
+        self.has_begun = False
+        self.first_part_at_ms: float | None = None
+        self.last_part_at_ms: float | None = None
+        self._health.begin_wait(id(self), self.sent_at_ms)
 
     def note_answer(self) -> None:
         """Record that the answer has begun, and how late it began."""
         now_ms = boottime_ms()
+        self.has_begun = True
         began_ms = self._health.end_wait(id(self))
         if began_ms is not None:
             lag_ms = now_ms - began_ms - self._choice.cost_ms
             self._health.note_lag(max(lag_ms, 0), now_ms)
         self.finish()
 
+    def note_part(self) -> None:
+        """Record that a part of the answer's body has arrived."""
+        now_ms = boottime_ms()
+        self._fleet.liveness.note_answer_part(
+            self._choice.server.instance, now_ms
+        )
+        self.last_part_at_ms = now_ms
+        if self.first_part_at_ms is None:
+            self.first_part_at_ms = now_ms
+
+    @property
+    def proves_prompt(self) -> bool:
+        """Whether the server went on well after the answer had begun."""
+        if self.first_part_at_ms is None:
+            return False
+        return self.last_part_at_ms - self.first_part_at_ms > PROVEN_AFTER_MS
+
     def finish(self) -> None:
         """Stop counting the request; later calls change nothing."""
         self._health.end_wait(id(self))
@@ -129,9 +156,11 @@
         admission: Admission,
         codec: CallCodec,
         announce_stream: AnnounceStream,
+        crash_monitor: CrashMonitor,
     ) -> None:
         """Start with empty connection pools."""
         self._announce_stream = announce_stream
+        self._crash_monitor = crash_monitor
         self._log = structlog.get_logger(part='servers')
         self._fleet = fleet
         self._admission = admission
@@ -168,8 +197,9 @@
         self._fleet.begin_request(
             server.instance, name, boottime_ms(), choice.prefill_tokens
         )
+        outcome: Outcome | None = None
         try:
-            return await self._exchange(
+            outcome = await self._exchange(
                 admitted,
                 server,
                 connection,
@@ -178,10 +208,13 @@
                 prefill,
             )
         except ExchangeError as error:
+            if connection.channel.has_peer_closed:
+                self._note_broken(admitted, server, prefill)
             return Broken(str(error))
         finally:
             prefill.finish()
-            self._release(server, name, connection)
+            self._finish_send(admitted, choice, connection, prefill, outcome)
+        return outcome
 
     async def forward_whole(
         self, reply: ResponseWriter, answer: Answer, body: bytes
@@ -194,11 +227,31 @@
             head.status, head.reason, headers, body, head.framing
         )
 
-    def _release(
-        self, server: BackendServer, name: str, connection: ClientConnection
+    def _note_broken(
+        self, admitted: AdmittedCall, server: BackendServer, reading: _Reading
+    ) -> None:
+        broken = BrokenSend(
+            server,
+            admitted.call.shared_parts,
+            reading.sent_at_ms,
+            reading.has_begun,
+            reading.first_part_at_ms,
+        )
+        self._crash_monitor.note_broken(broken, self._pool(server))
+
+    def _finish_send(
+        self,
+        admitted: AdmittedCall,
+        choice: Send,
+        connection: ClientConnection,
+        reading: _Reading,
+        outcome: Outcome | None,
     ) -> None:
-        self._fleet.end_request(server.instance, name)
-        self._pool(server).release(connection)
+        if isinstance(outcome, Delivered) or reading.proves_prompt:
+            self._crash_monitor.note_answered(admitted.call.shared_parts)
+        name = full_name(admitted.call.model, admitted.call.adapter)
+        self._fleet.end_request(choice.server.instance, name)
+        self._pool(choice.server).release(connection)
 
     async def _connect(
         self, server: BackendServer, admitted: AdmittedCall
@@ -224,6 +277,9 @@
     ) -> Outcome:
         now_ms = boottime_ms()
         refusal = self._admission.recheck_key(admitted, now_ms)
+        if refusal is not None:
+            return Withheld(refusal)
+        refusal = self._admission.refuse_crashing_prompt(admitted.call)
         if refusal is not None:
             return Withheld(refusal)
         if not may_send(self._fleet, server, now_ms):
@@ -245,7 +301,7 @@
                 progress,
                 answer.head,
                 self._codec.forwarded_answer_headers(answer.head),
-                functools.partial(self._note_part, server.instance),
+                prefill.note_part,
                 functools.partial(self._note_start, admitted, server, progress),
             )
             await stream.relay(answer_timeout.timeout_ms)
--- a/lagoonflow/results.py
+++ b/lagoonflow/results.py
@@ -46,6 +46,7 @@
     STREAM_BROKEN = 504
     CALLER_GONE = 505
     INTERNAL = 506
+    PROMPT_CRASHES_SERVERS = 507
     # 6xx: between routers and agents.
     STALE_VIEW = 601
     NOT_HOME = 602
--- a/lagoonflow/results_text.py
+++ b/lagoonflow/results_text.py
@@ -157,6 +157,10 @@
         'An internal error occurred.',
         'Report it with the log lines of the request.',
     ),
+    Result.PROMPT_CRASHES_SERVERS: Explanation(
+        'Backend servers crash when they answer a part of the prompt.',
+        'Leave that part out, or retry after the time in Retry-After.',
+    ),
 }
 _PEER_CODES: Mapping[Result, Explanation] = {
     Result.STALE_VIEW: Explanation(
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -11,11 +11,13 @@
 from lagoonflow.backends.choosing import Chooser
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.clock import MS_PER_S, boottime_ms, wall_clock_ms
+from lagoonflow.crashes.evidence import CrashEvidence
 from lagoonflow.declared.topic_follower import TopicFollower
 from lagoonflow.declared.view import DeclaredView
 from lagoonflow.gossip.members import Members
 from lagoonflow.gossip.messages import (
     AgentState,
+    CrashesState,
     Message,
     MeterState,
     OriginsState,
@@ -26,6 +28,7 @@
 from lagoonflow.platform.settings import PlatformSettings
 from lagoonflow.platform.store import (
     CONFIGURATION_TOPIC,
+    CRASHES_TOPIC,
     MEMBERS_TOPIC,
     POLL_TIMEOUT_MARGIN_MS,
     SERVERS_TOPIC,
@@ -38,6 +41,7 @@
 )
 from lagoonflow.relay.admission import Admission
 from lagoonflow.relay.call_log import CallLog
+from lagoonflow.relay.crash_monitor import CrashMonitor
 from lagoonflow.relay.sending import Sender
 from lagoonflow.relay.serving import CallService
 from lagoonflow.resumption.decision import VersionRule
@@ -45,6 +49,7 @@
 from lagoonflow.resumption.versions import VersionHistory
 from lagoonflow.retries.budget import RetryBudgets
 from lagoonflow.wiring.platform_admin import AdminServer
+from lagoonflow.wiring.platform_crashes import CrashesFeed, CrashPublisher
 from lagoonflow.wiring.platform_feeds import (
     ConfigurationFeed,
     MembersFeed,
@@ -68,6 +73,7 @@
 CONFIGURATION_WAIT_MS = 1800
 SERVERS_WAIT_MS = 500
 MEMBERS_WAIT_MS = 20_000
+CRASHES_WAIT_MS = 20_000
 # Pause after a page of records, in ms.
 CONFIGURATION_GATHER_MS = 20
 # Longest pause after a page of server entries, in ms. Entries arrive without
@@ -77,6 +83,7 @@
 # Time for the read after one that got no answer, in ms.
 SERVERS_RETRY_MS = 500
 MEMBERS_GATHER_MS = 300
+CRASHES_GATHER_MS = 1000
 # Oldest confirmation of the configuration with which the router reports that
 # it is ready, in ms. An older one means that a read was missed; callers should
 # use other routers before this one has to refuse keys.
@@ -108,11 +115,14 @@
         self._rate_limiter = FleetRateLimiter(now_ms, wall_clock_ms())
         origins = StreamOrigins()
         self._versions = VersionHistory()
+        self._crashes = CrashEvidence()
+        self._crash_monitor = CrashMonitor(self._fleet, self._crashes)
         self._admission = Admission(
             self._view,
             self._rate_limiter,
             settings.withdrawal_ms,
             VersionRule(origins, self._versions),
+            self._crashes,
         )
         self._gossip = GossipSocket(self._receive)
         self._origin_publisher = OriginPublisher(
@@ -123,6 +133,7 @@
             self._admission,
             codec,
             self._origin_publisher.announce,
+            self._crash_monitor,
         )
         self._budgets = RetryBudgets(
             settings.retry_ratio,
@@ -154,6 +165,15 @@
         self._charge_publisher = ChargePublisher(
             settings, self._members, self._rate_limiter, self._gossip
         )
+        self._crashes_feed = CrashesFeed(self._crashes)
+        self._crash_publisher = CrashPublisher(
+            settings,
+            self._members,
+            self._crashes,
+            self._gossip,
+            self._store,
+            self._crashes_feed,
+        )
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish the open requests."""
@@ -196,6 +216,12 @@
             ),
             (SERVERS_TOPIC, SERVERS_WAIT_MS, servers_gather_ms, servers),
             (MEMBERS_TOPIC, MEMBERS_WAIT_MS, MEMBERS_GATHER_MS, members),
+            (
+                CRASHES_TOPIC,
+                CRASHES_WAIT_MS,
+                CRASHES_GATHER_MS,
+                self._crashes_feed,
+            ),
         ):
             yield TopicFollower(
                 self._store,
@@ -206,6 +232,7 @@
                 feed.on_failure,
             ).run()
         yield self._register()
+        yield self._crash_publisher.save()
         yield self._publish_updates()
 
     async def _register(self) -> None:
@@ -286,6 +313,8 @@
                 self._rate_limiter.apply_report(message.router, report, now_ms)
             case OriginsState():
                 self._origin_publisher.receive(message, now_ms)
+            case CrashesState():
+                self._crashes_feed.learn(message.crashes)
 
     # Updates to agents and other routers.
 
@@ -305,6 +334,9 @@
             )
             self._budgets.update_router_count(routers)
             self._origin_publisher.publish_due(now_ms)
+            self._crash_monitor.confirm_by_fleet()
+            if self._crash_publisher.publish_due(now_ms):
+                self._calls.placer.fleet_changed.notify()
             self._sender.waits.abort_waits_on_silent_hosts(now_ms)
             if self._fleet.roster.has_due_removals(now_ms):
                 self._apply_servers()
--- /dev/null
+++ b/tests/crashes/test_evidence.py
@@ -0,0 +1,127 @@
+"""Tests of the crashes that routers remember and share."""
+
+import itertools
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lagoonflow.crashes.evidence import (
+    MAX_CRASHES,
+    MEMORY_MS,
+    REPEAT_INTERVAL_MS,
+    CrashEvidence,
+    blamed_for_ms,
+)
+from lagoonflow.gossip.messages import CrashEntry, CrashesState, decode, encode
+
+NOW_MS = 10_000_000
+
+
+def crash(number, *parts, at_ms=None):
+    at_ms = NOW_MS + number * 1000 if at_ms is None else at_ms
+    return CrashEntry(f'i-{number}', 1, at_ms, dict.fromkeys(parts, 50))
+
+
+def blaming(*parts, crashes=3):
+    evidence = CrashEvidence()
+    for number in range(crashes):
+        evidence.report(crash(number, *parts), NOW_MS)
+    return evidence
+
+
+def test_requests_with_all_blamed_parts_are_found_and_others_are_not():
+    evidence = blaming('first', 'bad')
+    assert evidence.find_blame(['first', 'bad', 'own'])
+    assert not evidence.find_blame(['first', 'good', 'own'])
+
+
+def test_an_answer_clears_a_part_beside_the_crashing_one():
+    evidence = blaming('first', 'bad')
+    evidence.note_answer(['first', 'good'])
+    assert evidence.find_blame(['other', 'bad'])
+    assert not evidence.find_blame(['first', 'good'])
+
+
+def test_another_router_blames_the_same_part():
+    evidence = blaming('bad')
+    other = CrashEvidence()
+    message = decode(encode(CrashesState('r1', evidence.take_due(0))))
+    for entry in message.crashes:
+        other.learn(entry, NOW_MS)
+    assert other.find_blame(['bad'])
+    assert not other.has_unsaved
+
+
+def test_a_cleared_part_is_cleared_at_another_router():
+    evidence = blaming('good')
+    other = CrashEvidence()
+    for entry in evidence.entries():
+        other.learn(entry, NOW_MS)
+    other.note_answer(['good'])
+    for entry in other.take_due(0):
+        evidence.learn(entry, NOW_MS)
+    assert not evidence.find_blame(['good'])
+
+
+def test_changed_entries_are_repeated_as_datagrams_may_be_lost():
+    evidence = blaming('bad')
+    assert evidence.take_due(0)
+    assert not evidence.take_due(1)
+    assert evidence.take_due(REPEAT_INTERVAL_MS)
+
+
+def test_a_blame_ends_when_its_crashes_are_forgotten():
+    evidence = blaming('bad')
+    blame = evidence.find_blame(['bad'])
+    left_ms = blamed_for_ms(blame, NOW_MS)
+    assert left_ms == MEMORY_MS
+    evidence.drop_expired(NOW_MS + left_ms)
+    assert not evidence.find_blame(['bad'])
+
+
+def test_memory_stays_bounded_under_many_crashes():
+    evidence = CrashEvidence()
+    for number in range(4 * MAX_CRASHES):
+        evidence.report(crash(number, f'p-{number}', at_ms=NOW_MS), NOW_MS)
+        evidence.drop_expired(NOW_MS)
+    assert len(evidence.entries()) <= MAX_CRASHES
+
+
+def test_entries_of_older_routers_without_new_fields_are_read():
+    raw = msgspec.json.encode(['i-1', 1, NOW_MS, {'bad': 5}])
+    entry = msgspec.json.decode(raw, type=CrashEntry)
+    assert entry.suspects == {'bad'}
+
+
+_PARTS = st.sampled_from(['a', 'b', 'c'])
+_ENTRIES = st.builds(
+    CrashEntry,
+    instance=st.sampled_from(['i-1', 'i-2']),
+    started_ms=st.just(1),
+    at_ms=st.integers(NOW_MS, NOW_MS + 3),
+    request_ages_ms=st.dictionaries(_PARTS, st.integers(0, 5)),
+    waiting_ages_ms=st.dictionaries(_PARTS, st.integers(0, 5)),
+    proven=st.lists(_PARTS, unique=True).map(sorted).map(tuple),
+    cleared=st.lists(_PARTS, unique=True).map(sorted).map(tuple),
+)
+
+
+@given(st.lists(_ENTRIES, max_size=4))
+def test_routers_agree_in_whatever_order_entries_arrive(entries):
+    outcomes = set()
+    for order in itertools.permutations(entries):
+        evidence = CrashEvidence()
+        for entry in (*order, *order):
+            evidence.learn(entry, NOW_MS)
+        known = sorted(evidence.entries(), key=lambda one: one.crash_id)
+        outcomes.add(msgspec.json.encode([_sorted(one) for one in known]))
+    assert len(outcomes) == 1
+
+
+def _sorted(entry):
+    return msgspec.structs.replace(
+        entry,
+        request_ages_ms=dict(sorted(entry.request_ages_ms.items())),
+        waiting_ages_ms=dict(sorted(entry.waiting_ages_ms.items())),
+    )
--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -11,6 +11,7 @@
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.clock import boottime_ms
+from lagoonflow.crashes.evidence import CrashEvidence
 from lagoonflow.declared.messages import (
     DeclaredState,
     Organisation,
@@ -25,6 +26,7 @@
 from lagoonflow.quotas.fleet_rate_limiter import FleetRateLimiter, Limit
 from lagoonflow.relay.admission import Admission
 from lagoonflow.relay.call_log import CallLog
+from lagoonflow.relay.crash_monitor import CrashMonitor
 from lagoonflow.relay.sending import Sender
 from lagoonflow.relay.serving import CallService
 from lagoonflow.resumption.decision import VersionRule
@@ -209,12 +211,16 @@
         self.origins = StreamOrigins()
         self.versions = VersionHistory()
         rule = VersionRule(self.origins, self.versions)
-        admission = Admission(self.view, self.rate_limiter, 5000, rule)
+        self.crashes = CrashEvidence()
+        admission = Admission(
+            self.view, self.rate_limiter, 5000, rule, self.crashes
+        )
         self.sender = Sender(
             self.fleet,
             admission,
             codec,
             lambda origin: self.origins.record(origin, boottime_ms()),
+            CrashMonitor(self.fleet, self.crashes),
         )
         self.budgets = RetryBudgets(0.2, 50, 10_000)
         self.calls = CallService(
