Log the limit that a server names in its answers

No code read the header, so no line could tell who had heard of a limit and when. It is read now and logged; nothing else changes.

--- a/lagoonflow/platform/headers.py
+++ b/lagoonflow/platform/headers.py
@@ -59,6 +59,7 @@
 UNAVAILABLE_STATUS = 503
 LEAVING_HEADER = b'server-leaving'
 PAUSE_HEADER = b'retry-after'
+LIMIT_HEADER = b'server-limit'
 # Longer pauses are taken for this long.
 MAX_PAUSE_S = 600
 RESUME_HEADER = b'last-event-id'
@@ -143,6 +144,7 @@
         load=_parse_load(head.get(b'instance-load')),
         is_leaving=says_leaving(head.headers),
         pause_ms=parse_pause(head.status, head.headers),
+        limit_per_s=parse_limit(head.headers),
     )
 
 
@@ -179,6 +181,23 @@
     return max(pauses_s) * MS_PER_S if pauses_s else None
 
 
+def parse_limit(headers: Headers) -> float | None:
+    """Return the requests per second that a server takes from all routers.
+
+    Of several values the lowest counts.
+    """
+    limits_per_s: list[float] = []
+    for name, text in headers:
+        if name.lower() != LIMIT_HEADER:
+            continue
+        limit_per_s = _parse_number(text.decode('latin-1'))
+        if limit_per_s is None:
+            _LOG.warning('limit not readable', value=text.decode('latin-1'))
+        else:
+            limits_per_s.append(limit_per_s)
+    return min(limits_per_s, default=None)
+
+
 def _header_text(head: RequestHead, name: bytes) -> str:
     return (head.get(name) or b'').decode('latin-1').strip()
 
--- a/lagoonflow/relay/messages.py
+++ b/lagoonflow/relay/messages.py
@@ -106,6 +106,8 @@
     :param is_leaving: the server says that it is leaving.
     :param pause_ms: time in ms for which a full server wants no requests;
         ``None`` when unstated or malformed.
+    :param limit_per_s: requests per second that the server takes from all
+        routers together; ``None`` when unstated or malformed.
     """
 
     head: ResponseHead
@@ -116,6 +118,7 @@
     load: ServerLoad | None = None
     is_leaving: bool = False
     pause_ms: float | None = None
+    limit_per_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -367,6 +367,12 @@
             instance, started_ms
         ):
             self._log.info('server is leaving', server=instance)
+        if answer.limit_per_s is not None:
+            self._log.info(
+                'server named a limit',
+                server=instance,
+                limit_per_s=answer.limit_per_s,
+            )
         if answer.pause_ms:
             availability.note_pause(
                 instance, started_ms, answer.pause_ms, boottime_ms()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -170,3 +170,22 @@
 def test_a_malformed_or_ambiguous_resumed_attempt_counts_as_absent(values):
     headers = [(b'Resumes', text) for text in values]
     assert not call(*headers).resumed_request_id
+
+
+@pytest.mark.parametrize(
+    ('stated', 'limit_per_s'),
+    [
+        ((), None),
+        ((b'1.5',), 1.5),
+        ((b' 0 ',), 0),
+        ((b'4', b'2.5'), 2.5),
+        ((b'-1',), None),
+        ((b'nan',), None),
+        ((b'1e400',), None),
+        ((b'few', b'3'), 3),
+    ],
+)
+def test_the_lowest_readable_limit_of_a_server_counts(stated, limit_per_s):
+    headers = tuple((b'Server-Limit', text) for text in stated)
+    answer = decode_answer(ResponseHead(200, b'OK', headers))
+    assert answer.limit_per_s == limit_per_s
