--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -4,7 +4,7 @@
 import os
 import time
 import uuid
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import AsyncIterator
 from typing import Any
 from urllib.request import Request as PutRequest
@@ -29,6 +29,8 @@
 EVENTS_PER_STREAM = 6
 SEAL = 'sealed'
 PAUSE_S = '0.4'
+# Times of arrival that are remembered at most.
+MAX_ARRIVALS = 4000
 # Time from the first event on a crashing part to the crash, in s.
 CRASH_DELAY_S = 0.05
 
@@ -47,6 +49,8 @@
     :param reject: reject every request as not executed, and ask for a pause.
     :param is_leaving: register with the state `draining`, and say so in
         answers.
+    :param limit_per_s: requests per second that it says it takes; 0 for no
+        limit. Requests beyond it are served and counted.
     :param crash_on_part: end the process once it begins to answer a request
         with this part in its prompt; empty for none.
     """
@@ -57,6 +61,7 @@
     late_orders: int = 0
     reject: bool = False
     is_leaving: bool = False
+    limit_per_s: float = 0
     crash_on_part: str = ''
 
 
@@ -106,6 +111,7 @@
         self._busy = False
         self._active = 0
         self._ran: Counter[str] = Counter()
+        self._arrived_s: deque[float] = deque(maxlen=MAX_ARRIVALS)
         self._holders: set[str] = set()
         self._overcommitted = 0
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -138,6 +144,7 @@
             'instance': self._instance,
             'leaving': self._switch.current.is_leaving,
             'ran': dict(self._ran),
+            'arrived_s': list(self._arrived_s),
             'holders': sorted(self._holders),
             'overcommitted': self._overcommitted,
             'models': sorted(self._models),
@@ -251,10 +258,13 @@
 
     async def _run_request(self, request: Request) -> Response:
         body = await request.body()
+        self._arrived_s.append(time.monotonic())
         attempt = request.headers.get('attempt-id', '')
         headers = {'Attempt-Id': attempt, 'Instance-Load': '1,0,8'}
         if self._switch.current.is_leaving:
             headers['Server-Leaving'] = '1'
+        if self._switch.current.limit_per_s:
+            headers['Server-Limit'] = str(self._switch.current.limit_per_s)
         expected = request.headers.get('expect-instance', self._instance)
         if expected != self._instance or not self._has_model(request):
             return reply({}, MISDIRECTED, headers)
