Keep the limits that backend servers name, as a fleet

A server that took 1 request a second got 12 in 4 s from routers that it had told; 11 are allowed.

Cause: the header was never read. A server was chosen by its load alone, so whether it got too much was left to chance. Class of fault: what a server says of itself is used only if it stands in the listing or the load header; here, the third such statement after leaving and pauses, nothing read it.

Change: routers read it, tell each other, and divide it: a few routers use a limited server, each at even intervals. Calls wait for their turn in order if they can, else they are refused at once with a time of their own to return. An answer without the header lifts the limit, unless its request was older.

--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -61,11 +61,13 @@
     :param cost_ms: estimated cost of the server.
     :param prefill_tokens: prompt tokens that the server has not cached and
         must prefill.
+    :param wait_ms: time until the server's limit allows the request.
     """
 
     server: BackendServer
     cost_ms: float
     prefill_tokens: int = 0
+    wait_ms: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,9 +185,16 @@
                 'all backend servers asked for a pause',
                 retry_after_ms=min(pauses_ms.values()),
             )
+        servers = [
+            one
+            for one in servers
+            if self._limit_wait_ms(requirements, one, now_ms) < float('inf')
+        ]
+        if not servers:
+            return NoServer('other routers use the servers that name limits')
         engine = requirements.service.engine
         if engine is None or not requirements.call.model:
-            return self._choose_plain(servers, now_ms)
+            return self._choose_plain(requirements, servers, now_ms)
         if requirements.call.model not in engine.models:
             return NoServer('the model is not declared')
         return self._choose_runner(requirements, engine, servers, now_ms)
@@ -199,14 +208,25 @@
         return [f'{prefix}/{part.part_id}' for part in call.prompt]
 
     def _choose_plain(
-        self, servers: list[BackendServer], now_ms: float
+        self,
+        requirements: Requirements,
+        servers: list[BackendServer],
+        now_ms: float,
     ) -> Choice:
-        costs = [
-            (self._plain_cost_ms(server, now_ms), server.instance, server)
-            for server in servers
-        ]
-        cost_ms, _, server = min(costs, key=lambda one: one[:2])
-        return Send(server, cost_ms)
+        sends: list[Send] = []
+        for server in servers:
+            wait_ms = self._limit_wait_ms(requirements, server, now_ms)
+            cost_ms = wait_ms + self._plain_cost_ms(server, now_ms)
+            sends.append(Send(server, cost_ms, wait_ms=wait_ms))
+        return min(sends, key=_send_rank)
+
+    def _limit_wait_ms(
+        self, requirements: Requirements, server: BackendServer, now_ms: float
+    ) -> float:
+        """Return the time until a server's limit allows the request."""
+        return self._fleet.limits.wait_ms(
+            server.instance, server.started_ms, id(requirements.call), now_ms
+        )
 
     def _choose_runner(
         self,
@@ -257,12 +277,14 @@
             return None
         prefill_tokens = self._prefill_tokens(context, server)
         cost_ms = self._runner_cost_ms(context, server, prefill_tokens)
+        wait_ms = self._limit_wait_ms(context.requirements, server, now_ms)
+        cost_ms += wait_ms
         held = find_held(self._fleet.held_models(server, now_ms), call.model)
         if held is not None and _holds_all(held, call):
             if server.instance in context.requirements.rejecting:
                 return None
             cost_ms += self._penalty_ms(server, now_ms)
-            return Send(server, cost_ms, prefill_tokens)
+            return Send(server, cost_ms, prefill_tokens, wait_ms)
         if state is None or not state.can_order:
             return None
         if held is None:
--- a/lagoonflow/backends/fleet.py
+++ b/lagoonflow/backends/fleet.py
@@ -6,6 +6,7 @@
 
 from lagoonflow.backends.availability import Availability
 from lagoonflow.backends.health import ServerHealth
+from lagoonflow.backends.limits import LimitStatement, RequestLimits
 from lagoonflow.backends.liveness import HostLiveness
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.backends.prompts import PromptCaches
@@ -51,6 +52,7 @@
     :ivar prompts: prompt parts that each server has probably cached.
     :ivar liveness: when each host was last heard from.
     :ivar availability: servers that are leaving or asked for a pause.
+    :ivar limits: servers that take a limited number of requests per second.
     """
 
     def __init__(self) -> None:
@@ -66,6 +68,7 @@
         self.prompts = PromptCaches()
         self.liveness = HostLiveness()
         self.availability = Availability()
+        self.limits = RequestLimits()
 
     # Updates.
 
@@ -78,6 +81,15 @@
             self.availability.note_leaving(
                 state.instance, state.runner_started_ms
             )
+        if state.limit_per_s >= 0:
+            self.limits.hear(
+                LimitStatement(
+                    state.instance,
+                    state.runner_started_ms,
+                    state.limit_per_s,
+                    now_ms,
+                )
+            )
         before = self._agents.get(state.instance)
         if state.is_stopping:
             # From now on its silence does not mean that the host has failed.
@@ -142,6 +154,7 @@
                 table.pop(instance, None)
             self.prompts.forget(instance)
             self.liveness.forget(instance)
+        self.limits.forget(instances)
 
     # Queries.
 
--- a/lagoonflow/backends/messages.py
+++ b/lagoonflow/backends/messages.py
@@ -66,6 +66,8 @@
     :param cache_used_tokens: cache that running requests occupy, in tokens.
     :param cache_total_tokens: size of the cache, in tokens.
     :param is_leaving: it said that it is leaving.
+    :param limit_per_s: requests per second that it says it takes from all
+        routers together; ``None`` for no limit.
     :param pending_adapters: adapters being loaded, as ``model/adapter``.
     :param in_memory: models with a copy in the host's memory.
     :param on_disk: models with a copy on the host's disk.
@@ -83,3 +85,4 @@
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     is_leaving: bool = False
+    limit_per_s: float | None = None
--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -121,6 +121,8 @@
     :param store_concurrency: the agent's estimate of the number of loads that
         the weight store serves at full speed together; 0 while unknown.
     :param is_leaving: the runner said that it is leaving.
+    :param limit_per_s: requests per second that the runner said it takes from
+        all routers together; below 0 when it named no limit.
     """
 
     agent: str
@@ -145,6 +147,7 @@
     is_stopping: bool = False
     store_concurrency: float = 0
     is_leaving: bool = False
+    limit_per_s: float = -1
 
 
 class MeterState(_Message):
@@ -232,7 +235,35 @@
     crashes: tuple[CrashEntry, ...] = ()
 
 
-Message = RouterState | AgentState | MeterState | OriginsState | CrashesState
+class LimitEntry(msgspec.Struct, array_like=True, frozen=True):
+    """What a backend server has said about its limit.
+
+    :param limit_per_s: requests per second that it takes from all routers
+        together; ``None`` for no limit.
+    :param age_ms: time since it said so, in ms.
+    """
+
+    instance: str
+    started_ms: int
+    limit_per_s: float | None
+    age_ms: int
+
+
+class LimitsState(_Message):
+    """Limits of backend servers that a router has heard of."""
+
+    router: str
+    limits: tuple[LimitEntry, ...] = ()
+
+
+Message = (
+    RouterState
+    | AgentState
+    | MeterState
+    | OriginsState
+    | CrashesState
+    | LimitsState
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/lagoonflow/platform/runner.py
+++ b/lagoonflow/platform/runner.py
@@ -6,7 +6,11 @@
 from lagoonflow.clock import boottime_ms
 from lagoonflow.http1.client import ConnectionPool, WholeResponse, send_request
 from lagoonflow.http1.messages import ExchangeError, ExchangeStage, RequestHead
-from lagoonflow.platform.headers import parse_pause, says_leaving
+from lagoonflow.platform.headers import (
+    parse_limit,
+    parse_pause,
+    says_leaving,
+)
 from lagoonflow.platform.servers import (
     AvailableCopies,
     ModelEntry,
@@ -160,6 +164,7 @@
         in_memory=frozenset(body.available.in_memory),
         on_disk=frozenset(body.available.on_disk),
         is_leaving=says_leaving(answer.headers),
+        limit_per_s=parse_limit(answer.headers),
     )
 
 
--- a/lagoonflow/relay/placing.py
+++ b/lagoonflow/relay/placing.py
@@ -12,6 +12,7 @@
     Send,
     Wake,
 )
+from lagoonflow.backends.limits import RequestLimits
 from lagoonflow.clock import boottime_ms
 from lagoonflow.relay.admission import Admission, AdmittedCall
 from lagoonflow.relay.attempts import BUSY_RETRY_MS, Attempts
@@ -45,6 +46,13 @@
     give_up_at_ms: float = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Wait:
+    """Wait before the next choice."""
+
+    for_ms: float
+
+
 class Placer:
     """Finds a server for each call; waits while its model is being loaded.
 
@@ -53,12 +61,16 @@
     :ivar load_requests_changed: set when agents must be sent load requests.
     """
 
-    def __init__(self, chooser: Chooser, admission: Admission) -> None:
+    def __init__(
+        self, chooser: Chooser, admission: Admission, limits: RequestLimits
+    ) -> None:
         """Place calls by the choices of a chooser.
 
         :param admission: refuses calls that must no longer be sent.
+        :param limits: when limited servers may be sent requests.
         """
         self._admission = admission
+        self._limits = limits
         self.load_requests = LoadRequests()
         self.fleet_changed = ChangeNotifier()
         self.load_requests_changed = asyncio.Event()
@@ -74,41 +86,84 @@
         so that later calls find the model loaded.
         """
         requested = _RequestedLoad()
-        now_ms = boottime_ms()
-        wait_for_agents_until_ms = now_ms + min(
-            FIRST_AGENTS_MS, _time_left_ms(admitted, now_ms)
+        began_ms = boottime_ms()
+        wait_for_agents_until_ms = began_ms + min(
+            FIRST_AGENTS_MS, _time_left_ms(admitted, began_ms)
         )
-        while True:
-            choice = self._choose(admitted, attempts, requested, now_ms)
-            match choice:
-                case Refusal():
-                    return attempts.correct_not_run(choice)
-                case Send():
-                    self.load_requests.remove(admitted)
-                    record.note_choice(choice, now_ms)
-                    return choice
-                case NoServer(may_change=True) if (
-                    now_ms < wait_for_agents_until_ms
+        try:
+            while True:
+                now_ms = boottime_ms()
+                choice = self._choose(admitted, attempts, requested, now_ms)
+                if (
+                    isinstance(choice, NoServer)
+                    and choice.may_change
+                    and now_ms < wait_for_agents_until_ms
                 ):
                     await self.fleet_changed.wait(RECHECK_MS)
-                    now_ms = boottime_ms()
                     continue
-                case NoServer():
-                    return _without_server(choice, attempts)
-            if choice.ready_in_ms > _time_left_ms(admitted, now_ms):
-                self.load_requests.keep_after_refusal(
-                    admitted,
-                    choice.server.instance,
-                    now_ms,
-                    is_from_store=choice.is_from_store,
+                decision = self._decide(
+                    record, admitted, attempts, requested, choice
                 )
-                self.load_requests_changed.set()
-                return _too_late(choice, attempts)
-            self._request_load(
-                record, admitted, attempts, requested, choice, now_ms
+                if not isinstance(decision, _Wait):
+                    return decision
+                await self.fleet_changed.wait(decision.for_ms)
+        finally:
+            self._limits.release(id(admitted.call))
+
+    def _decide(
+        self,
+        record: CallRecord,
+        admitted: AdmittedCall,
+        attempts: Attempts,
+        requested: _RequestedLoad,
+        choice: Choice | Refusal,
+    ) -> Send | Refusal | _Wait:
+        now_ms = boottime_ms()
+        match choice:
+            case Refusal():
+                return attempts.correct_not_run(choice)
+            case Send(wait_ms=0):
+                self.load_requests.remove(admitted)
+                self._limits.take(
+                    choice.server.instance, id(admitted.call), now_ms
+                )
+                record.note_choice(choice, now_ms)
+                return choice
+            case Send():
+                return self._wait_for_limit(admitted, attempts, choice, now_ms)
+            case NoServer():
+                return _without_server(choice, attempts)
+        if choice.ready_in_ms > _time_left_ms(admitted, now_ms):
+            self.load_requests.keep_after_refusal(
+                admitted,
+                choice.server.instance,
+                now_ms,
+                is_from_store=choice.is_from_store,
+            )
+            self.load_requests_changed.set()
+            return _too_late(choice, attempts)
+        self._request_load(
+            record, admitted, attempts, requested, choice, now_ms
+        )
+        return _Wait(RECHECK_MS)
+
+    def _wait_for_limit(
+        self,
+        admitted: AdmittedCall,
+        attempts: Attempts,
+        send: Send,
+        now_ms: float,
+    ) -> _Wait | Refusal:
+        """Wait for the next request that a server's limit allows, or refuse."""
+        instance = send.server.instance
+        if send.wait_ms > _time_left_ms(admitted, now_ms):
+            return attempts.refuse(
+                Result.NO_RUNNER,
+                f'the limit of the server is reached for {int(send.wait_ms)} ms',
+                math.ceil(self._limits.promise_return(instance, now_ms)),
             )
-            await self.fleet_changed.wait(RECHECK_MS)
-            now_ms = boottime_ms()
+        self._limits.book(instance, id(admitted.call), now_ms)
+        return _Wait(min(send.wait_ms, RECHECK_MS))
 
     def _choose(
         self,
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -10,6 +10,7 @@
 from lagoonflow.backends.candidates import may_send
 from lagoonflow.backends.choosing import Send
 from lagoonflow.backends.fleet import Fleet
+from lagoonflow.backends.limits import LimitStatement
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.backends.names import full_name
 from lagoonflow.clock import MS_PER_S, boottime_ms
@@ -335,6 +336,7 @@
         answer_timeout: AnswerTimeout,
     ) -> Answer:
         answers: list[Answer] = []
+        sent_at_ms = boottime_ms()
 
         def is_expected(head: ResponseHead) -> bool:
             # Answers to earlier requests, too, tell whether the server leaves.
@@ -355,8 +357,28 @@
             raise ExchangeError(
                 ExchangeStage.SENT, 'no answer in time'
             ) from error
+        self._note_limit(server, answers[-1], sent_at_ms)
         return answers[-1]
 
+    def _note_limit(
+        self, server: BackendServer, answer: Answer, sent_at_ms: float
+    ) -> None:
+        stated_at_ms = boottime_ms()
+        if answer.limit_per_s is None:
+            if not answer.is_sealed:
+                return
+            # An answer without a limit says nothing about one that the server
+            # has named since the request was sent.
+            stated_at_ms = sent_at_ms
+        self._fleet.limits.hear(
+            LimitStatement(
+                server.instance,
+                server.started_ms,
+                answer.limit_per_s,
+                stated_at_ms,
+            )
+        )
+
     def _note_part(self, instance: str) -> None:
         self._fleet.liveness.note_answer_part(instance, boottime_ms())
 
@@ -367,12 +389,6 @@
             instance, started_ms
         ):
             self._log.info('server is leaving', server=instance)
-        if answer.limit_per_s is not None:
-            self._log.info(
-                'server named a limit',
-                server=instance,
-                limit_per_s=answer.limit_per_s,
-            )
         if answer.pause_ms:
             availability.note_pause(
                 instance, started_ms, answer.pause_ms, boottime_ms()
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -62,7 +62,7 @@
         budgets: RetryBudgets,
     ) -> None:
         """Use the given parts; the placer is created here."""
-        self.placer = Placer(chooser, admission)
+        self.placer = Placer(chooser, admission, fleet.limits)
         self._view = view
         self._fleet = fleet
         self._chooser = chooser
--- a/lagoonflow/waking/controller.py
+++ b/lagoonflow/waking/controller.py
@@ -70,6 +70,9 @@
             store_concurrency=runner_view.store_concurrency.estimate,
             is_down=runner_view.is_down,
             is_leaving=report.is_leaving,
+            limit_per_s=-1
+            if report.limit_per_s is None
+            else report.limit_per_s,
         )
 
     def _models_in_progress(self) -> tuple[str, str]:
--- a/lagoonflow/wiring/platform_agent.py
+++ b/lagoonflow/wiring/platform_agent.py
@@ -281,4 +281,5 @@
         state.can_order,
         state.is_down,
         state.is_leaving,
+        state.limit_per_s,
     ]
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -18,6 +18,7 @@
 from lagoonflow.gossip.messages import (
     AgentState,
     CrashesState,
+    LimitsState,
     Message,
     MeterState,
     OriginsState,
@@ -55,6 +56,7 @@
     MembersFeed,
     ServersFeed,
 )
+from lagoonflow.wiring.platform_limits import LimitPublisher
 from lagoonflow.wiring.platform_process import (
     METRICS_PORT_OFFSET,
     install_signal_handlers,
@@ -165,6 +167,9 @@
         self._charge_publisher = ChargePublisher(
             settings, self._members, self._rate_limiter, self._gossip
         )
+        self._limit_publisher = LimitPublisher(
+            settings.node, self._members, self._fleet.limits, self._gossip
+        )
         self._crashes_feed = CrashesFeed(self._crashes)
         self._crash_publisher = CrashPublisher(
             settings,
@@ -313,6 +318,8 @@
                 self._rate_limiter.apply_report(message.router, report, now_ms)
             case OriginsState():
                 self._origin_publisher.receive(message, now_ms)
+            case LimitsState():
+                self._limit_publisher.receive(message, now_ms)
             case CrashesState():
                 self._crashes_feed.learn(message.crashes)
 
@@ -335,6 +342,7 @@
             self._budgets.update_router_count(routers)
             self._origin_publisher.publish_due(now_ms)
             self._crash_monitor.confirm_by_fleet()
+            self._limit_publisher.publish_due(now_ms)
             if self._crash_publisher.publish_due(now_ms):
                 self._calls.placer.fleet_changed.notify()
             self._sender.waits.abort_waits_on_silent_hosts(now_ms)
--- a/tests/relay/test_limited_servers.py
+++ b/tests/relay/test_limited_servers.py
@@ -49,6 +49,7 @@
     end_ms = boottime_ms() + for_ms
     answers = []
     while boottime_ms() < end_ms:
+        harness.view.confirm(boottime_ms())
         answers.append(await ask(harness))
         await asyncio.sleep(0.01)
     return answers
