--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -63,12 +63,16 @@
     route(RouteKind.STREAM, '/once/'),
     route(RouteKind.STREAM, '/resume/', is_resumable=True),
     route(RouteKind.IDEMPOTENT, '/open/', is_public=True),
+    route(RouteKind.IDEMPOTENT, '/sound/', shares=(ServiceShare('other', 1),)),
 )
 
 
 def state(version: int = 1, **changes) -> DeclaredState:
     declared = DeclaredState(
-        version, ROUTES, {SERVICE: Service(SERVICE, 50)}, (ORGANISATION,)
+        version,
+        ROUTES,
+        {name: Service(name, 50) for name in (SERVICE, 'other')},
+        (ORGANISATION,),
     )
     return dataclasses.replace(declared, **changes)
 
@@ -250,7 +254,8 @@
         backends = [Backend(script) for script in scripts]
         versions = software_versions or ('v1',) * len(backends)
         for index, backend in enumerate(backends):
-            server = await backend.start(f'i-{index}', service)
+            name = f'i-{index}' if service == SERVICE else f'{service}-{index}'
+            server = await backend.start(name, service)
             server = dataclasses.replace(
                 server, software_version=versions[index]
             )
--- /dev/null
+++ b/tests/relay/test_endless_answers.py
@@ -0,0 +1,165 @@
+"""Tests of servers that send bytes without end, in any part of an answer."""
+
+import asyncio
+import contextlib
+import pathlib
+import re
+import resource
+
+import pytest
+
+from lagoonflow.clock import boottime_ms
+from tests.relay.harness import (
+    FramedAnswer,
+    RelayHarness,
+    answer_with,
+    encode_request,
+)
+
+CALLERS = 12
+DEADLINE_MS = 1500
+# Time for the answer itself, and for a busy machine, in ms.
+SLACK_MS = 500
+# All callers together may make the process grow by this much, in MB.
+MAX_GROWTH_MB = 64
+FILLER = b'x' * 16_384
+OK = b'HTTP/1.1 200 OK\r\nServer-Seal: s\r\n'
+CHUNKED = OK + b'Transfer-Encoding: chunked\r\n'
+STREAM = b'Content-Type: text/event-stream\r\n'
+HUGE = OK + b'Content-Length: 99999999999\r\n'
+CHUNK = b'4000\r\n' + FILLER + b'\r\n'
+# What a server sends first, and what it then sends without end.
+ENDLESS = {
+    'no_http': (b'', FILLER),
+    'status_line': (b'HTTP/1.1 200 ', FILLER),
+    'header_name': (OK, FILLER),
+    'header_value': (OK + b'X: ', FILLER),
+    'headers': (OK, b'X: y\r\n' * 1000),
+    'informational': (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n' * 500),
+    'empty_lines': (b'', b'\r\n' * 8000),
+    'chunk_size': (CHUNKED + b'\r\n', b'0' * 16_384),
+    'chunk_extension': (CHUNKED + b'\r\n1;a=', FILLER),
+    'chunks': (CHUNKED + b'\r\n', CHUNK),
+    'tiny_chunks': (CHUNKED + b'\r\n', b'1\r\nx\r\n' * 2000),
+    'trailer': (CHUNKED + b'\r\n0\r\nX: ', FILLER),
+    'trailers': (CHUNKED + b'\r\n0\r\n', b'X: y\r\n' * 1000),
+    'length': (HUGE + b'\r\n', FILLER),
+    'until_close': (OK + b'\r\n', FILLER),
+    'event': (CHUNKED + STREAM + b'\r\n', CHUNK),
+    'event_until_close': (OK + STREAM + b'\r\ndata: ', FILLER),
+    'event_of_length': (HUGE + STREAM + b'\r\nid: 1\n\n', FILLER),
+    'event_lines': (OK + STREAM + b'\r\n', b'data: y\n' * 1000),
+    'events': (OK + STREAM + b'\r\n', b'data: y\n\n' * 1000),
+    'other_answer': (CHUNKED + b'Attempt-Id: other\r\n\r\n', CHUNK),
+    'other_answers': (
+        b'',
+        (OK + b'Attempt-Id: other\r\nContent-Length: 0\r\n\r\n') * 200,
+    ),
+    'error': (CHUNKED.replace(b'200 OK', b'500 Failed') + b'\r\n', CHUNK),
+    'rejection': (
+        CHUNKED.replace(b'200 OK', b'503 Full') + b'Not-Executed: 1\r\n\r\n',
+        CHUNK,
+    ),
+}
+
+
+def send_without_end(first, rest):
+    async def script(writer, _received):
+        writer.write(first)
+        while not writer.transport.is_closing():
+            writer.write(rest)
+            await writer.drain()
+            await asyncio.sleep(0)
+        raise ConnectionError
+
+    return script
+
+
+def peak_mb():
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+
+
+def reset_peak():
+    """Make the kernel count the peak of the memory anew."""
+    with contextlib.suppress(OSError):
+        pathlib.Path('/proc/self/clear_refs').write_text('5')
+
+
+async def read_and_discard(reader):
+    """Read an answer to its end; keep only the end of its body."""
+    raw_head = await reader.readuntil(b'\r\n\r\n')
+    head = raw_head.decode().lower()
+    status = int(head.split(' ')[1])
+    length = re.search('content-length: ([0-9]+)', head)
+    if length:
+        body = await reader.readexactly(int(length.group(1)))
+        return FramedAnswer(status, {}, body, is_complete=True)
+    tail = b''
+    with contextlib.suppress(ConnectionError):
+        while part := await reader.read(65_536):
+            tail = (tail + part)[-8:]
+    is_complete = tail.endswith(b'0\r\n\r\n')
+    return FramedAnswer(status, {}, tail, is_complete)
+
+
+async def timed_request(harness, path):
+    began_ms = boottime_ms()
+    reader, writer = await harness.open_connection()
+    writer.write(encode_request(path, f'Deadline-Ms: {DEADLINE_MS}'))
+    answer = await read_and_discard(reader)
+    writer.close()
+    return answer, boottime_ms() - began_ms
+
+
+@pytest.mark.parametrize('path', ['/read/x', '/book/x', '/once/x', '/resume/x'])
+@pytest.mark.parametrize('part', ENDLESS)
+async def test_bytes_without_end_hold_up_neither_memory_nor_others(part, path):
+    harness = RelayHarness()
+    await harness.http.listen('127.0.0.1:0')
+    await harness.add_backends(send_without_end(*ENDLESS[part]))
+    sound = answer_with('200 OK', 'fine')
+    await harness.add_backends(sound, service='other')
+    reset_peak()
+    before_mb = peak_mb()
+    endless = [
+        asyncio.create_task(timed_request(harness, path))
+        for _ in range(CALLERS)
+    ]
+    for _ in range(5):
+        answer, took_ms = await timed_request(harness, '/sound/x')
+        assert (answer.status, answer.body) == (200, b'fine')
+        assert took_ms < SLACK_MS
+        await asyncio.sleep(0.05)
+    for answer, took_ms in await asyncio.gather(*endless):
+        assert took_ms < DEADLINE_MS + SLACK_MS
+        assert answer.status != 200 or not answer.is_complete
+    assert peak_mb() - before_mb < MAX_GROWTH_MB
+
+
+async def test_a_call_is_repeated_at_a_sound_server_after_endless_bytes():
+    harness = RelayHarness()
+    await harness.http.listen('127.0.0.1:0')
+    await harness.add_backends(
+        send_without_end(*ENDLESS['until_close']), answer_with('200 OK', 'fine')
+    )
+    answer, _ = await timed_request(harness, '/read/x')
+    assert (answer.status, answer.body) == (200, b'fine')
+
+
+async def test_bytes_on_an_idle_connection_close_it():
+    closed = asyncio.Event()
+
+    async def script(writer, received):
+        await answer_with('200 OK', 'fine')(writer, received)
+        await asyncio.sleep(0.05)
+        while not writer.transport.is_closing():
+            writer.write(FILLER)
+            await writer.drain()
+            await asyncio.sleep(0)
+        closed.set()
+
+    harness = RelayHarness()
+    await harness.http.listen('127.0.0.1:0')
+    await harness.add_backends(script)
+    await timed_request(harness, '/read/x')
+    await asyncio.wait_for(closed.wait(), 1)
