Let other tasks run while a long part is split into events

Cause: one read may return 256 KB, and splitting that into tiny events, at 12 callers at once, held up all others. It is split in pieces of 16 KB now, with a turn for other tasks between them.

--- a/lagoonflow/relay/streaming.py
+++ b/lagoonflow/relay/streaming.py
@@ -22,6 +22,8 @@
 # arrives for this long: two and a half times the longest pause between parts
 # that still counts as on time.
 MAX_STREAM_GAP_MS = 1500
+# Parts are split into events in pieces of this size.
+PIECE_BYTES = 16_384
 
 
 @dataclasses.dataclass(slots=True)
@@ -100,12 +102,7 @@
             self._note_part()
             boundary.feed(part)
             progress.is_inside_event = boundary.is_inside_event
-            await self._forward(part if events is None else events.feed(part))
-            if events is not None and events.is_too_long:
-                raise ExchangeError(
-                    ExchangeStage.ANSWERING,
-                    'an event of the stream is too long',
-                )
+            await self._forward_events(part)
             began_ms = boottime_ms()
             part = await self._next_part(MAX_STREAM_GAP_MS)
             gap_ms = boottime_ms() - began_ms
@@ -128,6 +125,22 @@
             )
         await reply.end()
 
+    async def _forward_events(self, part: bytes) -> None:
+        events = self._progress.events
+        if events is None:
+            await self._forward(part)
+            return
+        for start in range(0, len(part), PIECE_BYTES):
+            if start:
+                # Many small events take long to split; others run between.
+                await asyncio.sleep(0)
+            await self._forward(events.feed(part[start : start + PIECE_BYTES]))
+            if events.is_too_long:
+                raise ExchangeError(
+                    ExchangeStage.ANSWERING,
+                    'an event of the stream is too long',
+                )
+
     async def _forward(self, part: bytes) -> None:
         if part:
             await self._start()
