--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -254,7 +254,7 @@
         backends = [Backend(script) for script in scripts]
         versions = software_versions or ('v1',) * len(backends)
         for index, backend in enumerate(backends):
-            name = f'i-{index}' if service == SERVICE else f'{service}-{index}'
+            name = f'other-{index}' if service == 'other' else f'i-{index}'
             server = await backend.start(name, service)
             server = dataclasses.replace(
                 server, software_version=versions[index]
