--- a/loopback/platform_fleet.py
+++ b/loopback/platform_fleet.py
@@ -111,6 +111,8 @@
 
     :param processes: starts the processes and ends them after the test.
     :param relayed: whether relays stand in front of backend servers and store.
+    :ivar crashing_part: prompt part on which runners crash that are started
+        from now on; empty for none.
     :ivar version: version of the configuration that was published last.
     :ivar relays: relays by name: `server IP`, or `store IP` for the connections
         from a host to the store.
@@ -121,6 +123,7 @@
         self.routers: list[Host] = []
         self.runners: list[Host] = []
         self.plain_servers: list[Host] = []
+        self.crashing_part = ''
         self.version = 0
         self._processes = processes
         self.relays: dict[str, Relay] = {}
@@ -176,6 +179,8 @@
             models,
             '--software-version',
             software_version,
+            '--crash-on-part',
+            self.crashing_part,
         )
 
     def add_plain_server(self) -> Host:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,9 @@
 
 KINDS = ('read', 'book', 'draft', 'resume')
 MODELS = ('m1', 'm2', 'm3', 'm1/a1')
+# Middle parts of prompts; runners crash on the first one.
+PARTS = ('bad', 'p1', 'p2', 'p3')
+PART_WEIGHTS = (1, 10, 10, 10)
 DEADLINE_MS = 3000
 TIMEOUT_S = 5
 EVENTS_PER_STREAM = 6
@@ -58,8 +61,16 @@
 class Caller(threading.Thread):
     """Sends random requests over reused connections until it is stopped."""
 
-    def __init__(self, fleet: PlatformFleet, seed: int) -> None:
-        """Make all random choices from a seed."""
+    def __init__(
+        self, fleet: PlatformFleet, seed: int, *, sends_prompts: bool
+    ) -> None:
+        """Make all random choices from a seed.
+
+        :param sends_prompts: requests to models also have prompts, some with a
+            part that crashes runners.
+        """
+        self._sends_prompts = sends_prompts
+        self._prompt_random = random.Random(seed + 1)
         super().__init__(daemon=True)
         self.outcomes: list[Outcome] = []
         self._fleet = fleet
@@ -111,6 +122,12 @@
             sent_at_s=time.monotonic(),
         )
 
+    def _prompt(self, outcome: Outcome) -> dict[str, str]:
+        if not self._sends_prompts:
+            return {}
+        part = self._prompt_random.choices(PARTS, PART_WEIGHTS)[0]
+        return {'Prompt-Prefix': f'common:9,{part}:4,{outcome.request_id}:1'}
+
     def _send_request(
         self, outcome: Outcome, headers: dict[str, str]
     ) -> Outcome:
@@ -143,6 +160,7 @@
         }
         if outcome.kind in {'draft', 'resume'}:
             headers['Model'] = self._random.choice(MODELS)
+            headers.update(self._prompt(outcome))
         connection.request(
             'POST', f'/{outcome.kind}/x', outcome.request_id, headers
         )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from signal import SIGTERM
+from typing import Any
 
 from loopback import http
 from loopback.platform_fleet import RUNNER_PORT, Host, PlatformFleet
@@ -52,11 +53,13 @@
             )
         )
         fault()
+        self._restart_crashed()
 
     def heal(self) -> None:
         """Wait for actions in the background, then end all faults."""
         for thread in self._threads:
             thread.join()
+        self._restart_crashed()
         for relay in self._fleet.relays.values():
             relay.heal()
             relay.delay_s = 0
@@ -153,6 +156,14 @@
             host.program.pause()
             self._run_later(host.ip, for_s, host.program.resume)
 
+    def _restart_crashed(self) -> None:
+        """Start the runners again that a request has crashed."""
+        for host in self._fleet.runners:
+            if host.ip in self._affected or host.runner.is_running:
+                continue
+            self._record(f'the runner on {host.ip} has crashed, and starts')
+            self._fleet.start_runner(host, '')
+
     def _restart_runner(self) -> None:
         host = self._choose_free_host(self._fleet.runners)
         if host is not None:
@@ -174,7 +185,7 @@
             return
         version = self._random.choice(SOFTWARE_VERSIONS)
         self._record(f'the runner on {host.ip} leaves, {version} replaces it')
-        self._fleet.set_faults(f'{host.ip}:{RUNNER_PORT}', is_leaving=True)
+        self._set_server_faults(host, is_leaving=True)
 
         def replace() -> None:
             self._checker.collect([host])
@@ -202,7 +213,15 @@
             )
         )
         self._record(f'the server on {host.ip} has the faults {change}')
-        self._fleet.set_faults(f'{host.ip}:{RUNNER_PORT}', **change)
+        self._set_server_faults(host, **change)
+
+    def _set_server_faults(self, host: Host, **change: Any) -> None:
+        try:
+            self._fleet.set_faults(f'{host.ip}:{RUNNER_PORT}', **change)
+        except OSError:
+            if host.runner.is_running:
+                raise
+            self._record(f'the server on {host.ip} has crashed before')
 
     def _change_store_faults(self) -> None:
         change = self._random.choice(
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -37,7 +37,13 @@
     def collect(self, hosts: list[Host]) -> None:
         """Read the counters of backend servers and check them."""
         for host in hosts:
-            counts = self._fleet.counts(host)
+            try:
+                counts = self._fleet.counts(host)
+            except OSError:
+                if host.runner.is_running:
+                    raise
+                # A runner that has crashed has lost its counters.
+                continue
             self._runs_by_server[counts['instance']] = counts['ran']
             if counts['overcommitted']:
                 self.add_violation('memory is overcommitted', host.ip)
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,6 +9,7 @@
 from loopback.platform_fleet import KEY, PlatformFleet, configuration
 from loopback.processes import ProcessSet
 from soak.callers import Caller, Outcome
+from soak.calm import CRASHING_PART, check_crashing_part
 from soak.faults import Faults
 from soak.invariants import InvariantChecker
 
@@ -41,27 +42,41 @@
     violations: tuple[str, ...]
 
 
-def run(seed: int, for_s: float, log_dir: pathlib.Path) -> Report:
+def run(
+    seed: int,
+    for_s: float,
+    log_dir: pathlib.Path,
+    *,
+    has_trouble: bool = True,
+) -> Report:
     """Run a fleet under faults and check the invariants.
 
     :param for_s: how long faults are injected, in seconds.
     :param log_dir: folder for the output of the processes.
+    :param has_trouble: some requests crash runners.
     """
     processes = ProcessSet(log_dir)
     fleet = PlatformFleet(processes, relayed=True)
+    if has_trouble:
+        fleet.crashing_part = CRASHING_PART
     try:
         fleet.start(routers=3, runners=3, plain_servers=2)
-        return _run(fleet, seed, for_s)
+        return _run(fleet, seed, for_s, has_trouble=has_trouble)
     finally:
         processes.end_all()
         fleet.close()
 
 
-def _run(fleet: PlatformFleet, seed: int, for_s: float) -> Report:
+def _run(
+    fleet: PlatformFleet, seed: int, for_s: float, *, has_trouble: bool
+) -> Report:
     generator = random.Random(seed)
     checker = InvariantChecker(fleet)
     faults = Faults(fleet, checker, seed)
-    callers = [Caller(fleet, seed * 100 + index) for index in range(CALLERS)]
+    callers = [
+        Caller(fleet, seed * 100 + index, sends_prompts=has_trouble)
+        for index in range(CALLERS)
+    ]
     for caller in callers:
         caller.start()
     end_s = time.monotonic() + for_s
@@ -79,6 +94,8 @@
         caller.join()
     outcomes = [one for caller in callers for one in caller.outcomes]
     _check_recovery(fleet, checker)
+    if has_trouble:
+        check_crashing_part(fleet, checker)
     checker.collect([*fleet.runners, *fleet.plain_servers])
     checker.check(outcomes, withdrawn_at_s)
     return _report(seed, outcomes, faults, checker)
--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -86,6 +86,7 @@
     :param work_ms: duration of a plain request and of each event of a stream,
         in ms.
     :param software_version: version that it registers and writes into streams.
+    :param crash_on_part: see `RunnerFaults`.
     :ivar address: address at which it is registered.
     """
 
@@ -97,6 +98,7 @@
         memory_models: int,
         work_ms: float,
         software_version: str,
+        crash_on_part: str = '',
     ) -> None:
         self.address = ''
         self._instance = f'i-{uuid.uuid4().hex[:8]}'
@@ -115,7 +117,7 @@
         self._holders: set[str] = set()
         self._overcommitted = 0
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._switch = FaultSwitch(RunnerFaults())
+        self._switch = FaultSwitch(RunnerFaults(crash_on_part=crash_on_part))
 
     def app(self) -> ASGIApp:
         """Return the ASGI application."""
@@ -336,6 +338,7 @@
     parser.add_argument('--work-ms', type=float, default=20)
     parser.add_argument('--advertise', default='')
     parser.add_argument('--software-version', default='v1')
+    parser.add_argument('--crash-on-part', default='')
     flags = parser.parse_args()
     runner = Runner(
         flags.service,
@@ -344,6 +347,7 @@
         flags.memory_models,
         flags.work_ms,
         flags.software_version,
+        flags.crash_on_part,
     )
     runner.address = flags.advertise or f'{flags.host}:{flags.port}'
     serve(runner.app(), flags.host, flags.port)
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -18,6 +18,14 @@
 @pytest.mark.timeout(180)
 @pytest.mark.parametrize(('seed', 'for_s', 'cause'), SEEDS)
 def test_promises_hold_under_faults(tmp_path, seed, for_s, cause):
-    report = run(seed, for_s, tmp_path)
+    report = run(seed, for_s, tmp_path, has_trouble=False)
     assert not report.violations, (report.violations, report.faults, cause)
     assert report.served > 100
+
+
+@pytest.mark.process
+@pytest.mark.timeout(180)
+def test_promises_hold_while_requests_crash_runners(tmp_path):
+    report = run(22, 15, tmp_path)
+    assert not report.violations, (report.violations, report.faults)
+    assert report.served > 50
