--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,10 @@
 # difference to `bounds.grace_s` is a margin for the end of the process.
 STOP_LIMIT_S = 9
 SOFTWARE_VERSIONS = ('v1', 'v2')
+# Requests per second that a server says it takes; 0 for no limit.
+LIMITS_PER_S = (0, 0, 2, 8)
+# Chance that a server changes its limit beside another fault.
+LIMIT_CHANCE = 0.3
 
 
 class Faults:
@@ -24,9 +28,20 @@
     """
 
     def __init__(
-        self, fleet: PlatformFleet, checker: InvariantChecker, seed: int
+        self,
+        fleet: PlatformFleet,
+        checker: InvariantChecker,
+        seed: int,
+        *,
+        names_limits: bool,
     ) -> None:
-        """Make all random choices from a seed."""
+        """Make all random choices from a seed.
+
+        :param names_limits: servers also name limits; the other faults of a
+            seed are the same without them.
+        """
+        self._names_limits = names_limits
+        self._limit_random = random.Random(seed + 1)
         self.log: list[str] = []
         self._fleet = fleet
         self._checker = checker
@@ -54,6 +69,8 @@
         )
         fault()
         self._restart_crashed()
+        if self._names_limits:
+            self._change_limit()
 
     def heal(self) -> None:
         """Wait for actions in the background, then end all faults."""
@@ -69,7 +86,9 @@
         )
         for host in (*self._fleet.runners, *self._fleet.plain_servers):
             address = f'{host.ip}:{RUNNER_PORT}'
-            self._fleet.set_faults(address, reject=False, is_leaving=False)
+            self._fleet.set_faults(
+                address, reject=False, is_leaving=False, limit_per_s=0
+            )
 
     def _record(self, text: str) -> None:
         at_s = time.monotonic() - self._started_s
@@ -215,6 +234,16 @@
         self._record(f'the server on {host.ip} has the faults {change}')
         self._set_server_faults(host, **change)
 
+    def _change_limit(self) -> None:
+        if self._limit_random.random() > LIMIT_CHANCE:
+            return
+        host = self._limit_random.choice(
+            [*self._fleet.runners, *self._fleet.plain_servers]
+        )
+        limit_per_s = self._limit_random.choice(LIMITS_PER_S)
+        self._record(f'the server on {host.ip} names a limit: {limit_per_s}')
+        self._set_server_faults(host, limit_per_s=limit_per_s)
+
     def _set_server_faults(self, host: Host, **change: Any) -> None:
         try:
             self._fleet.set_faults(f'{host.ip}:{RUNNER_PORT}', **change)
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,7 @@
 from loopback.platform_fleet import KEY, PlatformFleet, configuration
 from loopback.processes import ProcessSet
 from soak.callers import Caller, Outcome
-from soak.calm import CRASHING_PART, check_crashing_part
+from soak.calm import CRASHING_PART, check_crashing_part, check_limit
 from soak.faults import Faults
 from soak.invariants import InvariantChecker
 
@@ -53,7 +53,7 @@
 
     :param for_s: how long faults are injected, in seconds.
     :param log_dir: folder for the output of the processes.
-    :param has_trouble: some requests crash runners.
+    :param has_trouble: some requests crash runners, and servers name limits.
     """
     processes = ProcessSet(log_dir)
     fleet = PlatformFleet(processes, relayed=True)
@@ -72,7 +72,7 @@
 ) -> Report:
     generator = random.Random(seed)
     checker = InvariantChecker(fleet)
-    faults = Faults(fleet, checker, seed)
+    faults = Faults(fleet, checker, seed, names_limits=has_trouble)
     callers = [
         Caller(fleet, seed * 100 + index, sends_prompts=has_trouble)
         for index in range(CALLERS)
@@ -96,6 +96,7 @@
     _check_recovery(fleet, checker)
     if has_trouble:
         check_crashing_part(fleet, checker)
+        check_limit(fleet, checker)
     checker.collect([*fleet.runners, *fleet.plain_servers])
     checker.check(outcomes, withdrawn_at_s)
     return _report(seed, outcomes, faults, checker)
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -25,7 +25,9 @@
 
 @pytest.mark.process
 @pytest.mark.timeout(180)
-def test_promises_hold_while_requests_crash_runners(tmp_path):
+def test_promises_hold_while_requests_crash_runners_and_servers_name_limits(
+    tmp_path,
+):
     report = run(22, 15, tmp_path)
     assert not report.violations, (report.violations, report.faults)
     assert report.served > 50
