Clear a prompt part only once its server has survived the answer

Found on reading the change again: a short answer may be whole before the prompt crashes its server, tens of ms after it began. The answer then cleared the part of all crashes.

Change: an answer counts a second later, if its connection is still open and nothing points to a crash. A stream that has gone on for a second counts at once, as before. The test failed before and passes.

--- a/lagoonflow/crashes/watch.py
+++ b/lagoonflow/crashes/watch.py
@@ -143,6 +143,10 @@
             ):
                 self.confirm(signs.server, now_ms, wall_ms)
 
+    def may_have_crashed(self, server: BackendServer, now_ms: float) -> bool:
+        """Return whether there are signs that a server has crashed."""
+        return _key(server) in self._signs or self._is_down(server, now_ms)
+
     def _is_down(self, server: BackendServer, now_ms: float) -> bool:
         agent = self._fleet.agent(server, now_ms)
         if agent is not None and agent.is_down:
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -248,8 +248,11 @@
         reading: _Reading,
         outcome: Outcome | None,
     ) -> None:
-        if isinstance(outcome, Delivered) or reading.proves_prompt:
-            self._crash_monitor.note_answered(admitted.call.shared_parts)
+        parts = admitted.call.shared_parts
+        if reading.proves_prompt:
+            self._crash_monitor.note_survived(parts)
+        elif isinstance(outcome, Delivered):
+            self._crash_monitor.note_answered(choice.server, parts, connection)
         name = full_name(admitted.call.model, admitted.call.adapter)
         self._fleet.end_request(choice.server.instance, name)
         self._pool(choice.server).release(connection)
--- a/tests/crashes/test_watch.py
+++ b/tests/crashes/test_watch.py
@@ -98,6 +98,13 @@
     assert not evidence.entries()
 
 
+def test_a_server_without_signs_of_a_crash_has_survived():
+    fleet, _, watch = make_watch()
+    assert not watch.may_have_crashed(SERVER, NOW_MS)
+    watch.note_broken(broken('a'), NOW_MS, WALL_MS)
+    assert watch.may_have_crashed(SERVER, NOW_MS)
+
+
 def test_connections_that_end_together_lead_to_one_check():
     _, _, watch = make_watch()
     due = [watch.note_broken(broken('a'), NOW_MS, WALL_MS) for _ in range(5)]
--- a/tests/relay/test_crashing_prompts.py
+++ b/tests/relay/test_crashing_prompts.py
@@ -1,5 +1,7 @@
 """Tests of prompt parts under which one server after the other crashes."""
 
+import asyncio
+
 import pytest
 
 from lagoonflow.clock import boottime_ms
@@ -19,17 +21,23 @@
 class CrashingBackend(Backend):
     """A server that crashes when it answers a prompt with the part `bad`."""
 
-    def __init__(self, *, first_events: bool = False) -> None:
+    def __init__(
+        self, *, first_events: bool = False, answers_whole: bool = False
+    ) -> None:
         super().__init__(self._answer)
         self.has_crashed = False
         self._first_events = first_events
+        self._answers_whole = answers_whole
         self._writers = set()
 
     async def _answer(self, writer, received):
         self._writers.add(writer)
         if 'bad:' not in received.headers.get('prompt-prefix', ''):
             return await answer_events(1, 2)(writer, received)
-        if self._first_events:
+        if self._answers_whole:
+            await answer_events(1, 2)(writer, received)
+            await asyncio.sleep(0.03)
+        elif self._first_events:
             await answer_events(1, 2, ends=False)(writer, received)
         self.crash()
         return False
@@ -66,6 +74,16 @@
     assert sum(one.has_crashed for one in backends) <= MAX_CRASHES
 
 
+async def test_a_short_answer_before_the_crash_does_not_clear_its_part():
+    harness, backends = await crashing_fleet(20)
+    for backend in backends[::3]:
+        backend._answers_whole = True
+    for number in range(18):
+        await ask(harness, f'common:9,bad:4,own{number}:1')
+        await asyncio.sleep(0.2)
+    assert sum(one.has_crashed for one in backends) <= MAX_CRASHES
+
+
 async def test_requests_without_the_crashing_part_are_still_served():
     harness, _ = await crashing_fleet(14)
     for number in range(12):
