--- a/soak/faults.py
+++ b/soak/faults.py
@@ -85,9 +85,12 @@
             self._fleet.store, silent=False, outage=False, delay_ms=0
         )
         for host in (*self._fleet.runners, *self._fleet.plain_servers):
-            address = f'{host.ip}:{RUNNER_PORT}'
-            self._fleet.set_faults(
-                address, reject=False, is_leaving=False, limit_per_s=0
+            self._set_server_faults(
+                host,
+                reject=False,
+                is_leaving=False,
+                delay_ms=0,
+                limit_per_s=0,
             )
 
     def _record(self, text: str) -> None:
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -23,11 +23,21 @@
     assert report.served > 100
 
 
+# The same for runs in which requests crash runners and servers name limits.
+TROUBLE_SEEDS = [
+    # After the faults, a server stayed slow, so that others were preferred to
+    # it; the check took this for a limit that was still in force.
+    (469519, 8, 'a fault that was not ended before the checks'),
+    (22, 15, 'none, a run for CI'),
+]
+
+
 @pytest.mark.process
 @pytest.mark.timeout(180)
+@pytest.mark.parametrize(('seed', 'for_s', 'cause'), TROUBLE_SEEDS)
 def test_promises_hold_while_requests_crash_runners_and_servers_name_limits(
-    tmp_path,
+    tmp_path, seed, for_s, cause
 ):
-    report = run(22, 15, tmp_path)
-    assert not report.violations, (report.violations, report.faults)
+    report = run(seed, for_s, tmp_path)
+    assert not report.violations, (report.violations, report.faults, cause)
     assert report.served > 50
