End the repetition of lifted limits, and don't rely on hearing of the end

Found on reading the change again: after a server had lifted its limit, its users sent that to all routers twice a second for ever; and a router that doesn't use a limited server, and missed the end of the limit, would have left the server alone for ever.

Change: the end is repeated for 5 s, and a router without a share tries the server again 15 s after the last statement. Both tests failed before.

--- a/lagoonflow/backends/limits.py
+++ b/lagoonflow/backends/limits.py
@@ -19,6 +19,11 @@
 MAX_LIMIT_PER_S = 1000
 # What this router has heard is repeated to the others at this interval, in ms.
 REPEAT_INTERVAL_MS = 500
+# The end of a limit is repeated for this long, in ms.
+REPEAT_LIFTED_MS = 5000
+# A router that doesn't use a limited server hears of it at least this often, in
+# ms, while others use it; otherwise it tries the server itself.
+MAX_STATEMENT_AGE_MS = 15_000
 # Statements remembered at most; the oldest are forgotten first.
 MAX_STATEMENTS = 2048
 
@@ -101,6 +106,7 @@
         self._statements: dict[str, LimitStatement] = {}
         self._allowances: dict[str, _Allowance] = {}
         self._unsent: dict[str, bool] = {}
+        self._lifted_at_ms: dict[str, float] = {}
         self._sent_at_ms = float('-inf')
 
     def update_routers(self, own_name: str, others: Iterable[str]) -> None:
@@ -118,7 +124,7 @@
         known = self._statements.get(statement.instance)
         if known is None and statement.limit_per_s is None:
             return
-        if self.learn(statement):
+        if self.learn(statement) and self._is_worth_sending(statement):
             is_change = known is None or (
                 known.limit_per_s != statement.limit_per_s
             )
@@ -143,7 +149,12 @@
     def forget(self, instances: list[str]) -> None:
         """Drop the limits of servers that were removed."""
         for instance in instances:
-            for table in (self._statements, self._allowances, self._unsent):
+            for table in (
+                self._statements,
+                self._allowances,
+                self._unsent,
+                self._lifted_at_ms,
+            ):
                 table.pop(instance, None)
 
     def take_due(self, now_ms: float) -> list[LimitStatement]:
@@ -165,7 +176,7 @@
 
         It is infinite at routers that don't use the server while it is limited.
         """
-        allowance = self._find(instance, started_ms)
+        allowance = self._find(instance, started_ms, now_ms)
         if allowance is None:
             return 0
         return max(allowance.turn_ms(call_id, now_ms) - now_ms, 0)
@@ -196,17 +207,31 @@
         allowance = self._allowances.get(instance)
         return 0 if allowance is None else allowance.promise_return(now_ms)
 
-    def _find(self, instance: str, started_ms: int) -> _Allowance | None:
+    def _find(
+        self, instance: str, started_ms: int, now_ms: float
+    ) -> _Allowance | None:
         statement = self._statements.get(instance)
         if statement is None or statement.started_ms != started_ms:
             return None
-        return self._allowances.get(instance)
+        allowance = self._allowances.get(instance)
+        if allowance is None or allowance.is_user:
+            return allowance
+        # The end of the limit may have been missed.
+        is_outdated = now_ms - statement.stated_at_ms > MAX_STATEMENT_AGE_MS
+        return None if is_outdated else allowance
+
+    def _is_worth_sending(self, statement: LimitStatement) -> bool:
+        if statement.limit_per_s is not None:
+            return True
+        lifted_at_ms = self._lifted_at_ms.get(statement.instance, float('-inf'))
+        return statement.stated_at_ms - lifted_at_ms < REPEAT_LIFTED_MS
 
     def _apply(self, statement: LimitStatement) -> None:
         instance = statement.instance
         limit_per_s = statement.limit_per_s
         if limit_per_s is None:
             self._allowances.pop(instance, None)
+            self._lifted_at_ms[instance] = statement.stated_at_ms
             self._log.info('server lifted its limit', server=instance)
             return
         self._log.info(
--- a/tests/backends/test_limits.py
+++ b/tests/backends/test_limits.py
@@ -97,6 +97,33 @@
     assert wait_ms(second, NOW_MS + 1) == 0
 
 
+def test_the_end_of_a_limit_is_not_repeated_for_ever():
+    limits = RequestLimits()
+    limits.hear(named(2))
+    limits.hear(named(None, NOW_MS + 1))
+    sent = 0
+    for at_ms in range(0, 60_000, 100):
+        limits.hear(named(None, NOW_MS + 2 + at_ms))
+        sent += bool(limits.take_due(NOW_MS + 2 + at_ms))
+    assert 5 < sent < 15
+
+
+def test_a_router_that_missed_the_end_of_a_limit_uses_the_server_again():
+    names = [f'r{number}' for number in range(26)]
+    unused = []
+    for name in names:
+        limits = RequestLimits()
+        limits.update_routers(name, names)
+        limits.learn(named(1))
+        if wait_ms(limits) == float('inf'):
+            unused.append(limits)
+    assert unused
+    assert {wait_ms(limits, NOW_MS + 14_000) for limits in unused} == {
+        float('inf')
+    }
+    assert {wait_ms(limits, NOW_MS + 16_000) for limits in unused} == {0}
+
+
 def test_routers_without_a_share_leave_a_limited_server_alone():
     names = [f'r{number}' for number in range(26)]
     users = 0
