--- a/lagoonflow/relay/admission.py
+++ b/lagoonflow/relay/admission.py
@@ -4,6 +4,7 @@
 
 from lagoonflow.clock import wall_clock_ms
 from lagoonflow.crashes.evidence import CrashEvidence, blamed_for_ms
+from lagoonflow.crashes.fingerprints import fingerprint
 from lagoonflow.declared.messages import (
     Organisation,
     Route,
@@ -49,6 +50,7 @@
     :ivar deadline_at_ms: boot time by which its answer must be complete.
     :ivar start_by_ms: boot time by which its answer must have begun.
     :ivar charged_tokens: tokens charged to its organisation.
+    :ivar fingerprint: what it has in common with its repeats only.
     :ivar software_version: version that began the stream that it resumes;
         ``None`` when any server may run it.
     """
@@ -61,6 +63,7 @@
     deadline_at_ms: float
     start_by_ms: float
     charged_tokens: float
+    fingerprint: str = ''
     software_version: str | None = None
 
     @property
@@ -239,6 +242,7 @@
             deadline_at_ms=now_ms + timeout_ms,
             start_by_ms=now_ms + min(_start_timeout_ms(route), timeout_ms),
             charged_tokens=0,
+            fingerprint=_fingerprint(call, organisation),
             software_version=_required_version(requirement),
         )
         if organisation is not None:
@@ -275,6 +279,11 @@
             return None
 
 
+def _fingerprint(call: Call, organisation: Organisation | None) -> str:
+    caller = '' if organisation is None else organisation.name
+    return fingerprint(call.head, call.body, call.host, caller)
+
+
 def _start_timeout_ms(route: Route) -> float:
     """Return how long a caller waits for its answer to begin, in ms."""
     if route.kind is not RouteKind.STREAM:
--- a/lagoonflow/relay/call_log.py
+++ b/lagoonflow/relay/call_log.py
@@ -137,6 +137,7 @@
             fields['prompt'] = record.call.shared_parts[:MAX_LOGGED_PARTS]
         if admitted is not None:
             fields['route'] = admitted.route.name
+            fields['fingerprint'] = admitted.fingerprint
             fields['urgency'] = admitted.urgency
             fields['target_ms'] = admitted.route.target_latency_ms
             if admitted.organisation is not None:
