--- a/loopback/platform_fleet.py
+++ b/loopback/platform_fleet.py
@@ -113,6 +113,8 @@
     :param relayed: whether relays stand in front of backend servers and store.
     :ivar crashing_part: prompt part on which runners crash that are started
         from now on; empty for none.
+    :ivar crashing_body: the same for a text in a request's body, on which
+        plain servers crash, too.
     :ivar version: version of the configuration that was published last.
     :ivar relays: relays by name: `server IP`, or `store IP` for the connections
         from a host to the store.
@@ -124,6 +126,7 @@
         self.runners: list[Host] = []
         self.plain_servers: list[Host] = []
         self.crashing_part = ''
+        self.crashing_body = ''
         self.version = 0
         self._processes = processes
         self.relays: dict[str, Relay] = {}
@@ -186,9 +189,13 @@
     def add_plain_server(self) -> Host:
         """Start a plain application server on a new host."""
         host = Host(self._next_ip())
-        host.runner = self._start_backend(host, PLAIN_SERVICE)
+        self.start_plain_server(host)
         return host
 
+    def start_plain_server(self, host: Host) -> None:
+        """Start the plain application server of a host."""
+        host.runner = self._start_backend(host, PLAIN_SERVICE)
+
     def start_agent(self, host: Host) -> None:
         """Start the agent of a host."""
         fields = {
@@ -322,6 +329,8 @@
             self.store,
             '--advertise',
             self._relay(f'server {host.ip}', host.ip, RUNNER_PORT),
+            '--crash-on-body',
+            self.crashing_body,
             *flags,
         )
         process.wait_listening()
--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -53,6 +53,8 @@
         limit. Requests beyond it are served and counted.
     :param crash_on_part: end the process once it begins to answer a request
         with this part in its prompt; empty for none.
+    :param crash_on_body: end the process while it runs a request with this
+        text in its body; empty for none.
     """
 
     lose_answers: int = 0
@@ -63,6 +65,7 @@
     is_leaving: bool = False
     limit_per_s: float = 0
     crash_on_part: str = ''
+    crash_on_body: str = ''
 
 
 class OrderBody(msgspec.Struct, frozen=True):
@@ -87,6 +90,7 @@
         in ms.
     :param software_version: version that it registers and writes into streams.
     :param crash_on_part: see `RunnerFaults`.
+    :param crash_on_body: see `RunnerFaults`.
     :ivar address: address at which it is registered.
     """
 
@@ -99,6 +103,7 @@
         work_ms: float,
         software_version: str,
         crash_on_part: str = '',
+        crash_on_body: str = '',
     ) -> None:
         self.address = ''
         self._instance = f'i-{uuid.uuid4().hex[:8]}'
@@ -117,7 +122,11 @@
         self._holders: set[str] = set()
         self._overcommitted = 0
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._switch = FaultSwitch(RunnerFaults(crash_on_part=crash_on_part))
+        self._switch = FaultSwitch(
+            RunnerFaults(
+                crash_on_part=crash_on_part, crash_on_body=crash_on_body
+            )
+        )
 
     def app(self) -> ASGIApp:
         """Return the ASGI application."""
@@ -285,6 +294,7 @@
             await asyncio.sleep(self._work_s)
         finally:
             self._active -= 1
+        await _crash_on_body(request, self._switch.current.crash_on_body)
         if self._switch.use_one('lose_answers'):
             return await close_without_answer(request)
         return Response(body or b'fine', 200, headers)
@@ -298,7 +308,7 @@
 
     async def _events(self, request: Request) -> AsyncIterator[bytes]:
         first = int(request.headers.get('last-event-id') or 0) + 1
-        crashing_part = self._switch.current.crash_on_part
+        faults = self._switch.current
         is_cut = self._switch.use_one('cut_streams')
         is_ended = not is_cut and self._switch.use_one('end_streams')
         try:
@@ -314,7 +324,8 @@
                     return
                 piece = f'piece {number} {self._software_version}'
                 yield f'id: {number}\ndata: {piece}\n\n'.encode()
-                await _crash_on_part(request, crashing_part)
+                await _crash_on_part(request, faults.crash_on_part)
+                await _crash_on_body(request, faults.crash_on_body)
         finally:
             self._active -= 1
 
@@ -328,6 +339,13 @@
         os._exit(1)
 
 
+async def _crash_on_body(request: Request, crashing_text: str) -> None:
+    """End the process if a request has a text in its body."""
+    if crashing_text and crashing_text.encode() in await request.body():
+        await asyncio.sleep(CRASH_DELAY_S)
+        os._exit(1)
+
+
 def main() -> None:
     """Read the flags and serve."""
     parser = build_parser('Model runner or plain server.')
@@ -339,6 +357,7 @@
     parser.add_argument('--advertise', default='')
     parser.add_argument('--software-version', default='v1')
     parser.add_argument('--crash-on-part', default='')
+    parser.add_argument('--crash-on-body', default='')
     flags = parser.parse_args()
     runner = Runner(
         flags.service,
@@ -348,6 +367,7 @@
         flags.work_ms,
         flags.software_version,
         flags.crash_on_part,
+        flags.crash_on_body,
     )
     runner.address = flags.advertise or f'{flags.host}:{flags.port}'
     serve(runner.app(), flags.host, flags.port)
