Refuse requests that crash one server after the other, at all routers

Cause: what a failure was charged to. Routers remembered only parts of prompts that crashes have in common. A request as a whole was no suspect, and crashes under requests without prompts were not counted at all.

Change: the routers' shared crashes also hold the fingerprints of the requests that the server may have been running, whatever they had been sent of the answer, and of those it had answered whole in the 400 ms before. Two failed trials, and all routers refuse it at once. A whole answer that its server survives clears it everywhere, so requests that are repeated while servers are killed for other reasons go on; one that had been answered before is suspected after six crashes apart from each other. A part of a prompt is not blamed for crashes of a single repeated request, and a request not for those of a part.

Why it works: a request that crashes each server is never answered whole, so after the third crash at most the two trials and what was on the way reach servers.

Bounds: 64 crashes with 96 requests each fit into a record of the store and, in pieces, into datagrams; 8,192 answered requests are remembered.

--- a/lagoonflow/crashes/blame.py
+++ b/lagoonflow/crashes/blame.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Iterable
 
+from lagoonflow.crashes.calls import CallSuspicion
 from lagoonflow.gossip.messages import CrashEntry
 
 # Crashes after which a part is blamed, if no request with it was ever answered.
@@ -26,10 +27,13 @@
     Parts that occurred together in each of their crashes can't be told apart.
 
     :param crashed_at_ms: wall clock of the crashes that prove it, in order.
+    :param crash_ids: all crashes that the parts may have caused, by instance
+        and start of the server.
     """
 
     parts: frozenset[str]
     crashed_at_ms: tuple[int, ...]
+    crash_ids: frozenset[tuple[str, int]] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,13 +77,21 @@
         return self.explained >= MIN_CRASHES and explains_most
 
 
-def find_blame(crashes: Iterable[CrashEntry]) -> tuple[Blame, ...]:
+def find_blame(
+    crashes: Iterable[CrashEntry], calls: Iterable[CallSuspicion] = ()
+) -> tuple[Blame, ...]:
     """Return the parts that are to blame for crashes.
 
     The most suspicious part comes first. Crashes that it explains don't count
     against the parts that were in flight beside it.
+
+    :param calls: suspected requests. A part that crashed servers only together
+        with one of them isn't blamed: others that have it may be sound.
     """
-    unexplained = sorted(crashes, key=lambda crash: crash.at_ms)
+    unexplained = sorted(
+        (crash for crash in crashes if crash.suspect_ages_ms),
+        key=lambda crash: crash.at_ms,
+    )
     proven = {part for crash in unexplained for part in crash.proven}
     blames: list[Blame] = []
     for is_proven in (False, True):
@@ -99,13 +111,23 @@
                 for suspicion in suspicions
                 if suspicion.crash_ids == worst.crash_ids
             )
-            blames.append(Blame(inseparable, worst.at_ms))
+            blames.append(Blame(inseparable, worst.at_ms, worst.crash_ids))
             unexplained = [
                 crash
                 for crash in unexplained
                 if crash.crash_id not in worst.crash_ids
             ]
-    return tuple(blames)
+    return _without_those_of_calls(blames, tuple(calls))
+
+
+def _without_those_of_calls(
+    blames: list[Blame], calls: tuple[CallSuspicion, ...]
+) -> tuple[Blame, ...]:
+    return tuple(
+        blame
+        for blame in blames
+        if not any(blame.crash_ids <= call.crash_ids for call in calls)
+    )
 
 
 def _find_suspicions(crashes: list[CrashEntry]) -> list[_Suspicion]:
--- /dev/null
+++ b/lagoonflow/crashes/calls.py
@@ -0,0 +1,149 @@
+"""Judges requests by the crashes of servers that were running them."""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from lagoonflow.crashes.fingerprints import without_prompt
+from lagoonflow.gossip.messages import CrashEntry
+
+# Crashes after which a request that was never answered is suspected.
+MIN_CRASHES = 3
+# The same for a request that had been answered before. Servers that crash
+# within the time of a trial may crash for one reason, and count once.
+MIN_CRASHES_OF_PROVEN_CALL = 6
+# A suspected request is tried no sooner than this after its latest crash, in
+# ms, so that servers that are killed in a row don't count against it.
+TRIAL_DELAY_MS = 500
+# Trials that crash their servers before the request is refused for good.
+MAX_FAILED_TRIALS = 2
+
+
+CrashId = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CrashUnderCall:
+    """A crash of a server that may have been running a request.
+
+    :param sent_at_ms: wall clock of the newest send of the request to it.
+    :param is_proven: the request had been answered before.
+    """
+
+    crash_id: CrashId
+    at_ms: int
+    sent_at_ms: int
+    is_proven: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallSuspicion:
+    """A request under which several servers crashed and none answered.
+
+    :param fingerprint: that of the request; without that of its prompt if it is
+        suspected whatever its prompt.
+    :param crash_ids: those crashes, by instance and start of the server.
+    :param first_crash_ms: wall clock of the earliest of them.
+    :param last_crash_ms: wall clock of the latest of them.
+    :param failed_trials: those whose server got the request well after it had
+        become suspected.
+    """
+
+    fingerprint: str
+    crash_ids: frozenset[CrashId]
+    first_crash_ms: int
+    last_crash_ms: int
+    failed_trials: int
+
+    @property
+    def is_blamed(self) -> bool:
+        """Whether the request must not be sent any more."""
+        return self.failed_trials >= MAX_FAILED_TRIALS
+
+
+def suspect_calls(crashes: Iterable[CrashEntry]) -> dict[str, CallSuspicion]:
+    """Return the suspected requests by fingerprint."""
+    return _suspect_by_name(crashes, lambda crash: crash.call_ages_ms)
+
+
+def suspect_whatever_prompt(
+    crashes: Iterable[CrashEntry], explained: Iterable[frozenset[CrashId]]
+) -> dict[str, CallSuspicion]:
+    """Return requests that are suspected with more than one prompt.
+
+    :param explained: sets of crashes that a request with one prompt, or a part
+        of prompts, explains. Requests that crashed no other server are left
+        out, as others that differ in the prompt may be sound.
+    """
+    suspicions = _suspect_by_name(crashes, _ages_without_prompt)
+    known = tuple(explained)
+    return {
+        name: suspicion
+        for name, suspicion in suspicions.items()
+        if not any(suspicion.crash_ids <= crash_ids for crash_ids in known)
+    }
+
+
+def _ages_without_prompt(crash: CrashEntry) -> dict[str, int]:
+    ages_ms: dict[str, int] = {}
+    for fingerprint, age_ms in crash.call_ages_ms.items():
+        name = without_prompt(fingerprint)
+        if name != fingerprint:
+            ages_ms[name] = min(age_ms, ages_ms.get(name, age_ms))
+    return ages_ms
+
+
+def _suspect_by_name(
+    crashes: Iterable[CrashEntry],
+    ages_of: Callable[[CrashEntry], dict[str, int]],
+) -> dict[str, CallSuspicion]:
+    crashes_by_name: dict[str, list[_CrashUnderCall]] = {}
+    for crash in sorted(crashes, key=lambda one: one.at_ms):
+        for name, age_ms in ages_of(crash).items():
+            if name not in crash.cleared:
+                crashes_by_name.setdefault(name, []).append(
+                    _CrashUnderCall(
+                        crash.crash_id,
+                        crash.at_ms,
+                        crash.at_ms - age_ms,
+                        name in crash.proven,
+                    )
+                )
+    return {
+        suspect: _suspect(suspect, under_it)
+        for suspect, under_it in crashes_by_name.items()
+        if _find_decisive(under_it) is not None
+    }
+
+
+def _find_decisive(under_it: list[_CrashUnderCall]) -> int | None:
+    """Return the index of the crash from which the request is suspected."""
+    if not any(crash.is_proven for crash in under_it):
+        return MIN_CRASHES - 1 if len(under_it) >= MIN_CRASHES else None
+    occasions = 0
+    occasion_ms = float('-inf')
+    for index, crash in enumerate(under_it):
+        if crash.at_ms - occasion_ms >= TRIAL_DELAY_MS:
+            occasions += 1
+            occasion_ms = crash.at_ms
+        if occasions == MIN_CRASHES_OF_PROVEN_CALL:
+            return index
+    return None
+
+
+def _suspect(
+    fingerprint: str, under_it: list[_CrashUnderCall]
+) -> CallSuspicion:
+    decisive = _find_decisive(under_it)
+    known_at_ms = under_it[decisive].at_ms
+    failed_trials = 0
+    for crash in under_it[decisive + 1 :]:
+        if crash.sent_at_ms >= known_at_ms + TRIAL_DELAY_MS:
+            failed_trials += 1
+            known_at_ms = crash.at_ms
+    return CallSuspicion(
+        fingerprint,
+        frozenset(one.crash_id for one in under_it),
+        under_it[0].at_ms,
+        under_it[-1].at_ms,
+        failed_trials,
+    )
--- a/lagoonflow/crashes/evidence.py
+++ b/lagoonflow/crashes/evidence.py
@@ -5,7 +5,14 @@
 
 import msgspec
 
+from lagoonflow.crashes.announcements import Announcements
 from lagoonflow.crashes.blame import MIN_CRASHES, Blame, find_blame
+from lagoonflow.crashes.calls import (
+    CallSuspicion,
+    suspect_calls,
+    suspect_whatever_prompt,
+)
+from lagoonflow.crashes.fingerprints import without_prompt
 from lagoonflow.gossip.messages import CrashEntry, join_ages
 
 # A crash is remembered for this long; then its parts are given another try.
@@ -14,18 +21,17 @@
 MAX_CRASHES = 64
 # Parts whose requests were answered, remembered at most.
 MAX_ANSWERED_PARTS = 8192
-# Changed entries are sent to the other routers again at this interval, in ms,
-# as datagrams may be lost.
-REPEAT_INTERVAL_MS = 700
-REPEATS = 4
-# Entries in one message at most, so that it fits into a datagram.
-MAX_SENT = 32
+# The same for whole requests.
+MAX_ANSWERED_CALLS = 8192
+# Whole requests that are suspected of one crash at most. The newest are kept,
+# so that the crashes fit into a record of the metadata store.
+MAX_CALLS_PER_CRASH = 96
 
 
 class CrashEvidence:
-    """Remembers crashes and which prompt parts may have caused them.
+    """Remembers crashes, and prompt parts and requests that may cause them.
 
-    Entries only gain suspects and cleared parts, so routers that have received
+    Entries only gain suspects and cleared ones, so routers that have received
     the same entries agree, in whatever order they came.
 
     :ivar has_unsaved: whether this router has seen crashes that are not in the
@@ -39,19 +45,23 @@
         self._answered: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self._answered_calls: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self._suspects: frozenset[str] = frozenset()
+        # Requests that crashes have in common.
+        self._repeated_calls: frozenset[str] = frozenset()
         self._blames: tuple[Blame, ...] = ()
-        # Whether the two above lag behind the crashes.
+        self._suspicions: dict[str, CallSuspicion] = {}
+        # Whether the four above lag behind the crashes.
         self._is_stale = False
-        self._repeats_left: dict[tuple[str, int], int] = {}
-        self._has_unsent = False
-        self._sent_at_ms = float('-inf')
+        self._announcements = Announcements()
 
     def report(self, crash: CrashEntry, wall_ms: int) -> None:
         """Add a crash that this router has seen itself."""
         if self._merge(self._with_proven(crash), wall_ms):
             self.has_unsaved = True
-            self._announce(crash.crash_id)
+            self._announcements.add(crash.crash_id)
 
     def learn(self, crash: CrashEntry, wall_ms: int) -> bool:
         """Add what another router has reported; return whether it is new.
@@ -62,7 +72,7 @@
         is_new = self._merge(self._with_proven(crash), wall_ms)
         known = self._crashes.get(crash.crash_id, crash)
         if is_new and len(known.proven) > len(crash.proven):
-            self._announce(crash.crash_id)
+            self._announcements.add(crash.crash_id)
         return is_new
 
     def note_answer(self, parts: Iterable[str]) -> None:
@@ -73,22 +83,24 @@
         """
         answered = frozenset(parts)
         for part in answered:
-            self._answered[part] = None
-            self._answered.move_to_end(part)
-        while len(self._answered) > MAX_ANSWERED_PARTS:
-            self._answered.popitem(last=False)
+            _remember(self._answered, part, MAX_ANSWERED_PARTS)
         self._refresh()
         if answered.isdisjoint(self._suspects):
             return
         for crash in list(self._crashes.values()):
-            innocent = answered.intersection(crash.suspects)
-            if innocent:
-                cleared = tuple(sorted({*crash.cleared, *innocent}))
-                self._crashes[crash.crash_id] = msgspec.structs.replace(
-                    crash, cleared=cleared
-                )
-                self._announce(crash.crash_id)
-        self._is_stale = True
+            self._clear(crash, answered.intersection(crash.suspects))
+
+    def note_call_answered(self, fingerprint: str) -> None:
+        """Record that a server has survived a whole answer to a request."""
+        names = {fingerprint, without_prompt(fingerprint)}
+        for name in names:
+            _remember(self._answered_calls, name, MAX_ANSWERED_CALLS)
+        self._refresh()
+        # A request of a single crash isn't suspected; the others need not hear.
+        if names.isdisjoint(self._repeated_calls):
+            return
+        for crash in list(self._crashes.values()):
+            self._clear(crash, names & _call_names(crash))
 
     def find_blame(self, parts: Iterable[str]) -> Blame | None:
         """Return why requests with these parts must not be sent, if so."""
@@ -106,6 +118,20 @@
         self._refresh()
         return self._blames
 
+    def suspicion(self, fingerprint: str) -> CallSuspicion | None:
+        """Return why a request is suspected, if it is."""
+        self._refresh()
+        if not self._suspicions:
+            return None
+        return self._suspicions.get(fingerprint) or self._suspicions.get(
+            without_prompt(fingerprint)
+        )
+
+    def suspicions(self) -> tuple[CallSuspicion, ...]:
+        """Return all requests that are suspected."""
+        self._refresh()
+        return tuple(self._suspicions.values())
+
     def entries(self) -> tuple[CrashEntry, ...]:
         """Return all crashes that are remembered."""
         return tuple(self._crashes.values())
@@ -124,47 +150,36 @@
 
     def take_due(self, now_ms: float) -> tuple[CrashEntry, ...]:
         """Return the entries to send to the other routers now."""
-        is_repeat_due = now_ms - self._sent_at_ms >= REPEAT_INTERVAL_MS
-        if not self._repeats_left or not (self._has_unsent or is_repeat_due):
-            return ()
-        self._has_unsent = False
-        self._sent_at_ms = now_ms
-        due = [
-            self._crashes[crash_id]
-            for crash_id in self._repeats_left
-            if crash_id in self._crashes
-        ]
-        self._repeats_left = {
-            crash_id: left - 1
-            for crash_id, left in self._repeats_left.items()
-            if left > 1
-        }
-        return tuple(due[-MAX_SENT:])
+        return self._announcements.take_due(self._crashes, now_ms)
 
     def _with_proven(self, crash: CrashEntry) -> CrashEntry:
-        """Add the parts on which this router has seen answers before."""
-        proven = {*crash.proven, *crash.suspect_ages_ms} & {
+        """Add the suspects of which this router has seen answers before."""
+        proven = {
             *crash.proven,
-            *self._answered,
+            *filter(self._answered.__contains__, crash.suspect_ages_ms),
+            *filter(self._answered_calls.__contains__, _call_names(crash)),
         }
         return msgspec.structs.replace(crash, proven=tuple(sorted(proven)))
 
-    def _announce(self, crash_id: tuple[str, int]) -> None:
-        # Moved to the end, since the newest entries are sent first.
-        self._repeats_left.pop(crash_id, None)
-        self._repeats_left[crash_id] = REPEATS
-        self._has_unsent = True
+    def _clear(self, crash: CrashEntry, innocent: Iterable[str]) -> None:
+        """Clear suspects of a crash, and tell the other routers."""
+        cleared = tuple(sorted({*crash.cleared, *innocent}))
+        if len(cleared) == len(crash.cleared):
+            return
+        self._crashes[crash.crash_id] = msgspec.structs.replace(
+            crash, cleared=cleared
+        )
+        self._announcements.add(crash.crash_id)
+        self._is_stale = True
 
     def _merge(self, crash: CrashEntry, wall_ms: int) -> bool:
         if wall_ms - crash.at_ms >= MEMORY_MS:
             return False
         known = self._crashes.get(crash.crash_id)
-        if known is None:
-            self._crashes[crash.crash_id] = crash
-        elif _adds_nothing(known, crash):
+        joined = _join(known or crash, crash)
+        if joined == known:
             return False
-        else:
-            self._crashes[crash.crash_id] = _join(known, crash)
+        self._crashes[crash.crash_id] = joined
         self._is_stale = True
         return True
 
@@ -176,30 +191,52 @@
         self._suspects = frozenset(
             part for crash in crashes for part in crash.suspects
         )
-        self._blames = find_blame(crashes)
+        occurrences = collections.Counter(
+            name for crash in crashes for name in _call_names(crash)
+        )
+        self._repeated_calls = frozenset(
+            name for name, count in occurrences.items() if count > 1
+        )
+        suspicions = suspect_calls(crashes)
+        self._blames = find_blame(crashes, suspicions.values())
+        explained = (
+            one.crash_ids for one in (*suspicions.values(), *self._blames)
+        )
+        self._suspicions = suspicions | suspect_whatever_prompt(
+            crashes, explained
+        )
 
 
 def blamed_for_ms(blame: Blame, wall_ms: int) -> int:
     """Return how long the crashes that prove a blame are remembered, in ms."""
-    return max(blame.crashed_at_ms[-MIN_CRASHES] + MEMORY_MS - wall_ms, 0)
+    return remembered_for_ms(blame.crashed_at_ms[-MIN_CRASHES], wall_ms)
 
 
-def _adds_nothing(known: CrashEntry, crash: CrashEntry) -> bool:
-    """Return whether a report says nothing beyond what is known."""
-    has_verdicts = set(crash.proven) <= set(known.proven) and set(
-        crash.cleared
-    ) <= set(known.cleared)
-    has_requests = _has_all(
-        known.request_ages_ms, crash.request_ages_ms
-    ) and _has_all(known.waiting_ages_ms, crash.waiting_ages_ms)
-    return has_verdicts and has_requests and crash.at_ms >= known.at_ms
+def remembered_for_ms(crashed_at_ms: int, wall_ms: int) -> int:
+    """Return how long a crash is still remembered, in ms."""
+    return max(crashed_at_ms + MEMORY_MS - wall_ms, 0)
 
 
-def _has_all(known_ages_ms: dict[str, int], ages_ms: dict[str, int]) -> bool:
-    return all(
-        known_ages_ms.get(part, float('inf')) <= age_ms
-        for part, age_ms in ages_ms.items()
-    )
+def newest_calls(ages_ms: dict[str, int]) -> dict[str, int]:
+    """Return the requests sent last, as many as are kept of one crash."""
+    if len(ages_ms) <= MAX_CALLS_PER_CRASH:
+        return ages_ms
+    newest = sorted(ages_ms, key=lambda one: (ages_ms[one], one))
+    return {one: ages_ms[one] for one in newest[:MAX_CALLS_PER_CRASH]}
+
+
+def _call_names(crash: CrashEntry) -> set[str]:
+    """Return the fingerprints of a crash's requests, also without prompt."""
+    return {*crash.call_ages_ms, *map(without_prompt, crash.call_ages_ms)}
+
+
+def _remember(
+    known: collections.OrderedDict[str, None], name: str, most: int
+) -> None:
+    known[name] = None
+    known.move_to_end(name)
+    if len(known) > most:
+        known.popitem(last=False)
 
 
 def _join(first: CrashEntry, second: CrashEntry) -> CrashEntry:
@@ -215,4 +252,7 @@
         ),
         proven=tuple(sorted({*first.proven, *second.proven})),
         cleared=tuple(sorted({*first.cleared, *second.cleared})),
+        call_ages_ms=newest_calls(
+            join_ages(first.call_ages_ms, second.call_ages_ms)
+        ),
     )
--- a/lagoonflow/crashes/watch.py
+++ b/lagoonflow/crashes/watch.py
@@ -1,10 +1,11 @@
 """Tells crashes of servers from other ends of connections."""
 
+import collections
 import dataclasses
 
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
-from lagoonflow.crashes.evidence import CrashEvidence
+from lagoonflow.crashes.evidence import CrashEvidence, newest_calls
 from lagoonflow.gossip.messages import CrashEntry
 
 # A request whose answer began longer ago has not caused the crash.
@@ -15,6 +16,10 @@
 CONFIRMED_MS = 10_000
 # Connections that end together lead to one check of their server.
 CHECK_INTERVAL_MS = 50
+# A server that crashes later than this after a whole answer has survived it.
+SURVIVAL_MS = 400
+# Answers of one start of a server that are remembered so long, at most.
+MAX_ANSWERS = 64
 # Parts of one request that are suspected at most, and their greatest length.
 MAX_PARTS = 32
 MAX_PART_LENGTH = 64
@@ -29,6 +34,7 @@
     :param has_begun: the head of the answer had arrived.
     :param first_part_at_ms: boot time of the first part of the answer's body;
         ``None`` before it.
+    :param fingerprint: what the request has in common with its repeats only.
     """
 
     server: BackendServer
@@ -36,14 +42,34 @@
     sent_at_ms: float
     has_begun: bool
     first_part_at_ms: float | None
+    fingerprint: str = ''
 
-    def is_suspect(self, now_ms: float) -> bool:
+    def suspects(self, now_ms: float) -> list[str]:
+        """Return the parts that may have caused the end."""
+        if not self._had_just_begun(now_ms):
+            return []
+        return [
+            part
+            for part in self.parts[:MAX_PARTS]
+            if len(part) <= MAX_PART_LENGTH
+        ]
+
+    def _had_just_begun(self, now_ms: float) -> bool:
         """Return whether the answer had just begun, or had not."""
         if self.first_part_at_ms is None:
             return True
         return now_ms - self.first_part_at_ms < SUSPECT_MS
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _AnsweredCall:
+    """A request that a server has answered whole."""
+
+    fingerprint: str
+    sent_at_ms: float
+    answered_at_ms: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Signs:
     """Ended connections of one start of a server.
@@ -51,6 +77,7 @@
     :ivar begun_sent_ms: boot time of the newest send by suspected part, for
         requests whose answers had begun.
     :ivar waiting_sent_ms: the same for those whose answers had not.
+    :ivar call_sent_ms: the same for whole requests, by fingerprint.
     :ivar checked_at_ms: boot time of the newest check of the server.
     :ivar confirmed_at_ms: boot time at which the crash was confirmed.
     """
@@ -59,15 +86,21 @@
     first_at_ms: float
     begun_sent_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     waiting_sent_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    call_sent_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     checked_at_ms: float = float('-inf')
     confirmed_at_ms: float | None = None
 
-    def add(self, broken: BrokenSend, parts: list[str]) -> None:
-        """Add the parts of a request as suspects."""
+    def add(self, broken: BrokenSend, now_ms: float) -> None:
+        """Add a request and the parts of its prompt as suspects."""
         table = self.begun_sent_ms if broken.has_begun else self.waiting_sent_ms
-        for part in parts:
-            known_ms = table.get(part, broken.sent_at_ms)
-            table[part] = max(broken.sent_at_ms, known_ms)
+        for part in broken.suspects(now_ms):
+            _keep_newest(table, part, broken.sent_at_ms)
+        self.add_call(broken.fingerprint, broken.sent_at_ms)
+
+    def add_call(self, fingerprint: str, sent_at_ms: float) -> None:
+        """Add a request as a suspect."""
+        if fingerprint:
+            _keep_newest(self.call_sent_ms, fingerprint, sent_at_ms)
 
     def ages_ms(self, sent_ms: dict[str, float]) -> dict[str, int]:
         """Return the time from sends to the first sign of the crash."""
@@ -76,6 +109,12 @@
             for part, sent_at_ms in sorted(sent_ms.items())
         }
 
+    @property
+    def is_idle_only(self) -> bool:
+        """Whether only connections between two requests have ended."""
+        is_confirmed = self.confirmed_at_ms is not None
+        return not (is_confirmed or self.call_sent_ms or self.waiting_sent_ms)
+
     def is_over(self, now_ms: float) -> bool:
         """Return whether nothing more will come of these signs."""
         if self.confirmed_at_ms is None:
@@ -95,6 +134,9 @@
         self._fleet = fleet
         self._evidence = evidence
         self._signs: dict[tuple[str, int], _Signs] = {}
+        self._answers: dict[
+            tuple[str, int], collections.deque[_AnsweredCall]
+        ] = {}
 
     def note_broken(
         self, broken: BrokenSend, now_ms: float, wall_ms: int
@@ -103,26 +145,42 @@
 
         :returns: whether it should be checked now that the server listens.
         """
-        parts = [
-            part
-            for part in broken.parts[:MAX_PARTS]
-            if len(part) <= MAX_PART_LENGTH
-        ]
-        if not parts or not broken.is_suspect(now_ms):
+        if not (broken.fingerprint or broken.suspects(now_ms)):
             return False
-        key = _key(broken.server)
-        signs = self._signs.get(key)
-        if signs is None or signs.is_over(now_ms):
-            signs = _Signs(broken.server, now_ms)
-            self._signs[key] = signs
-        signs.add(broken, parts)
+        signs = self._begin_signs(broken.server, now_ms)
+        signs.add(broken, now_ms)
         if signs.confirmed_at_ms is not None:
             self._report(signs, now_ms, wall_ms)
             return False
-        if now_ms - signs.checked_at_ms < CHECK_INTERVAL_MS:
+        return _is_check_due(signs, now_ms)
+
+    def note_answered(
+        self,
+        server: BackendServer,
+        fingerprint: str,
+        sent_at_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Record a whole answer; its server may still crash under it."""
+        answers = self._answers.setdefault(
+            _key(server), collections.deque(maxlen=MAX_ANSWERS)
+        )
+        answers.append(_AnsweredCall(fingerprint, sent_at_ms, now_ms))
+
+    def note_idle_closed(self, server: BackendServer, now_ms: float) -> bool:
+        """Record that a server closed a connection between two requests.
+
+        :returns: whether it should be checked now that the server listens.
+        """
+        if not self._recent_answers(server, now_ms):
             return False
-        signs.checked_at_ms = now_ms
-        return True
+        return _is_check_due(self._begin_signs(server, now_ms), now_ms)
+
+    def note_listening(self, server: BackendServer) -> None:
+        """Record that a server that was checked accepts connections."""
+        signs = self._signs.get(_key(server))
+        if signs is not None and signs.is_idle_only:
+            self._signs.pop(_key(server))
 
     def confirm(
         self, server: BackendServer, now_ms: float, wall_ms: int
@@ -131,6 +189,8 @@
         signs = self._signs.get(_key(server))
         if signs is not None and signs.confirmed_at_ms is None:
             signs.confirmed_at_ms = now_ms
+            for answered in self._recent_answers(server, signs.first_at_ms):
+                signs.add_call(answered.fingerprint, answered.sent_at_ms)
             self._report(signs, now_ms, wall_ms)
 
     def confirm_by_fleet(self, now_ms: float, wall_ms: int) -> None:
@@ -142,11 +202,31 @@
                 signs.server, now_ms
             ):
                 self.confirm(signs.server, now_ms, wall_ms)
+        for key, answers in list(self._answers.items()):
+            if now_ms - answers[-1].answered_at_ms > SIGN_MS + SURVIVAL_MS:
+                self._answers.pop(key)
 
     def may_have_crashed(self, server: BackendServer, now_ms: float) -> bool:
         """Return whether there are signs that a server has crashed."""
         return _key(server) in self._signs or self._is_down(server, now_ms)
 
+    def _begin_signs(self, server: BackendServer, now_ms: float) -> _Signs:
+        signs = self._signs.get(_key(server))
+        if signs is None or signs.is_over(now_ms):
+            signs = _Signs(server, now_ms)
+            self._signs[_key(server)] = signs
+        return signs
+
+    def _recent_answers(
+        self, server: BackendServer, at_ms: float
+    ) -> list[_AnsweredCall]:
+        """Return the answers that a server had not survived at a time."""
+        return [
+            answered
+            for answered in self._answers.get(_key(server), ())
+            if at_ms - answered.answered_at_ms < SURVIVAL_MS
+        ]
+
     def _is_down(self, server: BackendServer, now_ms: float) -> bool:
         agent = self._fleet.agent(server, now_ms)
         if agent is not None and agent.is_down:
@@ -164,9 +244,23 @@
             wall_ms - crash_age_ms,
             signs.ages_ms(signs.begun_sent_ms),
             signs.ages_ms(signs.waiting_sent_ms),
+            call_ages_ms=newest_calls(signs.ages_ms(signs.call_sent_ms)),
         )
         self._evidence.report(crash, wall_ms)
 
 
+def _keep_newest(
+    sent_ms: dict[str, float], name: str, sent_at_ms: float
+) -> None:
+    sent_ms[name] = max(sent_at_ms, sent_ms.get(name, sent_at_ms))
+
+
+def _is_check_due(signs: _Signs, now_ms: float) -> bool:
+    if now_ms - signs.checked_at_ms < CHECK_INTERVAL_MS:
+        return False
+    signs.checked_at_ms = now_ms
+    return True
+
+
 def _key(server: BackendServer) -> tuple[str, int]:
     return server.instance, server.started_ms
--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -198,7 +198,7 @@
 def join_ages(
     first_ages_ms: dict[str, int], second_ages_ms: dict[str, int]
 ) -> dict[str, int]:
-    """Return the prompt parts of both, with the age of the newer request."""
+    """Return the keys of both, with the age of the newer request."""
     ages_ms = dict(first_ages_ms)
     for part, age_ms in second_ages_ms.items():
         ages_ms[part] = min(age_ms, ages_ms.get(part, age_ms))
@@ -215,6 +215,9 @@
     :param waiting_ages_ms: the same for requests whose answers had not begun.
     :param proven: those parts on which requests had been answered before.
     :param cleared: those parts on which requests have been answered since.
+    :param call_ages_ms: fingerprints of requests that the server may have been
+        running, with the time from the newest send to the crash, in ms. They
+        occur in ``proven`` and ``cleared`` like parts.
     """
 
     instance: str
@@ -224,6 +227,7 @@
     waiting_ages_ms: dict[str, int] = {}
     proven: tuple[str, ...] = ()
     cleared: tuple[str, ...] = ()
+    call_ages_ms: dict[str, int] = {}
 
     @property
     def crash_id(self) -> tuple[str, int]:
--- a/lagoonflow/http1/channel.py
+++ b/lagoonflow/http1/channel.py
@@ -26,6 +26,7 @@
     :param max_head_bytes: longest accepted message head, in bytes.
     :param on_peer_closed: called once, when the peer stops sending or the
         connection has ended, even if this side closed it.
+    :ivar on_peer_closed: the same; ``None`` for nothing.
     """
 
     def __init__(
@@ -43,7 +44,7 @@
         self.is_idle = False
         self._events_in_row = 0
         self.transport: asyncio.Transport | None = None
-        self._on_peer_closed = on_peer_closed
+        self.on_peer_closed = on_peer_closed
         self._bytes_arrived: asyncio.Future[None] | None = None
         self._writable: asyncio.Future[None] | None = None
         self._is_paused = False
@@ -175,8 +176,8 @@
             return
         self.has_peer_closed = True
         _resolve(self._bytes_arrived)
-        if self._on_peer_closed is not None:
-            self._on_peer_closed()
+        if self.on_peer_closed is not None:
+            self.on_peer_closed()
 
 
 def _resolve(waiter: asyncio.Future[None] | None) -> None:
--- a/lagoonflow/relay/admission.py
+++ b/lagoonflow/relay/admission.py
@@ -3,8 +3,15 @@
 import dataclasses
 
 from lagoonflow.clock import wall_clock_ms
-from lagoonflow.crashes.evidence import CrashEvidence, blamed_for_ms
 from lagoonflow.crashes.fingerprints import fingerprint
+from lagoonflow.crashes.guard import (
+    BlamedCall,
+    BlamedPrompt,
+    CrashGuard,
+    Sound,
+    SuspectedCall,
+    Verdict,
+)
 from lagoonflow.declared.messages import (
     Organisation,
     Route,
@@ -100,7 +107,7 @@
     :param withdrawal_ms: time in ms after which a withdrawn key must not be
         accepted; 0 for no such bound.
     :param version_rule: at which software version a resumed stream may run.
-    :param crashes: which prompt parts crash servers.
+    :param crash_guard: which requests crash servers.
     """
 
     def __init__(
@@ -109,11 +116,11 @@
         rate_limiter: FleetRateLimiter,
         withdrawal_ms: float,
         version_rule: VersionRule,
-        crashes: CrashEvidence,
+        crash_guard: CrashGuard,
     ) -> None:
         """Set the greatest age at which the configuration is trusted."""
         self._version_rule = version_rule
-        self._crashes = crashes
+        self._crash_guard = crash_guard
         self._view = view
         self._rate_limiter = rate_limiter
         self._max_view_age_ms = float('inf')
@@ -137,9 +144,6 @@
         organisation = self._authenticate(call, route, now_ms)
         if isinstance(organisation, Refusal):
             return organisation
-        crashing = self.refuse_crashing_prompt(call)
-        if crashing is not None:
-            return crashing
         # A resumed stream goes on at the service that began it.
         service_name = pick_service(
             route, call.resumed_request_id or call.request_id
@@ -172,22 +176,26 @@
             return Refusal(Result.KEY_UNKNOWN, 'the API key was withdrawn')
         return None
 
-    def refuse_crashing_prompt(self, call: Call) -> Refusal | None:
-        """Refuse a call whose prompt has a part that crashes servers.
+    def refuse_crashing(self, admitted: AdmittedCall) -> Refusal | None:
+        """Refuse a call that crashes servers, or must not be tried now.
 
         :return: ``None`` when the call may be sent.
         """
-        part_ids = [part.part_id for part in call.prompt]
-        blame = self._crashes.find_blame(part_ids)
-        if blame is None:
-            return None
-        named = ', '.join(sorted(blame.parts))
-        return Refusal(
-            Result.PROMPT_CRASHES_SERVERS,
-            f'{len(blame.crashed_at_ms)} servers crashed under requests with'
-            f' the prompt part {named}',
-            retry_after_ms=blamed_for_ms(blame, wall_clock_ms()),
+        part_ids = [part.part_id for part in admitted.call.prompt]
+        verdict = self._crash_guard.judge(
+            part_ids, admitted.fingerprint, wall_clock_ms()
         )
+        return _refuse_by_verdict(verdict)
+
+    def begin_send(self, admitted: AdmittedCall) -> bool:
+        """Record that a call is sent; return whether it is a trial."""
+        return self._crash_guard.begin_send(
+            admitted.fingerprint, wall_clock_ms()
+        )
+
+    def end_trial(self, admitted: AdmittedCall) -> None:
+        """Record that a trial was answered, or that the server rejected it."""
+        self._crash_guard.end_trial(admitted.fingerprint)
 
     def refund(self, admitted: AdmittedCall) -> None:
         """Refund the charge of a call that has not run."""
@@ -245,6 +253,9 @@
             fingerprint=_fingerprint(call, organisation),
             software_version=_required_version(requirement),
         )
+        crashing = self.refuse_crashing(admitted)
+        if crashing is not None:
+            return crashing
         if organisation is not None:
             return self._charge_organisation(admitted, organisation, now_ms)
         return admitted
@@ -271,6 +282,33 @@
         return admitted
 
 
+def _refuse_by_verdict(verdict: Verdict) -> Refusal | None:
+    match verdict:
+        case Sound():
+            return None
+        case BlamedPrompt(blame=blame, for_ms=for_ms):
+            named = ', '.join(sorted(blame.parts))
+            return Refusal(
+                Result.PROMPT_CRASHES_SERVERS,
+                f'{len(blame.crashed_at_ms)} servers crashed under requests'
+                f' with the prompt part {named}',
+                retry_after_ms=for_ms,
+            )
+        case BlamedCall(crashes=crashes, for_ms=for_ms):
+            return Refusal(
+                Result.REQUEST_CRASHES_SERVERS,
+                f'{crashes} servers crashed under this request',
+                retry_after_ms=for_ms,
+            )
+        case SuspectedCall(crashes=crashes, wait_ms=wait_ms):
+            return Refusal(
+                Result.REQUEST_CRASHES_SERVERS,
+                f'{crashes} servers crashed under this request, which is now'
+                ' tried by one router at a time',
+                retry_after_ms=wait_ms,
+            )
+
+
 def _required_version(requirement: AnyVersion | OneVersion) -> str | None:
     match requirement:
         case OneVersion(software_version=version):
@@ -281,7 +319,8 @@
 
 def _fingerprint(call: Call, organisation: Organisation | None) -> str:
     caller = '' if organisation is None else organisation.name
-    return fingerprint(call.head, call.body, call.host, caller)
+    part_ids = (part.part_id for part in call.prompt)
+    return fingerprint(call.head, call.body, call.host, caller, part_ids)
 
 
 def _start_timeout_ms(route: Route) -> float:
--- a/lagoonflow/relay/placing.py
+++ b/lagoonflow/relay/placing.py
@@ -177,7 +177,7 @@
         requested: _RequestedLoad,
         now_ms: float,
     ) -> Choice | Refusal:
-        refusal = self._admission.refuse_crashing_prompt(admitted.call)
+        refusal = self._admission.refuse_crashing(admitted)
         if refusal is not None:
             return refusal
         requirements = Requirements(
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -18,6 +18,7 @@
 from lagoonflow.http1.client import ClientConnection, ConnectionPool
 from lagoonflow.http1.messages import (
     LENGTH_HEADER,
+    BodyFraming,
     ExchangeError,
     ExchangeStage,
     RequestHead,
@@ -26,7 +27,7 @@
 )
 from lagoonflow.http1.server import ResponseWriter
 from lagoonflow.relay.admission import Admission, AdmittedCall
-from lagoonflow.relay.crash_monitor import CrashMonitor
+from lagoonflow.relay.crash_monitor import AnsweredSend, CrashMonitor
 from lagoonflow.relay.messages import Answer, Target
 from lagoonflow.relay.ports import CallCodec
 from lagoonflow.relay.streaming import AnswerStream, Progress
@@ -46,6 +47,7 @@
 # answer with one of them is not forwarded unless the server states that the
 # request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+MIN_SERVER_ERROR_STATUS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +107,9 @@
         self._tokens = choice.prefill_tokens
         self.sent_at_ms = boottime_ms()
         self.has_begun = False
+        self.framing: BodyFraming | None = None
+        # The call is suspected of crashing servers, and this router's turn.
+        self.is_trial = False
         self.first_part_at_ms: float | None = None
         self.last_part_at_ms: float | None = None
         self._health.begin_wait(id(self), self.sent_at_ms)
@@ -237,6 +242,7 @@
             reading.sent_at_ms,
             reading.has_begun,
             reading.first_part_at_ms,
+            admitted.fingerprint,
         )
         self._crash_monitor.note_broken(broken, self._pool(server))
 
@@ -248,14 +254,34 @@
         reading: _Reading,
         outcome: Outcome | None,
     ) -> None:
-        parts = admitted.call.shared_parts
-        if reading.proves_prompt:
-            self._crash_monitor.note_survived(parts)
-        elif isinstance(outcome, Delivered):
-            self._crash_monitor.note_answered(choice.server, parts, connection)
+        pool = self._pool(choice.server)
+        self._note_end(admitted, reading, outcome)
+        if isinstance(outcome, Delivered | Failed):
+            answered = _answered(admitted, choice.server, reading, outcome)
+            self._crash_monitor.note_answered(answered, connection, pool)
+            connection.channel.on_peer_closed = functools.partial(
+                self._note_idle_closed, choice.server, connection
+            )
         name = full_name(admitted.call.model, admitted.call.adapter)
         self._fleet.end_request(choice.server.instance, name)
-        self._pool(choice.server).release(connection)
+        pool.release(connection)
+
+    def _note_end(
+        self,
+        admitted: AdmittedCall,
+        reading: _Reading,
+        outcome: Outcome | None,
+    ) -> None:
+        if reading.proves_prompt:
+            self._crash_monitor.note_survived(admitted.call.shared_parts)
+        if reading.is_trial and isinstance(outcome, Delivered | NotRun):
+            self._admission.end_trial(admitted)
+
+    def _note_idle_closed(
+        self, server: BackendServer, connection: ClientConnection
+    ) -> None:
+        if connection.channel.is_open:
+            self._crash_monitor.note_idle_closed(server, self._pool(server))
 
     async def _connect(
         self, server: BackendServer, admitted: AdmittedCall
@@ -283,11 +309,12 @@
         refusal = self._admission.recheck_key(admitted, now_ms)
         if refusal is not None:
             return Withheld(refusal)
-        refusal = self._admission.refuse_crashing_prompt(admitted.call)
+        refusal = self._admission.refuse_crashing(admitted)
         if refusal is not None:
             return Withheld(refusal)
         if not may_send(self._fleet, server, now_ms):
             return NotSent('the server is leaving or asked for a pause')
+        prefill.is_trial = self._admission.begin_send(admitted)
         target = _target(admitted, server, progress, now_ms)
         request = self._codec.encode_call(admitted.call, target)
         answer = await self._receive_head(
@@ -295,8 +322,9 @@
         )
         progress.framing = answer.head.framing
         progress.is_inside_event = False
+        prefill.framing = answer.head.framing
         prefill.note_answer()
-        self._note_part(server.instance)
+        self._fleet.liveness.note_answer_part(server.instance, boottime_ms())
         if answer.load is not None:
             self._fleet.note_load(server.instance, answer.load, boottime_ms())
         if answer.is_success and answer.is_event_stream and answer.is_genuine:
@@ -382,9 +410,6 @@
             )
         )
 
-    def _note_part(self, instance: str) -> None:
-        self._fleet.liveness.note_answer_part(instance, boottime_ms())
-
     def _note_availability(self, server: BackendServer, answer: Answer) -> None:
         availability = self._fleet.availability
         instance, started_ms = server.instance, server.started_ms
@@ -423,6 +448,26 @@
         return pool
 
 
+def _answered(
+    admitted: AdmittedCall,
+    server: BackendServer,
+    reading: _Reading,
+    outcome: Delivered | Failed,
+) -> AnsweredSend:
+    is_valid = isinstance(outcome, Delivered) or (
+        outcome.answer.head.status < MIN_SERVER_ERROR_STATUS
+    )
+    is_delivered = isinstance(outcome, Delivered)
+    return AnsweredSend(
+        server,
+        admitted.call.shared_parts if is_delivered else (),
+        admitted.fingerprint,
+        reading.sent_at_ms,
+        is_valid,
+        reading.framing is BodyFraming.UNTIL_CLOSE,
+    )
+
+
 def _target(
     admitted: AdmittedCall,
     server: BackendServer,
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -20,6 +20,7 @@
 from lagoonflow.relay.ports import CallCodec
 from lagoonflow.relay.refusals import body_of, headers_of, status_of
 from lagoonflow.relay.sending import (
+    MIN_SERVER_ERROR_STATUS,
     NOT_RUN_STATUSES,
     Broken,
     Delivered,
@@ -41,7 +42,6 @@
 FIRST_SEND_TIME_SHARE = 0.45
 # A call is refused after this many sends that servers rejected.
 MAX_REJECTED_SENDS = 3
-MIN_SERVER_ERROR_STATUS = 500
 # Callers that a stopping router refuses retry at once, at another router.
 OTHER_ROUTER_RETRY_MS = 20
 _INTERNAL = Refusal(Result.INTERNAL, 'internal error', not_run=False)
--- a/lagoonflow/results.py
+++ b/lagoonflow/results.py
@@ -47,6 +47,7 @@
     CALLER_GONE = 505
     INTERNAL = 506
     PROMPT_CRASHES_SERVERS = 507
+    REQUEST_CRASHES_SERVERS = 508
     # 6xx: between routers and agents.
     STALE_VIEW = 601
     NOT_HOME = 602
--- a/lagoonflow/results_text.py
+++ b/lagoonflow/results_text.py
@@ -161,6 +161,10 @@
         'Backend servers crash when they answer a part of the prompt.',
         'Leave that part out, or retry after the time in Retry-After.',
     ),
+    Result.REQUEST_CRASHES_SERVERS: Explanation(
+        'Backend servers crash when they run this request, or may do so.',
+        'Change the request, or retry after the time in Retry-After.',
+    ),
 }
 _PEER_CODES: Mapping[Result, Explanation] = {
     Result.STALE_VIEW: Explanation(
--- a/lagoonflow/wiring/platform_crashes.py
+++ b/lagoonflow/wiring/platform_crashes.py
@@ -8,7 +8,10 @@
 
 from lagoonflow.clock import MS_PER_S, boottime_ms, wall_clock_ms
 from lagoonflow.crashes.blame import Blame
+from lagoonflow.crashes.calls import CallSuspicion
 from lagoonflow.crashes.evidence import CrashEvidence
+from lagoonflow.crashes.guard import CrashGuard
+from lagoonflow.crashes.trials import TrialTurns
 from lagoonflow.declared.records import RecordPage, StoreFailure
 from lagoonflow.gossip.members import Members
 from lagoonflow.gossip.messages import CrashEntry, CrashesState
@@ -24,6 +27,20 @@
 _ENTRIES = msgspec.json.Decoder(tuple[CrashEntry, ...])
 
 
+def build_crash_guard(
+    node: str, members: Members, evidence: CrashEvidence
+) -> CrashGuard:
+    """Return a guard whose trials are shared with the other routers.
+
+    :param node: name of this router.
+    """
+
+    def other_routers() -> list[str]:
+        return [one.name for one in members.present(boottime_ms())]
+
+    return CrashGuard(evidence, TrialTurns(node, other_routers))
+
+
 class CrashesFeed:
     """Learns the crashes that routers have written to the metadata store.
 
@@ -88,15 +105,47 @@
         self._feed = feed
         self._log = structlog.get_logger(part='crashes')
         self._blames: tuple[Blame, ...] = ()
+        self._suspicions: tuple[CallSuspicion, ...] = ()
 
     def publish_due(self, now_ms: float) -> bool:
         """Send the entries that are due to the other routers.
 
-        :returns: whether other parts are to blame than before.
+        :returns: whether other parts or requests are suspected than before.
         """
         self._evidence.drop_expired(wall_clock_ms())
         self._send_due(now_ms)
-        blames = self._evidence.blames()
+        has_blame = self._note_blames(self._evidence.blames())
+        has_suspicion = self._note_suspicions(self._evidence.suspicions())
+        return has_blame or has_suspicion
+
+    async def save(self) -> None:
+        """Write the crashes that this router has seen until cancelled."""
+        await self._feed.has_read.wait()
+        while True:
+            delay_ms: float = SAVE_INTERVAL_MS
+            if self._evidence.has_unsaved:
+                delay_ms = await self._save_once()
+            await asyncio.sleep(delay_ms / MS_PER_S)
+
+    def _note_suspicions(self, suspicions: tuple[CallSuspicion, ...]) -> bool:
+        if suspicions == self._suspicions:
+            return False
+        self._suspicions = suspicions
+        self._log.info(
+            'requests that crash servers',
+            suspected=[
+                {
+                    'fingerprint': one.fingerprint,
+                    'crashes': len(one.crash_ids),
+                    'failed_trials': one.failed_trials,
+                    'blamed': one.is_blamed,
+                }
+                for one in suspicions
+            ],
+        )
+        return True
+
+    def _note_blames(self, blames: tuple[Blame, ...]) -> bool:
         if blames == self._blames:
             return False
         self._blames = blames
@@ -109,15 +158,6 @@
         )
         return True
 
-    async def save(self) -> None:
-        """Write the crashes that this router has seen until cancelled."""
-        await self._feed.has_read.wait()
-        while True:
-            delay_ms: float = SAVE_INTERVAL_MS
-            if self._evidence.has_unsaved:
-                delay_ms = await self._save_once()
-            await asyncio.sleep(delay_ms / MS_PER_S)
-
     def _send_due(self, now_ms: float) -> None:
         due = self._evidence.take_due(now_ms)
         if not due:
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -50,7 +50,11 @@
 from lagoonflow.resumption.versions import VersionHistory
 from lagoonflow.retries.budget import RetryBudgets
 from lagoonflow.wiring.platform_admin import AdminServer
-from lagoonflow.wiring.platform_crashes import CrashesFeed, CrashPublisher
+from lagoonflow.wiring.platform_crashes import (
+    CrashesFeed,
+    CrashPublisher,
+    build_crash_guard,
+)
 from lagoonflow.wiring.platform_feeds import (
     ConfigurationFeed,
     MembersFeed,
@@ -124,7 +128,7 @@
             self._rate_limiter,
             settings.withdrawal_ms,
             VersionRule(origins, self._versions),
-            self._crashes,
+            build_crash_guard(settings.node, self._members, self._crashes),
         )
         self._gossip = GossipSocket(self._receive)
         self._origin_publisher = OriginPublisher(
--- a/tests/crashes/test_fingerprints.py
+++ b/tests/crashes/test_fingerprints.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lagoonflow.crashes.fingerprints import fingerprint
+from lagoonflow.crashes.fingerprints import fingerprint, without_prompt
 from lagoonflow.http1.messages import RequestHead
 
 HEAD = RequestHead(b'POST', b'/read/x?page=1', ((b'Attempt-Id', b'a1'),))
@@ -41,3 +41,11 @@
 
 def test_a_long_body_adds_nothing_to_the_length():
     assert len(fingerprint(HEAD, bytes(4_000_000), 'h', '')) == 11
+
+
+def test_prompts_are_told_apart_by_a_suffix():
+    first = fingerprint(*REQUEST, ('a', 'b'))
+    second = fingerprint(*REQUEST, ('a', 'c'))
+    assert first != second
+    assert without_prompt(first) == without_prompt(second)
+    assert without_prompt(first) == fingerprint(*REQUEST)
--- a/tests/crashes/test_watch.py
+++ b/tests/crashes/test_watch.py
@@ -5,7 +5,14 @@
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.crashes.evidence import CrashEvidence
-from lagoonflow.crashes.watch import SIGN_MS, SUSPECT_MS, BrokenSend, CrashWatch
+from lagoonflow.crashes.watch import (
+    MAX_ANSWERS,
+    SIGN_MS,
+    SURVIVAL_MS,
+    SUSPECT_MS,
+    BrokenSend,
+    CrashWatch,
+)
 from lagoonflow.gossip.messages import AgentState
 
 NOW_MS = 5000.0
@@ -109,3 +116,47 @@
     _, _, watch = make_watch()
     due = [watch.note_broken(broken('a'), NOW_MS, WALL_MS) for _ in range(5)]
     assert due == [True, False, False, False, False]
+
+
+def answered_call(watch, before_ms, name='answered'):
+    watch.note_answered(SERVER, name, NOW_MS - 900, NOW_MS - before_ms)
+
+
+def test_a_request_answered_just_before_the_crash_is_suspected():
+    _, evidence, watch = make_watch()
+    answered_call(watch, SURVIVAL_MS - 50)
+    answered_call(watch, SURVIVAL_MS + 50, 'survived')
+    assert watch.note_idle_closed(SERVER, NOW_MS)
+    watch.confirm(SERVER, NOW_MS + 5, WALL_MS)
+    (crash,) = evidence.entries()
+    assert list(crash.call_ages_ms) == ['answered']
+
+
+def test_a_server_that_closes_idle_connections_is_no_sign_of_a_crash():
+    _, _, watch = make_watch()
+    assert not watch.note_idle_closed(SERVER, NOW_MS)
+    answered_call(watch, 10)
+    assert watch.note_idle_closed(SERVER, NOW_MS)
+    watch.note_listening(SERVER)
+    assert not watch.may_have_crashed(SERVER, NOW_MS)
+
+
+def test_a_request_is_suspected_however_long_its_answer_went_on():
+    _, evidence, watch = make_watch()
+    began_ms = NOW_MS - 9000
+    late = BrokenSend(SERVER, ('a',), began_ms, True, began_ms, 'call')
+    watch.note_broken(late, NOW_MS, WALL_MS)
+    watch.confirm(SERVER, NOW_MS, WALL_MS)
+    (crash,) = evidence.entries()
+    assert crash.call_ages_ms == {'call': 9000}
+    assert not crash.suspects
+
+
+def test_answers_of_servers_are_forgotten():
+    _, _, watch = make_watch()
+    for number in range(200):
+        answered_call(watch, 0, f'c{number}')
+    watch.confirm_by_fleet(NOW_MS + 100, WALL_MS)
+    assert sum(len(one) for one in watch._answers.values()) == MAX_ANSWERS
+    watch.confirm_by_fleet(NOW_MS + 10_000, WALL_MS)
+    assert not watch._answers
