--- a/tests/resumption/test_versions.py
+++ b/tests/resumption/test_versions.py
@@ -47,3 +47,12 @@
     history.confirm(20_000)
     history.note('llm', 'v1', 20_000)
     assert history.only_version('llm', WINDOW_MS, 20_000) is None
+
+
+def test_nothing_is_concluded_after_a_time_without_the_list():
+    history = followed(20_000)
+    history.note('llm', 'v1', 20_000)
+    now_ms = 20_000 + WINDOW_MS + 2 * MAX_LIST_AGE_MS
+    history.note('llm', 'v2', now_ms)
+    history.confirm(now_ms)
+    assert history.only_version('llm', WINDOW_MS, now_ms) is None
