Conclude no version for streams that may have begun before the router

What callers saw: after all routers had restarted, a resumed stream was answered 200 and its text joined from two software versions, with nothing to show it.

Cause: a router that doesn't know which version began a stream takes the only one that it has listed for as long as the stream can be old. That age was taken from the route's timeout, or what is left of the caller's time. The timeout bounds one attempt, not the stream, and the less time is left, the older the stream is. A caller with 17 s on a route with 5 s came back 9 s after the restart and was joined.

Change: at least a minute. Almost no stream that could have gone on is refused for it: those that began since the router started are known to it, or to the router that announced them.

The test of the only version followed the list by two reads 10 s apart; it now follows it for 100 s.

--- a/lagoonflow/resumption/decision.py
+++ b/lagoonflow/resumption/decision.py
@@ -11,9 +11,10 @@
 from lagoonflow.resumption.origins import StreamOrigins
 from lagoonflow.resumption.versions import VersionHistory
 
-# Longest time between a stream's first event and its resumption when its route
-# states no timeout, in ms.
-DEFAULT_WINDOW_MS = 30_000
+# A stream of unknown origin may be this old when it is resumed, in ms, unless a
+# longer time is stated. The timeout of its route bounds one attempt only, and a
+# caller states what is left of its time, not when the stream began.
+MIN_WINDOW_MS = 60_000
 
 
 class VersionRule:
@@ -44,7 +45,7 @@
                 return UnknownVersion('the stream began at another service')
             return OneVersion(origin.software_version)
         window_ms = max(
-            route.timeout_ms or DEFAULT_WINDOW_MS, call.deadline_ms or 0
+            MIN_WINDOW_MS, route.timeout_ms or 0, call.deadline_ms or 0
         )
         version = self.history.only_version(service, window_ms, now_ms)
         if version is None:
--- a/tests/relay/test_software_versions.py
+++ b/tests/relay/test_software_versions.py
@@ -103,8 +103,8 @@
     harness = RelayHarness()
     await harness.add_backends(answer_events(3, 4))
     now_ms = boottime_ms()
-    harness.versions.confirm(now_ms - 10_000)
-    harness.versions.confirm(now_ms)
+    for age_ms in range(100_000, -1, -1000):
+        harness.versions.confirm(now_ms - age_ms)
     harness.versions.note('app', 'v1', now_ms)
     status, _, _ = await harness.send_request('/resume/x', RESUME[0])
     assert status == 200
