Count a version until its end was noticed when streams are resumed

Cause: the list of servers may be 3 s old, so streams still begin at a version after it was listed last; a stream as old as its caller's time was then joined with the next version. Change: the time for which only one version must have been listed is longer by that age. The test failed before.

--- a/lagoonflow/resumption/decision.py
+++ b/lagoonflow/resumption/decision.py
@@ -9,7 +9,7 @@
     VersionRequirement,
 )
 from lagoonflow.resumption.origins import StreamOrigins
-from lagoonflow.resumption.versions import VersionHistory
+from lagoonflow.resumption.versions import MAX_LIST_AGE_MS, VersionHistory
 
 # A stream of unknown origin may be this old when it is resumed, in ms, unless a
 # longer time is stated. The timeout of its route bounds one attempt only, and a
@@ -47,6 +47,8 @@
         window_ms = max(
             MIN_WINDOW_MS, route.timeout_ms or 0, call.deadline_ms or 0
         )
+        # Streams still began at a version until its end was noticed.
+        window_ms += MAX_LIST_AGE_MS
         version = self.history.only_version(service, window_ms, now_ms)
         if version is None:
             return UnknownVersion(
