Forget versions' history when the list of servers could not be followed

Cause: a router that had not read the list for longer than a stream lasts, because it was frozen or the store was down, went on as if it had followed it all the time. The version that served and left meanwhile had last been listed before; the announcements of its streams were lost with the router's datagrams. A resumed stream was then joined with the version that it found afterwards.

Change: the list counts as followed only from the end of the last gap of more than the 3 s that the list may be old.

--- a/lagoonflow/resumption/versions.py
+++ b/lagoonflow/resumption/versions.py
@@ -11,7 +11,8 @@
     def __init__(self) -> None:
         """Start without a list of servers."""
         self._listed_at_ms: dict[str, dict[str, float]] = {}
-        self._first_confirmed_at_ms: float | None = None
+        # Since then, the list was never older than allowed.
+        self._followed_from_ms = float('inf')
         self._confirmed_at_ms = float('-inf')
 
     def note(self, service: str, software_version: str, now_ms: float) -> None:
@@ -21,8 +22,8 @@
 
     def confirm(self, at_ms: float) -> None:
         """Record that the list of servers was complete at a time."""
-        if self._first_confirmed_at_ms is None:
-            self._first_confirmed_at_ms = at_ms
+        if at_ms - self._confirmed_at_ms > MAX_LIST_AGE_MS:
+            self._followed_from_ms = at_ms
         self._confirmed_at_ms = max(self._confirmed_at_ms, at_ms)
 
     def only_version(
@@ -35,8 +36,7 @@
 
         :param window_ms: length of the time until now, in ms.
         """
-        first_ms = self._first_confirmed_at_ms
-        was_followed = first_ms is not None and first_ms <= now_ms - window_ms
+        was_followed = self._followed_from_ms <= now_ms - window_ms
         if not was_followed or now_ms - self._confirmed_at_ms > MAX_LIST_AGE_MS:
             return None
         recent = [
--- a/tests/resumption/test_versions.py
+++ b/tests/resumption/test_versions.py
@@ -8,8 +8,8 @@
 def followed(now_ms):
     """Return a history that was followed for long enough until now."""
     history = VersionHistory()
-    history.confirm(now_ms - WINDOW_MS)
-    history.confirm(now_ms)
+    for at_ms in range(now_ms - WINDOW_MS, now_ms + 1, 1000):
+        history.confirm(at_ms)
     return history
 
 
