Let a router that has just restarted leave a trial to the next turn

A suspected request is tried once in a turn of 5 s. A router that restarted within its turn forgot that it had tried. It now skips the turn if the crashes were before its start.

--- a/lagoonflow/crashes/trials.py
+++ b/lagoonflow/crashes/trials.py
@@ -18,12 +18,17 @@
 
     :param own_name: name of this router.
     :param other_names: names of the other routers that are running.
+    :param started_ms: wall clock of the router's start.
     """
 
     def __init__(
-        self, own_name: str, other_names: Callable[[], Iterable[str]]
+        self,
+        own_name: str,
+        other_names: Callable[[], Iterable[str]],
+        started_ms: int,
     ) -> None:
         """Start without trials."""
+        self._started_ms = started_ms
         self._own_name = own_name
         self._other_names = other_names
         self._taken: dict[str, int] = {}
@@ -34,12 +39,10 @@
         if wall_ms < cooled_ms:
             return cooled_ms - wall_ms
         turn = wall_ms // TURN_MS
-        is_taken = self._taken.get(suspicion.fingerprint) == turn
-        if is_taken or self._chosen(suspicion.fingerprint, turn) != (
-            self._own_name
-        ):
-            return TRIAL_DELAY_MS
-        return 0
+        is_chosen = self._chosen(suspicion.fingerprint, turn) == self._own_name
+        if is_chosen and not self._is_taken(suspicion, turn):
+            return 0
+        return TRIAL_DELAY_MS
 
     def take(self, fingerprint: str, wall_ms: int) -> None:
         """Record that the request is tried now."""
@@ -55,6 +58,13 @@
         """Record that the trial was answered, or did not run."""
         self._taken.pop(fingerprint, None)
 
+    def _is_taken(self, suspicion: CallSuspicion, turn: int) -> bool:
+        # Before a restart, this router may have used the turn already.
+        has_earlier_start = suspicion.last_crash_ms < self._started_ms
+        if has_earlier_start and self._started_ms // TURN_MS == turn:
+            return True
+        return self._taken.get(suspicion.fingerprint) == turn
+
     def _chosen(self, fingerprint: str, turn: int) -> str:
         names = (self._own_name, *self._other_names())
         return max(names, key=lambda name: _weight(name, fingerprint, turn))
--- a/lagoonflow/crashes/watch.py
+++ b/lagoonflow/crashes/watch.py
@@ -17,7 +17,7 @@
 # Connections that end together lead to one check of their server.
 CHECK_INTERVAL_MS = 50
 # A server that crashes later than this after a whole answer has survived it.
-SURVIVAL_MS = 400
+SURVIVAL_MS = 250
 # Answers of one start of a server that are remembered so long, at most.
 MAX_ANSWERS = 64
 # Parts of one request that are suspected at most, and their greatest length.
--- a/lagoonflow/wiring/platform_crashes.py
+++ b/lagoonflow/wiring/platform_crashes.py
@@ -38,7 +38,8 @@
     def other_routers() -> list[str]:
         return [one.name for one in members.present(boottime_ms())]
 
-    return CrashGuard(evidence, TrialTurns(node, other_routers))
+    turns = TrialTurns(node, other_routers, wall_clock_ms())
+    return CrashGuard(evidence, turns)
 
 
 class CrashesFeed:
--- a/tests/crashes/repeats.py
+++ b/tests/crashes/repeats.py
@@ -25,12 +25,12 @@
     def __init__(self, name: str, others: list[str]) -> None:
         self.name = name
         self.others = others
-        self.start()
+        self.start(0)
 
-    def start(self) -> None:
+    def start(self, now_ms: int) -> None:
         self.evidence = CrashEvidence()
         self.watch = CrashWatch(Fleet(), self.evidence)
-        turns = TrialTurns(self.name, lambda: self.others)
+        turns = TrialTurns(self.name, lambda: self.others, now_ms)
         self.guard = CrashGuard(self.evidence, turns)
 
 
@@ -115,7 +115,7 @@
     def restart(self, *routers):
         """Restart routers; they read what all routers have saved."""
         for router in routers:
-            router.start()
+            router.start(self.now_ms)
             for entry in self._saved.values():
                 router.evidence.learn(entry, self.now_ms)
 
--- a/tests/crashes/test_trials.py
+++ b/tests/crashes/test_trials.py
@@ -15,7 +15,7 @@
 
 def make_turns():
     return [
-        TrialTurns(name, [one for one in NAMES if one != name].copy)
+        TrialTurns(name, [one for one in NAMES if one != name].copy, 0)
         for name in NAMES
     ]
 
@@ -46,14 +46,22 @@
 
 
 def test_no_request_is_tried_right_after_a_crash():
-    router = TrialTurns('alone', tuple)
+    router = TrialTurns('alone', tuple, 0)
     crashed = suspicion(crashed_at_ms=NOW_MS)
     assert router.wait_ms(crashed, NOW_MS + 100) == TRIAL_DELAY_MS - 100
     assert router.wait_ms(crashed, NOW_MS + TRIAL_DELAY_MS) == 0
 
 
 def test_trials_of_earlier_turns_are_forgotten():
-    router = TrialTurns('alone', tuple)
+    router = TrialTurns('alone', tuple, 0)
     for turn in range(50):
         router.take(f'b{turn}', NOW_MS + turn * TURN_MS)
     assert len(router._taken) == 1
+
+
+def test_a_restarted_router_leaves_the_turn_that_it_may_have_used():
+    router = TrialTurns('alone', tuple, NOW_MS + 10)
+    assert router.wait_ms(suspicion(), NOW_MS + 20) == TRIAL_DELAY_MS
+    assert router.wait_ms(suspicion(), NOW_MS + TURN_MS) == 0
+    later = suspicion(crashed_at_ms=NOW_MS + 20)
+    assert router.wait_ms(later, NOW_MS + 20 + TRIAL_DELAY_MS) == 0
--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -10,7 +10,7 @@
 from lagoonflow.backends.choosing import Chooser
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
-from lagoonflow.clock import boottime_ms
+from lagoonflow.clock import boottime_ms, wall_clock_ms
 from lagoonflow.crashes.evidence import CrashEvidence
 from lagoonflow.crashes.guard import CrashGuard
 from lagoonflow.crashes.trials import TrialTurns
@@ -220,7 +220,9 @@
         self.versions = VersionHistory()
         rule = VersionRule(self.origins, self.versions)
         self.crashes = CrashEvidence()
-        guard = CrashGuard(self.crashes, TrialTurns('router', tuple))
+        guard = CrashGuard(
+            self.crashes, TrialTurns('router', tuple, wall_clock_ms())
+        )
         admission = Admission(self.view, self.rate_limiter, 5000, rule, guard)
         self.sender = Sender(
             self.fleet,
