--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,10 @@
 # Middle parts of prompts; runners crash on the first one.
 PARTS = ('bad', 'p1', 'p2', 'p3')
 PART_WEIGHTS = (1, 10, 10, 10)
+# Bodies that callers repeat; servers crash on the first one. An empty one stands
+# for the id of the request.
+BODIES = ('crashing', 'popular', '')
+BODY_WEIGHTS = (1, 10, 30)
 DEADLINE_MS = 3000
 TIMEOUT_S = 5
 EVENTS_PER_STREAM = 6
@@ -34,6 +38,7 @@
     :param is_complete: whether the answer was received up to its marked end.
     :param body: the part of the body that was received.
     :param is_resumed: whether the caller resumed the stream after a break.
+    :param sent_body: the body that the caller sent.
     """
 
     request_id: str
@@ -45,6 +50,7 @@
     is_complete: bool = False
     body: bytes = b''
     is_resumed: bool = False
+    sent_body: str = ''
 
     @property
     def is_broken_off(self) -> bool:
@@ -62,15 +68,17 @@
     """Sends random requests over reused connections until it is stopped."""
 
     def __init__(
-        self, fleet: PlatformFleet, seed: int, *, sends_prompts: bool
+        self, fleet: PlatformFleet, seed: int, *, sends_trouble: bool
     ) -> None:
         """Make all random choices from a seed.
 
-        :param sends_prompts: requests to models also have prompts, some with a
-            part that crashes runners.
+        :param sends_trouble: requests to models also have prompts, some with a
+            part that crashes runners, and some requests are repeated, of which
+            one crashes servers.
         """
-        self._sends_prompts = sends_prompts
+        self._sends_trouble = sends_trouble
         self._prompt_random = random.Random(seed + 1)
+        self._body_random = random.Random(seed + 2)
         super().__init__(daemon=True)
         self.outcomes: list[Outcome] = []
         self._fleet = fleet
@@ -100,7 +108,10 @@
                 'Resumes': broken.request_id,
             }
             again = dataclasses.replace(
-                self._new_outcome(), kind=broken.kind, key=broken.key
+                self._new_outcome(),
+                kind=broken.kind,
+                key=broken.key,
+                sent_body=broken.sent_body,
             )
             answer = self._send_request(again, headers)
             if answer.status == OK:
@@ -115,15 +126,22 @@
         return dataclasses.replace(resumed, is_resumed=True)
 
     def _new_outcome(self) -> Outcome:
+        request_id = f'{self._random.getrandbits(64):016x}'
         return Outcome(
-            request_id=f'{self._random.getrandbits(64):016x}',
+            request_id=request_id,
             kind=self._random.choice(KINDS),
             key=self._random.choice((KEY, KEY, KEY, OTHER_KEY)),
             sent_at_s=time.monotonic(),
+            sent_body=self._body() or request_id,
         )
 
+    def _body(self) -> str:
+        if not self._sends_trouble:
+            return ''
+        return self._body_random.choices(BODIES, BODY_WEIGHTS)[0]
+
     def _prompt(self, outcome: Outcome) -> dict[str, str]:
-        if not self._sends_prompts:
+        if not self._sends_trouble:
             return {}
         part = self._prompt_random.choices(PARTS, PART_WEIGHTS)[0]
         return {'Prompt-Prefix': f'common:9,{part}:4,{outcome.request_id}:1'}
@@ -162,7 +180,7 @@
             headers['Model'] = self._random.choice(MODELS)
             headers.update(self._prompt(outcome))
         connection.request(
-            'POST', f'/{outcome.kind}/x', outcome.request_id, headers
+            'POST', f'/{outcome.kind}/x', outcome.sent_body, headers
         )
         reply = connection.getresponse()
         started = dataclasses.replace(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,8 +17,10 @@
 SOFTWARE_VERSIONS = ('v1', 'v2')
 # Requests per second that a server says it takes; 0 for no limit.
 LIMITS_PER_S = (0, 0, 2, 8)
-# Chance that a server changes its limit beside another fault.
+# Chances beside another fault: a server changes its limit, and all routers are
+# killed together.
 LIMIT_CHANCE = 0.3
+KILL_ALL_CHANCE = 0.06
 
 
 class Faults:
@@ -33,14 +35,14 @@
         checker: InvariantChecker,
         seed: int,
         *,
-        names_limits: bool,
+        has_trouble: bool,
     ) -> None:
         """Make all random choices from a seed.
 
-        :param names_limits: servers also name limits; the other faults of a
-            seed are the same without them.
+        :param has_trouble: servers also name limits, and all routers are killed
+            together; the other faults of a seed are the same without them.
         """
-        self._names_limits = names_limits
+        self._has_trouble = has_trouble
         self._limit_random = random.Random(seed + 1)
         self.log: list[str] = []
         self._fleet = fleet
@@ -69,8 +71,9 @@
         )
         fault()
         self._restart_crashed()
-        if self._names_limits:
+        if self._has_trouble:
             self._change_limit()
+            self._kill_all_routers()
 
     def heal(self) -> None:
         """Wait for actions in the background, then end all faults."""
@@ -152,6 +155,21 @@
                 host.ip, 0.3, lambda: self._fleet.start_router(host)
             )
 
+    def _kill_all_routers(self) -> None:
+        if self._limit_random.random() > KILL_ALL_CHANCE:
+            return
+        hosts = [
+            host
+            for host in self._fleet.routers
+            if host.ip not in self._affected
+        ]
+        self._record(f'SIGKILL to {len(hosts)} routers together')
+        for host in hosts:
+            host.program.kill()
+            self._run_later(
+                host.ip, 0.3, lambda host=host: self._fleet.start_router(host)
+            )
+
     def _pause_router(self) -> None:
         host = self._choose_free_host(self._fleet.routers)
         if host is not None:
@@ -179,12 +197,15 @@
             self._run_later(host.ip, for_s, host.program.resume)
 
     def _restart_crashed(self) -> None:
-        """Start the runners again that a request has crashed."""
-        for host in self._fleet.runners:
+        """Start the servers again that a request has crashed."""
+        for host in (*self._fleet.runners, *self._fleet.plain_servers):
             if host.ip in self._affected or host.runner.is_running:
                 continue
-            self._record(f'the runner on {host.ip} has crashed, and starts')
-            self._fleet.start_runner(host, '')
+            self._record(f'the server on {host.ip} has crashed, and starts')
+            if host in self._fleet.runners:
+                self._fleet.start_runner(host, '')
+            else:
+                self._fleet.start_plain_server(host)
 
     def _restart_runner(self) -> None:
         host = self._choose_free_host(self._fleet.runners)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -97,7 +97,7 @@
         if not outcome.is_sealed:
             self.add_violation('an answer without its seal', name)
         if outcome.kind in {'read', 'book'}:
-            if outcome.body != outcome.request_id.encode():
+            if outcome.body != outcome.sent_body.encode():
                 self.add_violation('an answer of another request', name)
             return
         numbers = [
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,14 @@
 from loopback.platform_fleet import KEY, PlatformFleet, configuration
 from loopback.processes import ProcessSet
 from soak.callers import Caller, Outcome
-from soak.calm import CRASHING_PART, check_crashing_part, check_limit
+from soak.calm import (
+    CRASHING_BODY,
+    CRASHING_PART,
+    check_crashing_part,
+    check_crashing_request,
+    check_limit,
+    check_popular_request,
+)
 from soak.faults import Faults
 from soak.invariants import InvariantChecker
 
@@ -53,12 +60,14 @@
 
     :param for_s: how long faults are injected, in seconds.
     :param log_dir: folder for the output of the processes.
-    :param has_trouble: some requests crash runners, and servers name limits.
+    :param has_trouble: some requests crash servers, servers name limits, and all
+        routers are killed together.
     """
     processes = ProcessSet(log_dir)
     fleet = PlatformFleet(processes, relayed=True)
     if has_trouble:
         fleet.crashing_part = CRASHING_PART
+        fleet.crashing_body = CRASHING_BODY
     try:
         fleet.start(routers=3, runners=3, plain_servers=2)
         return _run(fleet, seed, for_s, has_trouble=has_trouble)
@@ -72,9 +81,9 @@
 ) -> Report:
     generator = random.Random(seed)
     checker = InvariantChecker(fleet)
-    faults = Faults(fleet, checker, seed, names_limits=has_trouble)
+    faults = Faults(fleet, checker, seed, has_trouble=has_trouble)
     callers = [
-        Caller(fleet, seed * 100 + index, sends_prompts=has_trouble)
+        Caller(fleet, seed * 100 + index, sends_trouble=has_trouble)
         for index in range(CALLERS)
     ]
     for caller in callers:
@@ -96,6 +105,8 @@
     _check_recovery(fleet, checker)
     if has_trouble:
         check_crashing_part(fleet, checker)
+        check_crashing_request(fleet, checker)
+        check_popular_request(fleet, checker)
         check_limit(fleet, checker)
     checker.collect([*fleet.runners, *fleet.plain_servers])
     checker.check(outcomes, withdrawn_at_s)
