--- a/lagoonflow/crashes/calls.py
+++ b/lagoonflow/crashes/calls.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
-from lagoonflow.crashes.fingerprints import without_prompt
+from lagoonflow.crashes.fingerprints import SEPARATOR, without_prompt
 from lagoonflow.gossip.messages import CrashEntry
 
 # Crashes after which a request that was never answered is suspected.
@@ -16,8 +16,6 @@
 TRIAL_DELAY_MS = 500
 # Trials that crash their servers before the request is refused for good.
 MAX_FAILED_TRIALS = 2
-
-
 CrashId = tuple[str, int]
 
 
@@ -60,21 +58,46 @@
         return self.failed_trials >= MAX_FAILED_TRIALS
 
 
-def suspect_calls(crashes: Iterable[CrashEntry]) -> dict[str, CallSuspicion]:
-    """Return the suspected requests by fingerprint."""
-    return _suspect_by_name(crashes, lambda crash: crash.call_ages_ms)
+def suspect_calls(
+    crashes: Iterable[CrashEntry], names: Iterable[str]
+) -> dict[str, CallSuspicion]:
+    """Return the suspected requests by fingerprint.
+
+    :param names: fingerprints that may be suspected.
+    """
+    ordered = sorted(crashes, key=lambda one: one.at_ms)
+    return _suspect_by_name(
+        names,
+        lambda name: [
+            _under_call(crash, name, crash.call_ages_ms[name])
+            for crash in ordered
+            if name in crash.call_ages_ms and name not in crash.cleared
+        ],
+    )
 
 
 def suspect_whatever_prompt(
-    crashes: Iterable[CrashEntry], explained: Iterable[frozenset[CrashId]]
+    crashes: Iterable[CrashEntry],
+    names: Iterable[str],
+    explained: Iterable[frozenset[CrashId]],
 ) -> dict[str, CallSuspicion]:
     """Return requests that are suspected with more than one prompt.
 
+    :param names: fingerprints that may be suspected.
     :param explained: sets of crashes that a request with one prompt, or a part
         of prompts, explains. Requests that crashed no other server are left
         out, as others that differ in the prompt may be sound.
     """
-    suspicions = _suspect_by_name(crashes, _ages_without_prompt)
+    ordered = sorted(crashes, key=lambda one: one.at_ms)
+    suspicions = _suspect_by_name(
+        (name for name in names if name == without_prompt(name)),
+        lambda name: [
+            _under_call(crash, name, min(ages_ms))
+            for crash in ordered
+            if name not in crash.cleared
+            and (ages_ms := _ages_with_prompts(crash, name))
+        ],
+    )
     known = tuple(explained)
     return {
         name: suspicion
@@ -83,36 +106,30 @@
     }
 
 
-def _ages_without_prompt(crash: CrashEntry) -> dict[str, int]:
-    ages_ms: dict[str, int] = {}
-    for fingerprint, age_ms in crash.call_ages_ms.items():
-        name = without_prompt(fingerprint)
-        if name != fingerprint:
-            ages_ms[name] = min(age_ms, ages_ms.get(name, age_ms))
-    return ages_ms
+def _ages_with_prompts(crash: CrashEntry, name: str) -> list[int]:
+    prefix = name + SEPARATOR
+    return [
+        age_ms
+        for fingerprint, age_ms in crash.call_ages_ms.items()
+        if fingerprint.startswith(prefix)
+    ]
+
+
+def _under_call(crash: CrashEntry, name: str, age_ms: int) -> _CrashUnderCall:
+    return _CrashUnderCall(
+        crash.crash_id, crash.at_ms, crash.at_ms - age_ms, name in crash.proven
+    )
 
 
 def _suspect_by_name(
-    crashes: Iterable[CrashEntry],
-    ages_of: Callable[[CrashEntry], dict[str, int]],
+    names: Iterable[str], crashes_of: Callable[[str], list[_CrashUnderCall]]
 ) -> dict[str, CallSuspicion]:
-    crashes_by_name: dict[str, list[_CrashUnderCall]] = {}
-    for crash in sorted(crashes, key=lambda one: one.at_ms):
-        for name, age_ms in ages_of(crash).items():
-            if name not in crash.cleared:
-                crashes_by_name.setdefault(name, []).append(
-                    _CrashUnderCall(
-                        crash.crash_id,
-                        crash.at_ms,
-                        crash.at_ms - age_ms,
-                        name in crash.proven,
-                    )
-                )
-    return {
-        suspect: _suspect(suspect, under_it)
-        for suspect, under_it in crashes_by_name.items()
-        if _find_decisive(under_it) is not None
-    }
+    suspicions: dict[str, CallSuspicion] = {}
+    for name in sorted(names):
+        under_it = crashes_of(name)
+        if _find_decisive(under_it) is not None:
+            suspicions[name] = _suspect(name, under_it)
+    return suspicions
 
 
 def _find_decisive(under_it: list[_CrashUnderCall]) -> int | None:
--- a/lagoonflow/crashes/evidence.py
+++ b/lagoonflow/crashes/evidence.py
@@ -7,6 +7,7 @@
 
 from lagoonflow.crashes.announcements import Announcements
 from lagoonflow.crashes.blame import MIN_CRASHES, Blame, find_blame
+from lagoonflow.crashes.call_counts import CallCounts, call_names
 from lagoonflow.crashes.calls import (
     CallSuspicion,
     suspect_calls,
@@ -48,12 +49,11 @@
         self._answered_calls: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self._call_counts = CallCounts()
         self._suspects: frozenset[str] = frozenset()
-        # Requests that crashes have in common.
-        self._repeated_calls: frozenset[str] = frozenset()
         self._blames: tuple[Blame, ...] = ()
         self._suspicions: dict[str, CallSuspicion] = {}
-        # Whether the four above lag behind the crashes.
+        # Whether the three below lag behind the crashes.
         self._is_stale = False
         self._announcements = Announcements()
 
@@ -95,12 +95,11 @@
         names = {fingerprint, without_prompt(fingerprint)}
         for name in names:
             _remember(self._answered_calls, name, MAX_ANSWERED_CALLS)
-        self._refresh()
         # A request of a single crash isn't suspected; the others need not hear.
-        if names.isdisjoint(self._repeated_calls):
-            return
-        for crash in list(self._crashes.values()):
-            self._clear(crash, names & _call_names(crash))
+        innocent = self._call_counts.take_uncleared(fingerprint)
+        if innocent:
+            for crash in list(self._crashes.values()):
+                self._clear(crash, innocent & call_names(crash))
 
     def find_blame(self, parts: Iterable[str]) -> Blame | None:
         """Return why requests with these parts must not be sent, if so."""
@@ -144,9 +143,13 @@
             for crash in newest[-MAX_CRASHES:]
             if wall_ms - crash.at_ms < MEMORY_MS
         }
-        if len(kept) < len(self._crashes):
-            self._crashes = kept
-            self._is_stale = True
+        if len(kept) == len(self._crashes):
+            return
+        for crash_id, crash in self._crashes.items():
+            if crash_id not in kept:
+                self._call_counts.replace(crash, None)
+        self._crashes = kept
+        self._is_stale = True
 
     def take_due(self, now_ms: float) -> tuple[CrashEntry, ...]:
         """Return the entries to send to the other routers now."""
@@ -157,7 +160,7 @@
         proven = {
             *crash.proven,
             *filter(self._answered.__contains__, crash.suspect_ages_ms),
-            *filter(self._answered_calls.__contains__, _call_names(crash)),
+            *filter(self._answered_calls.__contains__, call_names(crash)),
         }
         return msgspec.structs.replace(crash, proven=tuple(sorted(proven)))
 
@@ -176,9 +179,12 @@
         if wall_ms - crash.at_ms >= MEMORY_MS:
             return False
         known = self._crashes.get(crash.crash_id)
+        if crash == known:
+            return False
         joined = _join(known or crash, crash)
         if joined == known:
             return False
+        self._call_counts.replace(known, joined)
         self._crashes[crash.crash_id] = joined
         self._is_stale = True
         return True
@@ -191,19 +197,14 @@
         self._suspects = frozenset(
             part for crash in crashes for part in crash.suspects
         )
-        occurrences = collections.Counter(
-            name for crash in crashes for name in _call_names(crash)
-        )
-        self._repeated_calls = frozenset(
-            name for name, count in occurrences.items() if count > 1
-        )
-        suspicions = suspect_calls(crashes)
+        names = self._call_counts.repeated()
+        suspicions = suspect_calls(crashes, names)
         self._blames = find_blame(crashes, suspicions.values())
         explained = (
             one.crash_ids for one in (*suspicions.values(), *self._blames)
         )
         self._suspicions = suspicions | suspect_whatever_prompt(
-            crashes, explained
+            crashes, names, explained
         )
 
 
@@ -225,11 +226,6 @@
     return {one: ages_ms[one] for one in newest[:MAX_CALLS_PER_CRASH]}
 
 
-def _call_names(crash: CrashEntry) -> set[str]:
-    """Return the fingerprints of a crash's requests, also without prompt."""
-    return {*crash.call_ages_ms, *map(without_prompt, crash.call_ages_ms)}
-
-
 def _remember(
     known: collections.OrderedDict[str, None], name: str, most: int
 ) -> None:
--- a/tests/relay/test_crashing_requests.py
+++ b/tests/relay/test_crashing_requests.py
@@ -29,6 +29,7 @@
 
 async def repeat_bad(harness, route, times=REPEATS):
     for _ in range(times):
+        harness.view.confirm(boottime_ms())
         await ask(harness, route + BAD_PATH, body=BAD_BODY)
         await asyncio.sleep(NOTICE_S)
 
@@ -61,6 +62,7 @@
         24, lambda received: len(received.body) == len(body)
     )
     for _ in range(REPEATS):
+        harness.view.confirm(boottime_ms())
         await ask(harness, '/read/long', body=body)
         await asyncio.sleep(NOTICE_S)
     assert count_crashed(backends) <= MAX_CRASHES
@@ -128,6 +130,7 @@
 
     async def repeat():
         for _ in range(60):
+            harness.view.confirm(boottime_ms())
             answer = await ask(harness, '/read/sound', body='repeated')
             statuses.append(answer.status)
             await asyncio.sleep(0.02)
