Save requests that crashes have in common, not all that a crash met

Each router writes all known crashes to the store after a crash that it saw. With 64 crashes of 96 requests that is up to 170 kB a write, though nearly all of these requests occur in one crash only and are never needed. They are left out 10 s after their crash; by then another crash under the same request is known to the router that saves it.

--- a/lagoonflow/crashes/call_counts.py
+++ b/lagoonflow/crashes/call_counts.py
@@ -1,7 +1,7 @@
 """Counts the crashes that requests have in common, as entries change."""
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Set
 
 from lagoonflow.crashes.fingerprints import without_prompt
 from lagoonflow.gossip.messages import CrashEntry
@@ -37,7 +37,7 @@
         if changed is not None:
             self._uncleared |= repeated.difference(changed.cleared)
 
-    def repeated(self) -> Iterable[str]:
+    def repeated(self) -> Set[str]:
         """Return the requests that occur in several crashes."""
         return self._repeated
 
--- a/lagoonflow/crashes/evidence.py
+++ b/lagoonflow/crashes/evidence.py
@@ -1,7 +1,7 @@
 """Crashes of servers under requests, as all routers have reported them."""
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import msgspec
 
@@ -18,6 +18,9 @@
 
 # A crash is remembered for this long; then its parts are given another try.
 MEMORY_MS = 300_000
+# For this long, all requests of a crash are saved, in ms, as another router may
+# see the next one under the same request.
+SAVED_WHOLE_MS = 10_000
 # Crashes remembered at most; the oldest are forgotten first.
 MAX_CRASHES = 64
 # Parts whose requests were answered, remembered at most.
@@ -59,7 +62,9 @@
 
     def report(self, crash: CrashEntry, wall_ms: int) -> None:
         """Add a crash that this router has seen itself."""
-        if self._merge(self._with_proven(crash), wall_ms):
+        if self._merge(
+            _with_proven(crash, self._answered, self._answered_calls), wall_ms
+        ):
             self.has_unsaved = True
             self._announcements.add(crash.crash_id)
 
@@ -69,7 +74,9 @@
         The others learn of suspected parts that only this router has seen
         answered.
         """
-        is_new = self._merge(self._with_proven(crash), wall_ms)
+        is_new = self._merge(
+            _with_proven(crash, self._answered, self._answered_calls), wall_ms
+        )
         known = self._crashes.get(crash.crash_id, crash)
         if is_new and len(known.proven) > len(crash.proven):
             self._announcements.add(crash.crash_id)
@@ -135,6 +142,19 @@
         """Return all crashes that are remembered."""
         return tuple(self._crashes.values())
 
+    def entries_to_save(self, wall_ms: int) -> tuple[CrashEntry, ...]:
+        """Return what a router that starts later needs of the crashes.
+
+        Most requests occur in one crash; they are left out soon after it.
+        """
+        repeated = self._call_counts.repeated()
+        return tuple(
+            crash
+            if wall_ms - crash.at_ms < SAVED_WHOLE_MS
+            else _with_calls(crash, repeated)
+            for crash in self._crashes.values()
+        )
+
     def drop_expired(self, wall_ms: int) -> None:
         """Forget crashes that are too old or too many."""
         newest = sorted(self._crashes.values(), key=lambda one: one.at_ms)
@@ -155,15 +175,6 @@
         """Return the entries to send to the other routers now."""
         return self._announcements.take_due(self._crashes, now_ms)
 
-    def _with_proven(self, crash: CrashEntry) -> CrashEntry:
-        """Add the suspects of which this router has seen answers before."""
-        proven = {
-            *crash.proven,
-            *filter(self._answered.__contains__, crash.suspect_ages_ms),
-            *filter(self._answered_calls.__contains__, call_names(crash)),
-        }
-        return msgspec.structs.replace(crash, proven=tuple(sorted(proven)))
-
     def _clear(self, crash: CrashEntry, innocent: Iterable[str]) -> None:
         """Clear suspects of a crash, and tell the other routers."""
         cleared = tuple(sorted({*crash.cleared, *innocent}))
@@ -226,6 +237,28 @@
     return {one: ages_ms[one] for one in newest[:MAX_CALLS_PER_CRASH]}
 
 
+def _with_proven(
+    crash: CrashEntry, parts: Container[str], calls: Container[str]
+) -> CrashEntry:
+    """Add the suspects of which this router has seen answers before."""
+    proven = {
+        *crash.proven,
+        *filter(parts.__contains__, crash.suspect_ages_ms),
+        *filter(calls.__contains__, call_names(crash)),
+    }
+    return msgspec.structs.replace(crash, proven=tuple(sorted(proven)))
+
+
+def _with_calls(crash: CrashEntry, names: Container[str]) -> CrashEntry:
+    """Return an entry without requests other than those named."""
+    kept = {
+        fingerprint: age_ms
+        for fingerprint, age_ms in crash.call_ages_ms.items()
+        if fingerprint in names or without_prompt(fingerprint) in names
+    }
+    return msgspec.structs.replace(crash, call_ages_ms=kept)
+
+
 def _remember(
     known: collections.OrderedDict[str, None], name: str, most: int
 ) -> None:
--- a/lagoonflow/wiring/platform_crashes.py
+++ b/lagoonflow/wiring/platform_crashes.py
@@ -170,7 +170,7 @@
     async def _save_once(self) -> float:
         """Write all known crashes; return the delay until the next write."""
         self._evidence.has_unsaved = False
-        entries = self._evidence.entries()
+        entries = self._evidence.entries_to_save(wall_clock_ms())
         began_ms = boottime_ms()
         record = msgspec.json.encode(entries)
         offset = await self._store.append(CRASHES_TOPIC, self._node, record)
--- a/tests/crashes/test_evidence.py
+++ b/tests/crashes/test_evidence.py
@@ -10,6 +10,7 @@
 from lagoonflow.crashes.evidence import (
     MAX_CRASHES,
     MEMORY_MS,
+    SAVED_WHOLE_MS,
     CrashEvidence,
     blamed_for_ms,
 )
@@ -173,3 +174,24 @@
     for number in range(9):
         evidence.note_call_answered(f'call-{number}')
     assert len(evidence._answered_calls) == 3
+
+
+def test_requests_of_a_single_crash_are_not_saved_for_long():
+    evidence = CrashEvidence()
+    for number in range(3):
+        calls = {'repeated': 40, 'varied.' + str(number): 40}
+        calls[f'single-{number}'] = 40
+        entry = CrashEntry(
+            f'i-{number}', 1, NOW_MS, {'part': 50}, call_ages_ms=calls
+        )
+        evidence.report(entry, NOW_MS)
+    whole = evidence.entries_to_save(NOW_MS + SAVED_WHOLE_MS - 1)
+    assert whole == evidence.entries()
+    restarted = CrashEvidence()
+    for number, entry in enumerate(
+        evidence.entries_to_save(NOW_MS + SAVED_WHOLE_MS)
+    ):
+        assert set(entry.call_ages_ms) == {'repeated', f'varied.{number}'}
+        restarted.learn(entry, NOW_MS)
+    assert restarted.suspicions() == evidence.suspicions()
+    assert restarted.blames() == evidence.blames()
