--- a/loopback/waking_model.py
+++ b/loopback/waking_model.py
@@ -204,9 +204,9 @@
 
 
 class _NoBlame:
-    """Admits every prompt."""
+    """Admits every request."""
 
-    def refuse_crashing_prompt(self, call: Call) -> None:
+    def refuse_crashing(self, admitted: AdmittedCall) -> None:
         """Never refuse."""
 
 
