Restart servers that crash under the last requests of the soak's callers

The routers' lines show why: both plain servers had crashed under requests that callers sent after the faults had ended, and nothing restarts them then; from 48 s before the end on, each send to them was closed at once. The crashed servers are now restarted once the callers have stopped. Only the soak was at fault.

--- a/lagoonflow/crashes/evidence.py
+++ b/lagoonflow/crashes/evidence.py
@@ -56,7 +56,7 @@
         self._suspects: frozenset[str] = frozenset()
         self._blames: tuple[Blame, ...] = ()
         self._suspicions: dict[str, CallSuspicion] = {}
-        # Whether the three below lag behind the crashes.
+        # Whether the three above lag behind the crashes.
         self._is_stale = False
         self._announcements = Announcements()
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -70,7 +70,7 @@
             )
         )
         fault()
-        self._restart_crashed()
+        self.restart_crashed()
         if self._has_trouble:
             self._change_limit()
             self._kill_all_routers()
@@ -79,7 +79,7 @@
         """Wait for actions in the background, then end all faults."""
         for thread in self._threads:
             thread.join()
-        self._restart_crashed()
+        self.restart_crashed()
         for relay in self._fleet.relays.values():
             relay.heal()
             relay.delay_s = 0
@@ -96,6 +96,17 @@
                 limit_per_s=0,
             )
 
+    def restart_crashed(self) -> None:
+        """Start the servers again that a request has crashed."""
+        for host in (*self._fleet.runners, *self._fleet.plain_servers):
+            if host.ip in self._affected or host.runner.is_running:
+                continue
+            self._record(f'the server on {host.ip} has crashed, and starts')
+            if host in self._fleet.runners:
+                self._fleet.start_runner(host, '')
+            else:
+                self._fleet.start_plain_server(host)
+
     def _record(self, text: str) -> None:
         at_s = time.monotonic() - self._started_s
         self.log.append(f'{at_s:6.2f} {text}')
@@ -196,17 +207,6 @@
             host.program.pause()
             self._run_later(host.ip, for_s, host.program.resume)
 
-    def _restart_crashed(self) -> None:
-        """Start the servers again that a request has crashed."""
-        for host in (*self._fleet.runners, *self._fleet.plain_servers):
-            if host.ip in self._affected or host.runner.is_running:
-                continue
-            self._record(f'the server on {host.ip} has crashed, and starts')
-            if host in self._fleet.runners:
-                self._fleet.start_runner(host, '')
-            else:
-                self._fleet.start_plain_server(host)
-
     def _restart_runner(self) -> None:
         host = self._choose_free_host(self._fleet.runners)
         if host is not None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -101,6 +101,8 @@
         caller.stop()
     for caller in callers:
         caller.join()
+    # Their last requests may have crashed servers after the faults.
+    faults.restart_crashed()
     outcomes = [one for caller in callers for one in caller.outcomes]
     _check_recovery(fleet, checker)
     if has_trouble:
