Show why models are never served

A refused call's line didn't say where its model stood in the line for the weight store, routers didn't say what they had planned there, and nothing told a lost copy from one that never was. Calls now log their place at the store, routers the turns and what keeps copies from being known, agents why a turn isn't used and which copies a started runner has. lagoonflowctl list-unserved collects this for each model without a served call.

--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -95,8 +95,8 @@
     :param is_load_pending: its agent is loading the model or plans to.
     :param is_from_store: the runner has no copy of the model, which must be
         loaded from the weight store.
-    :param needs_store_turn: the load waits for its turn among those of other
-        models that no runner has a copy of.
+    :param store_place: number of models whose loads from the weight store
+        come before; ``None`` if the load doesn't wait for its turn there.
     """
 
     server: BackendServer
@@ -104,7 +104,7 @@
     rank_ms: float
     is_load_pending: bool = False
     is_from_store: bool = False
-    needs_store_turn: bool = False
+    store_place: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -466,21 +466,22 @@
         Loads from the weight store wait for their turn. A model that any
         runner has a copy of is loaded from there.
         """
-        call = context.requirements.call
-        model = context.engine.models[call.model]
+        model = context.engine.models[context.requirements.call.model]
         load_ms, is_from_store = load_time_ms(model, state)
         store_only = store_only_models(server.instance, copies)
         needs_turn = is_from_store and state.loading != model.name
         if needs_turn and copies.counts[model.name]:
             return None
+        store_place = None
         if needs_turn:
             turns = store_turns(context.engine, copies)
+            store_place = turns.place(model.name)
             ready_ms = cost_ms + turns.ready_in_ms(model.name, load_ms)
         else:
             ready_ms = cost_ms + wake_time_ms(
                 model, context.engine, state, store_only
             )
-            ready_ms += rejection_delay_ms(state, call)
+            ready_ms += rejection_delay_ms(state, context.requirements.call)
         rank_ms = ready_ms + self._costs.penalty_ms(server, context.now_ms)
         rank_ms += eviction_penalty_ms(model, context.engine, state, store_only)
         rank_ms += blocking_penalty_ms(state, load_ms)
@@ -493,7 +494,7 @@
             rank_ms,
             is_load_pending(state, model.name),
             is_from_store,
-            needs_turn,
+            store_place,
         )
 
     def _prefill_tokens(
--- a/lagoonflow/cli/commands.py
+++ b/lagoonflow/cli/commands.py
@@ -84,6 +84,16 @@
     logs: tuple[pathlib.Path, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListUnserved:
+    """List the models of log files whose calls were never served.
+
+    :param logs: log files of routers and agents.
+    """
+
+    logs: tuple[pathlib.Path, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ShowSchema:
     """Print the JSON schema of note files."""
@@ -152,12 +162,12 @@
     | ShowHistory
     | ShowSchema
 )
+LogCommand = ExplainRequest | SummarizeLog | ListUnserved
 Command = (
     ReleaseCommand
+    | LogCommand
     | MakeKey
     | ExplainCode
     | ShowStatus
     | ShowTimeLine
-    | ExplainRequest
-    | SummarizeLog
 )
--- a/lagoonflow/cli/ctl.py
+++ b/lagoonflow/cli/ctl.py
@@ -59,13 +59,27 @@
             return await fleet.show_status(command, environment)
         case commands.ShowTimeLine():
             return await fleet.show_time_line(command, environment)
+        case commands.MakeKey():
+            return release.make_key(environment)
+        case (
+            commands.ExplainRequest()
+            | commands.SummarizeLog()
+            | commands.ListUnserved()
+        ):
+            return _read_logs(command, environment)
+    return await _run_release(command, environment)
+
+
+def _read_logs(
+    command: commands.LogCommand, environment: Environment
+) -> ExitStatus:
+    match command:
         case commands.ExplainRequest():
             return logs.explain_request(command, environment)
         case commands.SummarizeLog():
             return logs.summarize_log(command, environment)
-        case commands.MakeKey():
-            return release.make_key(environment)
-    return await _run_release(command, environment)
+        case commands.ListUnserved():
+            return logs.list_unserved(command, environment)
 
 
 async def _run_release(
--- a/lagoonflow/cli/ctl_app.py
+++ b/lagoonflow/cli/ctl_app.py
@@ -12,6 +12,7 @@
 
 from lagoonflow.cli import commands
 from lagoonflow.cli.arguments import PositiveInt, UrlArgument
+from lagoonflow.cli.log_app import add_log_commands
 from lagoonflow.cli.value_parsers import parse_address
 from lagoonflow.cli.variables import VariableSource
 from lagoonflow.cli.version import package_version
@@ -36,10 +37,6 @@
 KEY_HELP = 'Create keys for callers.'
 
 NoteFile = Annotated[pathlib.Path, Parameter(help='Release note (YAML file).')]
-LogFile = Annotated[
-    pathlib.Path,
-    Parameter(help='Log file: the standard output of a router or an agent.'),
-]
 LogUrl = Annotated[
     UrlArgument, Parameter(name='--log-url', help='URL of the log service.')
 ]
@@ -97,8 +94,7 @@
     app.command(explain, name='explain')
     app.command(show_status, name='status')
     app.command(show_time_line, name='timeline')
-    app.command(explain_request, name='explain-request')
-    app.command(summarize_log, name='summarize-log')
+    add_log_commands(app)
     return app
 
 
@@ -221,19 +217,6 @@
     return commands.ShowTimeLine(fleet, request, model, host, since_ms, as_json)
 
 
-def explain_request(
-    request: Annotated[str, Parameter(help='Id of the request.')],
-    *logs: LogFile,
-) -> commands.ExplainRequest:
-    """Show from log files how a request ended and what preceded it."""
-    return commands.ExplainRequest(request, logs)
-
-
-def summarize_log(*logs: LogFile) -> commands.SummarizeLog:
-    """Count the calls of each route and the orders of each process in logs."""
-    return commands.SummarizeLog(logs)
-
-
 def _build_fleet(
     log_url: str, timeout_s: int, processes: tuple[Address, ...]
 ) -> commands.Fleet:
--- a/lagoonflow/cli/log_commands.py
+++ b/lagoonflow/cli/log_commands.py
@@ -1,4 +1,4 @@
-"""Implements ``lagoonflowctl explain-request`` and ``summarize-log``."""
+"""Implements the commands of ``lagoonflowctl`` that read log files."""
 
 import pathlib
 from collections.abc import Iterator
@@ -11,6 +11,7 @@
 from lagoonflow.telemetry.log_lines import LogLine, read_lines
 from lagoonflow.telemetry.log_summary import group_calls, group_orders
 from lagoonflow.telemetry.request_story import collect_story, describe_end
+from lagoonflow.telemetry.unserved_models import find_unserved
 
 CANNOT_READ = 'Cannot read {path}: {reason}'
 REQUEST_NOT_FOUND = 'No router logged the end of request {request!r}.'
@@ -22,6 +23,7 @@
 CONTEXT_HEADER = ('BEFORE END', 'PROCESS', 'PART', 'EVENT', 'DETAIL')
 CALLS_HEADER = ('ROUTE', 'SECOND', 'CALLS', 'ENDED')
 ORDERS_HEADER = ('PROCESS', 'ORDER', 'OUTCOME')
+UNSERVED_HEADER = ('MODEL', 'CALLS', 'MS', 'EVENT')
 
 
 def explain_request(
@@ -86,6 +88,26 @@
     return ExitStatus.SUCCESS
 
 
+def list_unserved(
+    command: commands.ListUnserved, environment: Environment
+) -> ExitStatus:
+    """Print the models that were never served, with refusals and orders."""
+    lines = _read_all(command.logs, environment)
+    if lines is None:
+        return ExitStatus.ERROR
+    print_table(
+        environment,
+        UNSERVED_HEADER,
+        (
+            (model.name, str(model.calls), str(event.at_ms), event.text)
+            for model in find_unserved(lines)
+            for event in model.events
+        ),
+    )
+    environment.print_to_stderr(CLOCK_NOTICE)
+    return ExitStatus.SUCCESS
+
+
 def _read_all(
     paths: tuple[pathlib.Path, ...], environment: Environment
 ) -> list[LogLine] | None:
--- a/lagoonflow/relay/call_log.py
+++ b/lagoonflow/relay/call_log.py
@@ -33,6 +33,8 @@
     :ivar is_inside_event: whether the latest stream ended inside an event.
     :ivar software_version: version of the server that began the stream;
         ``None`` before its first event.
+    :ivar store_place: number of models that the weight store was to load
+        before the model of the call; ``None`` if it wasn't waited for.
     """
 
     call: Call
@@ -46,6 +48,7 @@
     framing: BodyFraming | None = None
     is_inside_event: bool = False
     software_version: str | None = None
+    store_place: int | None = None
 
     def note_choice(self, choice: Send | Wake, now_ms: float) -> None:
         """Record which server was chosen, and its estimated cost."""
@@ -143,6 +146,8 @@
             if admitted.organisation is not None:
                 fields['organisation'] = admitted.organisation.name
         fields.update(_answer_fields(record))
+        if record.store_place is not None:
+            fields['store_place'] = record.store_place
         if record.refusal is not None:
             fields['status'] = status_of(record.refusal)[0]
             fields['reason'] = record.refusal.reason
--- a/lagoonflow/relay/placing.py
+++ b/lagoonflow/relay/placing.py
@@ -157,7 +157,8 @@
                 return self._wait_for_limit(admitted, attempts, choice, now_ms)
             case NoServer():
                 return _without_server(choice, attempts)
-        if choice.needs_store_turn:
+        record.store_place = choice.store_place
+        if choice.store_place is not None:
             self.load_requests.keep_until_served(
                 admitted, choice.server.instance, now_ms
             )
@@ -293,7 +294,7 @@
     wake: Wake, admitted: AdmittedCall, attempts: Attempts
 ) -> Refusal:
     retry_after_ms = int(wake.ready_in_ms)
-    if wake.needs_store_turn:
+    if wake.store_place is not None:
         retry_after_ms = spread_return_ms(
             wake.ready_in_ms, admitted.call.request_id
         )
--- a/lagoonflow/waking/controller.py
+++ b/lagoonflow/waking/controller.py
@@ -38,6 +38,11 @@
         has_pending = report is not None and bool(report.pending_adapters)
         return self.runner_view.in_progress is not None or has_pending
 
+    @property
+    def turn_delay(self) -> str:
+        """Why a turn at the weight store isn't used; empty for none."""
+        return self._planner.turn_delay
+
     def next_order(self, now_ms: float) -> RunnerOrder | None:
         """Return the next order; ``None`` if none is needed or possible now."""
         if not self.runner_view.may_order(now_ms):
--- a/lagoonflow/waking/planning.py
+++ b/lagoonflow/waking/planning.py
@@ -82,12 +82,15 @@
     :ivar load_rejections: requested loads that the last plan rejected.
     :ivar store_turn: model for which another one is evicted, to load it from
         the weight store in this runner's turn; empty for none.
+    :ivar turn_delay: why the runner's turn at the weight store isn't used;
+        empty for none.
     """
 
     def __init__(self, runner_view: RunnerView) -> None:
         """Plan the orders for one runner."""
         self.load_rejections: tuple[LoadRejection, ...] = ()
         self.store_turn = ''
+        self.turn_delay = ''
         self._view = runner_view
         self._rejected: list[LoadRejection] = []
         self._demand_since_ms = float('inf')
@@ -196,11 +199,13 @@
         under overload.
         """
         self.store_turn = ''
+        self.turn_delay = ''
         name = self._view.demand.store_turn(inputs.now_ms)
         declared = inputs.spec.models.get(name)
         if declared is None or self._view.held_model(name) is not None:
             return None
         if not _has_store_share(self._view, inputs):
+            self.turn_delay = f'{name}: the last load was too recent'
             return None
         shortfall_mb = _shortfall_mb(self._view, inputs, declared)
         if shortfall_mb <= 0:
@@ -209,6 +214,7 @@
             self._eviction_candidates(inputs), inputs.spec, shortfall_mb
         )
         if not victims:
+            self.turn_delay = f'{name}: no model can be evicted'
             return None
         self.store_turn = name
         cause = f'evicted for {name} from the store'
--- a/lagoonflow/waking/store_turns.py
+++ b/lagoonflow/waking/store_turns.py
@@ -44,10 +44,17 @@
         """Number of loads that may begin now."""
         return max(self.concurrency - len(self.busy_ms), 0)
 
+    def place(self, model: str) -> int:
+        """Return how many models come before one in line.
+
+        A model that isn't in line counts as the last.
+        """
+        line = self.models
+        return line.index(model) if model in line else len(line)
+
     def ready_in_ms(self, model: str, load_ms: float) -> float:
         """Return the time until a model can be loaded, in ms.
 
-        :param model: one that isn't in line counts as the last.
         :param load_ms: time that one load takes at full speed, in ms.
         """
         free_in_ms = sorted((*self.busy_ms, *(0 for _ in range(self.free))))
@@ -55,9 +62,7 @@
         # the next one begins when their number has fallen below that.
         free_in_ms = free_in_ms[max(len(free_in_ms) - self.concurrency, 0) :]
         heapq.heapify(free_in_ms)
-        line = self.models
-        ahead = line.index(model) if model in line else len(line)
-        for _ in range(ahead):
+        for _ in range(self.place(model)):
             done_ms = free_in_ms[0] + TURN_DELAY_MS + load_ms
             heapq.heapreplace(free_in_ms, done_ms)
         return free_in_ms[0] + TURN_DELAY_MS + load_ms
--- a/lagoonflow/wiring/platform_agent.py
+++ b/lagoonflow/wiring/platform_agent.py
@@ -80,6 +80,7 @@
         self._load_requested = asyncio.Event()
         self._last_sent: AgentState | None = None
         self._last_sent_at_ms: float = 0
+        self._logged_turn_delay = ''
 
     async def run(self) -> None:
         """Control the runner until SIGTERM or SIGINT."""
@@ -144,6 +145,7 @@
                 self._record_report(report, now_ms)
                 await self._identify()
             order = self._controller.next_order(now_ms)
+            self._log_turn_delay()
             if order is not None:
                 await self._send_order(order)
             self._publish_state(boottime_ms())
@@ -154,7 +156,18 @@
     def _record_report(self, report: RunnerReport, now_ms: float) -> None:
         runner_view = self._controller.runner_view
         in_progress = runner_view.in_progress
+        is_start = (
+            runner_view.report is None
+            or runner_view.report.started_ms != report.started_ms
+        )
         runner_view.record_report(report, now_ms)
+        if is_start:
+            self._log.info(
+                'runner started',
+                held=sorted(held.name for held in report.models),
+                in_memory=sorted(report.in_memory),
+                on_disk=sorted(report.on_disk),
+            )
         if in_progress is None or runner_view.in_progress is not None:
             return
         self._log.info(
@@ -167,6 +180,12 @@
             store_at_once=round(runner_view.store_concurrency.estimate, 1),
         )
 
+    def _log_turn_delay(self) -> None:
+        delay = self._controller.turn_delay
+        if delay != self._logged_turn_delay:
+            self._logged_turn_delay = delay
+            self._log.info('turn at the store not used', why=delay)
+
     async def _identify(self) -> None:
         """Ask the runner for its identity until that is known."""
         runner_view = self._controller.runner_view
--- a/lagoonflow/wiring/platform_publishing.py
+++ b/lagoonflow/wiring/platform_publishing.py
@@ -71,6 +71,8 @@
         self._tokens_per_s: dict[str, float] = {}
         self._holder_counts: collections.Counter[str] = collections.Counter()
         self._scarce_services: set[str] = set()
+        self._logged_turns: dict[str, list[str]] = {}
+        self._logged_unknown: dict[str, list[str]] = {}
         self._log = structlog.get_logger(part='waking')
 
     def publish_due(self, state: DeclaredState, now_ms: float) -> None:
@@ -192,7 +194,9 @@
             self._store_loads += loads_in_progress(agents)
             usable = without_evacuated(self._fleet, servers)
             agents = self._fleet.agents_that_can_order(usable, now_ms)
-            if self._fleet.knows_copies(usable, agents, now_ms):
+            knows_copies = self._fleet.knows_copies(usable, agents, now_ms)
+            self._log_unknown(service, usable, agents, is_known=knows_copies)
+            if knows_copies:
                 engine = state.services[service].engine
                 plans = plan_loads(
                     engine,
@@ -205,6 +209,50 @@
                     ),
                 )
                 self._plans.update(plans)
+                self._log_turns(service, plans, agents)
+
+    def _log_unknown(
+        self,
+        service: str,
+        usable: list[BackendServer],
+        agents: Mapping[str, AgentState],
+        *,
+        is_known: bool,
+    ) -> None:
+        """Log which agents keep the copies of models from being known."""
+        silent = sorted(
+            server.instance
+            for server in usable
+            if not is_known and server.instance not in agents
+        )
+        if silent != self._logged_unknown.get(service, []):
+            self._logged_unknown[service] = silent
+            self._log.info('copies not known', service=service, silent=silent)
+
+    def _log_turns(
+        self,
+        service: str,
+        plans: Mapping[str, LoadPlan],
+        agents: Mapping[str, AgentState],
+    ) -> None:
+        """Log which models are to be loaded from the weight store next."""
+        turns = sorted(
+            f'{plan.store_turn} at {instance}'
+            for instance, plan in plans.items()
+            if plan.store_turn
+        )
+        if turns != self._logged_turns.get(service, []):
+            self._logged_turns[service] = turns
+            self._log.info(
+                'turns at the store',
+                service=service,
+                turns=turns,
+                in_progress=sorted(
+                    f'{agent.loading} for {agent.order_ready_in_ms} ms'
+                    for agent in agents.values()
+                    if agent.is_from_store
+                ),
+            )
 
     def _cold(
         self, agents: Mapping[str, AgentState], now_ms: float
--- a/tests/cli/test_log_commands.py
+++ b/tests/cli/test_log_commands.py
@@ -99,3 +99,24 @@
     assert '1 late, wake' in run.stdout
     assert '1 DEADLINE_UNREACHABLE' in run.stdout
     assert 'load model from the store' in run.stdout
+
+
+def test_unserved_models_are_listed_with_refusals_and_loads(log):
+    run = ctl('list-unserved', log)
+    assert run.status == ExitStatus.SUCCESS
+    assert 'm1' not in run.stdout
+    with log.open('a') as file:
+        for line in (
+            {
+                **REFUSED_CALL,
+                'model': 'm9',
+                'store_place': 3,
+                'retry_after_ms': 4000,
+            },
+            {**LATE_CALL, 'model': 'm2'},
+        ):
+            file.write(f'\n{json.dumps(line)}')
+    run = ctl('list-unserved', log)
+    assert 'place 3 at the store, to return after 4000 ms' in run.stdout
+    assert 'load from the store at i-7' in run.stdout
+    assert 'm2' not in run.stdout
