--- a/loopback/waking_model.py
+++ b/loopback/waking_model.py
@@ -48,6 +48,7 @@
 UNLOAD_MS = 20
 ADAPTER_LOAD_MS = 8
 FIRST_STATE_MS = 1500
+LAPSE_MS = 3600
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,13 +119,21 @@
     """A runner that carries out one order at a time.
 
     :ivar loads: times and models of the loads that it was ordered.
+    :param started_ms: wall clock of its start; a later one is another runner on
+        the same host.
     """
 
     def __init__(
-        self, number: int, shape: FleetShape, on_disk: frozenset[str]
+        self,
+        number: int,
+        shape: FleetShape,
+        on_disk: frozenset[str],
+        started_ms: int = 1,
     ) -> None:
         """Start without models."""
-        self.instance = f'i-{number}'
+        self.number = number
+        self.instance = f'i-{number}-{started_ms}'
+        self.started_ms = started_ms
         self.held: dict[str, set[str]] = {}
         self.running: collections.Counter[str] = collections.Counter()
         self.loads: list[tuple[float, str]] = []
@@ -147,7 +156,7 @@
         """Return what the runner reports of itself now."""
         self._advance(now_ms)
         return RunnerReport(
-            started_ms=1,
+            started_ms=self.started_ms,
             models=tuple(
                 HeldModel(name, 1, frozenset(adapters))
                 for name, adapters in self.held.items()
@@ -179,6 +188,13 @@
                 self.store_load = order.model
         self._done_at_ms = now_ms + took_ms
 
+    def has_or_loads(self, model: str) -> bool:
+        """Whether it holds a model, is loading it or has a copy of it."""
+        is_loading = self._order is not None and (
+            self._order.kind is OrderKind.LOAD and self._order.model == model
+        )
+        return is_loading or model in self.held or model in self._on_disk
+
     def _advance(self, now_ms: float) -> None:
         order = self._order
         if order is None or now_ms < self._done_at_ms:
@@ -192,6 +208,8 @@
             self.held.setdefault(order.model, set()).add(order.adapter)
         else:
             self.held[order.model] = set()
+            # Each load leaves a copy.
+            self._on_disk |= {order.model}
         self.store_load = None
         self._order = None
 
@@ -215,6 +233,7 @@
 
     def __init__(self, number: int, model: 'WakingModel') -> None:
         """Know all runners, but nothing of what they hold."""
+        self.number = number
         self.name = f'r{number}'
         self.fleet = Fleet()
         clock = model.loop.time_ms
@@ -251,6 +270,8 @@
     """Plays arrivals against routers, agents and modelled runners.
 
     :ivar outcomes: what the callers got.
+    :ivar needless_store_loads: times and models of loads from the weight store
+        of models that another runner had or was loading.
     :ivar began_ms: time of the first possible arrival.
     """
 
@@ -265,6 +286,7 @@
         """Start with models that runners hold and have copies of."""
         self.loop = loop
         self.outcomes: list[Outcome] = []
+        self.needless_store_loads: list[tuple[float, str]] = []
         self.began_ms: float = 0
         self._random = random.Random(seed)
         self._shape = shape
@@ -283,59 +305,102 @@
             runner.instance: self._make_controller(runner)
             for runner in self.runners
         }
+        self._service = service
+        self._tasks: dict[str, asyncio.Task[None]] = {}
         self._routers = [
-            ModelledRouter(number, self) for number in range(shape.routers)
+            self._make_router(number) for number in range(shape.routers)
         ]
-        self._list_runners()
-        self._service = service
 
     def send(self, message: RouterState, address: str) -> None:
         """Deliver a router's state to the agent of its runner."""
-        controller = self._controllers[message.instance]
+        controller = self._controllers.get(message.instance)
+        if controller is None:
+            return
         now_ms = self.loop.time_ms()
         controller.runner_view.demand.record_state(message, now_ms)
         controller.runner_view.agents = message.agents
 
     async def play(self, arrivals: Iterable[Arrival], for_ms: float) -> None:
         """Play the arrivals, and end all tasks after a time."""
-        tasks = [
-            asyncio.ensure_future(self._control(runner))
-            for runner in self.runners
-        ]
-        tasks += [
-            asyncio.ensure_future(router.publish()) for router in self._routers
-        ]
+        for runner in self.runners:
+            self._start(runner.instance, self._control(runner))
+        for router in self._routers:
+            self._start(router.name, router.publish())
         await asyncio.sleep(FIRST_STATE_MS / MS_PER_S)
         self.began_ms = self.loop.time_ms()
+        calls: list[asyncio.Future[None]] = []
         for arrival in arrivals:
             due_ms = self.began_ms + arrival.at_ms - self.loop.time_ms()
             await asyncio.sleep(max(due_ms, 0) / MS_PER_S)
-            tasks.append(asyncio.ensure_future(self._call(arrival)))
+            calls.append(asyncio.ensure_future(self._call(arrival)))
         left_ms = self.began_ms + for_ms - self.loop.time_ms()
         await asyncio.sleep(max(left_ms, 0) / MS_PER_S)
+        tasks = [*calls, *self._tasks.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def replace_runner(self, number: int) -> None:
+        """Replace a runner by one without models or copies.
+
+        The lapsed entry stays listed for some seconds, as on the platform.
+        """
+        old = self.runners[number]
+        now_ms = self.loop.time_ms()
+        self._tasks.pop(old.instance).cancel()
+        self._controllers.pop(old.instance)
+        new = ModelledRunner(number, self._shape, frozenset(), int(now_ms))
+        self.runners[number] = new
+        self._runners_by_instance[new.instance] = new
+        self._controllers[new.instance] = self._make_controller(new)
+        for router in self._routers:
+            self._list_runner(router, new)
+        self._start(new.instance, self._control(new))
+        self.loop.call_later(
+            LAPSE_MS / MS_PER_S, self._remove_entry, old.instance
+        )
+
+    def restart_routers(self, numbers: Iterable[int]) -> None:
+        """Replace routers by new ones that know nothing but the listing."""
+        for number in numbers:
+            self._tasks.pop(self._routers[number].name).cancel()
+            router = self._make_router(number)
+            self._routers[number] = router
+            self._start(router.name, router.publish())
+
+    def _start(self, name: str, coroutine) -> None:
+        self._tasks[name] = asyncio.ensure_future(coroutine)
+
+    def _remove_entry(self, instance: str) -> None:
+        for router in self._routers:
+            router.fleet.roster.remove_together([instance], self.loop.time_ms())
+            router.fleet.forget([instance])
+
+    def _make_router(self, number: int) -> ModelledRouter:
+        router = ModelledRouter(number, self)
+        for runner in self.runners:
+            self._list_runner(router, runner)
+        return router
+
     def _make_controller(self, runner: ModelledRunner) -> RunnerController:
         controller = RunnerController(runner.instance)
         controller.runner_view.spec = self._shape.engine
         controller.runner_view.can_order = True
         return controller
 
-    def _list_runners(self) -> None:
-        for router in self._routers:
-            for number, runner in enumerate(self.runners):
-                address = f'10.0.{number // 250}.{number % 250}:80'
-                server = BackendServer(
-                    runner.instance,
-                    SERVICE,
-                    address,
-                    'a',
-                    self._shape.engine.slots,
-                    started_ms=1,
-                )
-                router.fleet.roster.put(server, self.loop.time_ms())
+    def _list_runner(
+        self, router: ModelledRouter, runner: ModelledRunner
+    ) -> None:
+        number = runner.number
+        server = BackendServer(
+            runner.instance,
+            SERVICE,
+            f'10.0.{number // 250}.{number % 250}:80',
+            'a',
+            self._shape.engine.slots,
+            started_ms=runner.started_ms,
+        )
+        router.fleet.roster.put(server, self.loop.time_ms())
 
     async def _control(self, runner: ModelledRunner) -> None:
         controller = self._controllers[runner.instance]
@@ -345,6 +410,7 @@
             controller.runner_view.record_report(runner.report(now_ms), now_ms)
             order = controller.next_order(now_ms)
             if order is not None:
+                self._note_needless(runner, order)
                 runner.order(order, now_ms, self._store_slowdown())
                 controller.runner_view.record_accepted(order, now_ms)
             state = controller.agent_state(now_ms)
@@ -353,6 +419,17 @@
                 self._publish_agent(state)
             await asyncio.sleep(CONTROL_INTERVAL_MS / MS_PER_S)
 
+    def _note_needless(
+        self, runner: ModelledRunner, order: RunnerOrder
+    ) -> None:
+        now_ms = self.loop.time_ms()
+        if order.is_from_store and any(
+            other.has_or_loads(order.model)
+            for other in self.runners
+            if other is not runner
+        ):
+            self.needless_store_loads.append((now_ms, order.model))
+
     def _store_slowdown(self) -> float:
         in_progress = sum(one.store_load is not None for one in self.runners)
         return max((in_progress + 1) / self._shape.store_concurrency, 1)
--- a/tests/waking/test_overload.py
+++ b/tests/waking/test_overload.py
@@ -17,6 +17,7 @@
 from loopback.waking_model import Arrival, CallKind, FleetShape, WakingModel
 
 RUNNERS = 8
+ROUTERS = 4
 PLAY_MS = 75_000
 FIRST = CallKind('first', 800, 3200, 3, 0.3, 600)
 SECOND = CallKind('second', 500, 2000, 2.1, 0.2, 600)
@@ -34,6 +35,13 @@
 # Of the requests for models without a copy: the store can load each of these
 # models once in this time.
 MIN_MISSING_SERVED = 0.5
+# When hosts change, in s: runners that are replaced by ones without copies, and
+# routers that restart, all together and then one after the other.
+REPLACED_AT_S = {10: 0, 30: 1}
+RESTARTED_AT_S = {
+    16: range(ROUTERS),
+    **{24 + 3 * number: (number,) for number in range(ROUTERS)},
+}
 
 
 def engine(chance):
@@ -72,15 +80,17 @@
 
 
 @functools.cache
-def play(seed):
+def play(seed, begin_changes=None):
     chance = random.Random(seed)
-    shape = FleetShape(engine(chance), RUNNERS, 4, store_concurrency=2)
+    shape = FleetShape(engine(chance), RUNNERS, ROUTERS, store_concurrency=2)
     missing, on_disk = copies(chance)
     held = [chance.sample(sorted(disk), 3) for disk in on_disk]
     calls = arrivals(chance)
 
     async def main(loop):
         model = WakingModel(loop, shape, held, on_disk, seed)
+        if begin_changes is not None:
+            begin_changes(loop, model)
         await model.play(calls, PLAY_MS)
         return model, missing
 
@@ -121,3 +131,19 @@
     ]
     served = [one for one in waits_ms if one is not None]
     assert len(served) >= MIN_MISSING_SERVED * len(waits_ms)
+
+
+def change_hosts(loop, model):
+    for at_s, number in REPLACED_AT_S.items():
+        loop.call_later(at_s, model.replace_runner, number)
+    for at_s, numbers in RESTARTED_AT_S.items():
+        loop.call_later(at_s, model.restart_routers, numbers)
+
+
+@pytest.mark.parametrize('seed', [2, 5])
+def test_models_are_served_while_runners_are_replaced_and_routers_restart(seed):
+    """Guards against spending loads from the store on what runners have."""
+    model, _ = play(seed, change_hosts)
+    requested, unserved = never_served(model.outcomes)
+    assert len(unserved) <= 1 + MAX_UNSERVED_SHARE * len(requested)
+    assert not model.needless_store_loads
--- a/tests/waking/test_store_turns.py
+++ b/tests/waking/test_store_turns.py
@@ -33,6 +33,19 @@
     assert turns.ready_in_ms('m1', LOAD_MS) == 3 * (LOAD_MS + TURN_DELAY_MS)
 
 
+def test_the_model_with_the_most_refused_requests_comes_first():
+    """Callers who ask once in a long time don't hold up those who ask often."""
+    fleet = copies(
+        agent(
+            'i-1',
+            store_requests={'m1': 40, 'm2': 9, 'm3': 10},
+            store_refusals={'m1': 1, 'm2': 5, 'm3': 5},
+        ),
+        agent('i-2', store_requests={'m2': 3}, store_refusals={'m2': 2}),
+    )
+    assert store_turns(spec(), fleet).models == ('m2', 'm3', 'm1')
+
+
 def test_a_turn_stays_with_the_agent_that_evicts_for_it():
     for preparing in ('i-1', 'i-2'):
         states = [
