Believe routers that know that models are scarce before those that don't

Cause: what a router couldn't tell yet was sent as "not scarce" and believed. A router counts a fleet that has grown as unknown for 5 s; a replaced runner is listed beside its lapsed entry, so all routers stopped at once, and each restarted one for its first 5 s. An agent followed the state that came last, and such routers outvoted those that knew the turns. While the state of any agent was missing, agents were sent an empty plan, without scarcity.

Now a larger number of runners, counted by address, has to last for 5 s before it counts, and a router that starts beside runners that run for 10 s knows it at once. An agent follows routers that say that models are scarce, and only these vote. A plan without known copies keeps what it knew of evictions.

--- a/lagoonflow/waking/demand.py
+++ b/lagoonflow/waking/demand.py
@@ -83,10 +83,15 @@
         return sorted(found, key=lambda one: (one.waiting_since_ms, one.model))
 
     def newest_state(self, now_ms: float) -> RouterState | None:
-        """Return the state that was received last; ``None`` without any."""
+        """Return the state to follow; ``None`` without any.
+
+        All routers send nearly the same plan, so the newest one is followed.
+        One that says that models are scarce goes before those that don't:
+        routers that have just started can't tell yet.
+        """
         received = max(
             self._recent_states(now_ms),
-            key=lambda one: one.received_at_ms,
+            key=lambda one: (one.state.is_scarce, one.received_at_ms),
             default=None,
         )
         return None if received is None else received.state
@@ -97,10 +102,14 @@
         return state is not None and state.is_scarce
 
     def store_turn(self, now_ms: float) -> str:
-        """Return the model that most routers want loaded from the store."""
+        """Return the model that most routers want loaded from the store.
+
+        Only those are asked that know of turns.
+        """
         turns = collections.Counter(
             received.state.store_turn
             for received in self._recent_states(now_ms)
+            if received.state.is_scarce
         )
         return min(turns, key=lambda name: (-turns[name], name), default='')
 
--- a/lagoonflow/wiring/platform_agent.py
+++ b/lagoonflow/wiring/platform_agent.py
@@ -8,7 +8,7 @@
 import structlog
 
 from lagoonflow.backends.messages import BackendServer, RunnerReport
-from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.clock import MS_PER_S, boottime_ms, wall_clock_ms
 from lagoonflow.declared.records import StoreFailure
 from lagoonflow.declared.topic_follower import TopicFollower
 from lagoonflow.declared.view import DeclaredView
@@ -164,6 +164,7 @@
         if is_start:
             self._log.info(
                 'runner started',
+                age_ms=wall_clock_ms() - report.started_ms,
                 held=sorted(held.name for held in report.models),
                 in_memory=sorted(report.in_memory),
                 on_disk=sorted(report.on_disk),
--- a/lagoonflow/wiring/platform_publishing.py
+++ b/lagoonflow/wiring/platform_publishing.py
@@ -1,6 +1,8 @@
 """Sends a router's state to agents, and its charges to other routers."""
 
 import collections
+import dataclasses
+import statistics
 from collections.abc import Mapping
 
 import structlog
@@ -185,31 +187,46 @@
         services: dict[str, list[BackendServer]] = {}
         for server in runners:
             services.setdefault(server.service, []).append(server)
-        self._plans.clear()
+        before = self._plans
+        self._plans = {}
         self._store_loads = 0
         for service, servers in services.items():
+            engine = state.services[service].engine
             agents = self._fleet.agents_that_can_order(servers, now_ms)
             self._drop_served(agents)
             # Loads in evacuated zones use the weight store, too.
             self._store_loads += loads_in_progress(agents)
+            is_scarce = self._is_scarce(service, engine, servers, now_ms)
             usable = without_evacuated(self._fleet, servers)
-            agents = self._fleet.agents_that_can_order(usable, now_ms)
-            knows_copies = self._fleet.knows_copies(usable, agents, now_ms)
-            self._log_unknown(service, usable, agents, is_known=knows_copies)
-            if knows_copies:
-                engine = state.services[service].engine
-                plans = plan_loads(
-                    engine,
-                    agents,
-                    demand,
-                    self._cold(agents, now_ms),
-                    self._time_factors(usable, now_ms),
-                    is_scarce=self._is_scarce(
-                        service, engine, len(servers), now_ms
-                    ),
-                )
-                self._plans.update(plans)
-                self._log_turns(service, plans, agents)
+            self._plans.update(
+                self._plan_service(service, engine, usable, demand, now_ms)
+                or _plans_without_loads(before, usable, is_scarce=is_scarce)
+            )
+
+    def _plan_service(
+        self,
+        service: str,
+        engine: EngineSpec,
+        usable: list[BackendServer],
+        demand: dict[str, float],
+        now_ms: float,
+    ) -> dict[str, LoadPlan]:
+        """Return the plans of a service's agents; empty if copies aren't known."""
+        agents = self._fleet.agents_that_can_order(usable, now_ms)
+        knows_copies = self._fleet.knows_copies(usable, agents, now_ms)
+        self._log_unknown(service, usable, agents, is_known=knows_copies)
+        if not knows_copies:
+            return {}
+        plans = plan_loads(
+            engine,
+            agents,
+            demand,
+            self._cold(agents, now_ms),
+            self._time_factors(usable, now_ms),
+            is_scarce=self._fleet.scarcity.is_scarce(service, engine, now_ms),
+        )
+        self._log_turns(service, plans, agents)
+        return plans
 
     def _log_unknown(
         self,
@@ -275,10 +292,22 @@
         }
 
     def _is_scarce(
-        self, service: str, engine: EngineSpec, runners: int, now_ms: float
+        self,
+        service: str,
+        engine: EngineSpec,
+        servers: list[BackendServer],
+        now_ms: float,
     ) -> bool:
         scarcity = self._fleet.scarcity
-        scarcity.observe_runners(service, runners, now_ms)
+        # Servers that start anew at an address are listed twice for a while.
+        hosts = {one.address for one in servers if not one.is_draining}
+        median_start_ms = statistics.median(one.started_ms for one in servers)
+        scarcity.observe_runners(
+            service,
+            len(hosts),
+            now_ms,
+            median_age_ms=wall_clock_ms() - median_start_ms,
+        )
         is_scarce = scarcity.is_scarce(service, engine, now_ms)
         if is_scarce != (service in self._scarce_services):
             self._scarce_services ^= {service}
@@ -422,6 +451,31 @@
             self._origins.learn(origin, now_ms)
 
 
+def _plans_without_loads(
+    before: Mapping[str, LoadPlan],
+    servers: list[BackendServer],
+    *,
+    is_scarce: bool,
+) -> dict[str, LoadPlan]:
+    """Return plans while it isn't known where copies of models are.
+
+    Nothing may be loaded from the weight store; what was known of evictions
+    stays.
+    """
+    if not is_scarce:
+        return {}
+    return {
+        server.instance: dataclasses.replace(
+            before.get(server.instance, LoadPlan()),
+            may_use_store=False,
+            preload=(),
+            store_turn='',
+            is_scarce=True,
+        )
+        for server in servers
+    }
+
+
 def _is_due(
     message: RouterState, last_sent: RouterState | None, age_ms: float
 ) -> bool:
--- a/tests/waking/test_uncertain_routers.py
+++ b/tests/waking/test_uncertain_routers.py
@@ -93,6 +93,21 @@
         assert detector.is_scarce('llm', ENGINE, now_ms)
 
 
+def test_a_router_that_starts_beside_a_running_fleet_knows_its_size():
+    detector = ScarcityDetector()
+    detector.observe_runners('llm', RUNNERS, 0, median_age_ms=60_000)
+    assert detector.is_scarce('llm', ENGINE, 0)
+
+
+def test_the_first_runners_of_a_starting_fleet_do_not_make_models_scarce():
+    detector = ScarcityDetector()
+    for now_ms in range(0, 4000, 1000):
+        detector.observe_runners(
+            'llm', 1 + now_ms // 1000, now_ms, median_age_ms=3000
+        )
+        assert not detector.is_scarce('llm', ENGINE, now_ms)
+
+
 def test_a_grown_fleet_ends_scarcity():
     detector = ScarcityDetector()
     detector.observe_runners('llm', RUNNERS, 0)
