Load models from the store first whose callers keep coming back

Cause: the longest unserved model came first, whatever was asked of it. Routers now count the different requests that they refused for each model, and the periods of 8 s in which these came; agents join both. The model with refusals in the most periods comes first; ten requests count as one more period, so that a busy model that lost its last copy passes rare ones within seconds. A model that an agent is evicting another one for keeps its turn.

The order by unserved time stays for models with equal refusals; its test is unchanged.

--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -26,6 +26,9 @@
     :param deadline_left_ms: time until the last of their deadlines, in ms.
     :param unserved_ms: time for which calls for the model have been refused,
         in ms; 0 if it isn't kept.
+    :param refused: number of different requests refused in that time.
+    :param refused_periods: periods in which they were first refused, as bits;
+        bit 0 is the latest period.
     """
 
     model: str
@@ -34,6 +37,8 @@
     urgency: int
     deadline_left_ms: int
     unserved_ms: int = 0
+    refused: int = 0
+    refused_periods: int = 0
 
 
 class RouterState(_Message):
@@ -149,6 +154,8 @@
         the time for which they have been requested, in s.
     :param store_turn: model for which the agent evicts another one, to load it
         from the weight store; empty for none.
+    :param store_refusals: requests that were refused, by those models.
+    :param store_periods: periods in which they were, as bits, by those models.
     """
 
     agent: str
@@ -178,6 +185,8 @@
     work_time_percent: float = 0
     store_requests: dict[str, int] = {}
     store_turn: str = ''
+    store_refusals: dict[str, int] = {}
+    store_periods: dict[str, int] = {}
 
 
 class MeterState(_Message):
--- a/lagoonflow/relay/load_requests.py
+++ b/lagoonflow/relay/load_requests.py
@@ -6,6 +6,7 @@
 
 from lagoonflow.gossip.messages import LoadRequest
 from lagoonflow.relay.admission import AdmittedCall
+from lagoonflow.waking.store_turns import PERIOD_MS
 
 # A call is refused if its model would be loaded too late. Its load request is
 # kept for this long, so that later calls find the model loaded.
@@ -18,6 +19,10 @@
 UNSERVED_KEEP_MS = 60_000
 # Models whose calls were refused that are kept at most.
 MAX_UNSERVED = 512
+# Refused requests of a model that are counted at most.
+MAX_COUNTED_REQUESTS = 200
+# Most periods that are told apart; earlier ones count as one.
+MAX_PERIODS = 16
 # Refused calls that are kept for one load at most.
 MAX_KEPT = 100
 
@@ -48,10 +53,13 @@
 
     :ivar pending: load request of the latest refused call.
     :ivar since_ms: boot time of the first refusal.
+    :ivar requests: boot times of refused requests by their fingerprints. A
+        caller's repeats count once.
     """
 
     pending: _PendingRequest
     since_ms: float
+    requests: dict[str, float]
 
 
 class LoadRequests:
@@ -120,8 +128,13 @@
             admitted, instance, now_ms + UNSERVED_KEEP_MS
         )
         unserved = self._unserved.pop(pending.model, None)
-        since_ms = now_ms if unserved is None else unserved.since_ms
-        self._unserved[pending.model] = _UnservedModel(pending, since_ms)
+        if unserved is None:
+            unserved = _UnservedModel(pending, now_ms, {})
+        unserved.pending = pending
+        if len(unserved.requests) < MAX_COUNTED_REQUESTS:
+            fingerprint = admitted.fingerprint or admitted.call.request_id
+            unserved.requests.setdefault(fingerprint, now_ms)
+        self._unserved[pending.model] = unserved
         if len(self._unserved) > MAX_UNSERVED:
             self._unserved.pop(next(iter(self._unserved)))
 
@@ -150,13 +163,10 @@
         for key, pending_requests in self._by_key(now_ms).items():
             if usable is not None and key[0] not in usable:
                 continue
-            request = _load_request(
-                key[1],
-                key[2],
-                pending_requests,
-                now_ms,
-                self._unserved_ms(key[1], now_ms),
-            )
+            unserved = self._unserved.get(key[1])
+            if unserved is not None and unserved.pending.key != key:
+                unserved = None
+            request = _load_request(key, pending_requests, now_ms, unserved)
             requests[key[0]] = (*requests.get(key[0], ()), request)
         return requests
 
@@ -170,10 +180,6 @@
             groups.setdefault(pending.key, []).append(pending)
         return groups
 
-    def _unserved_ms(self, model: str, now_ms: float) -> float:
-        unserved = self._unserved.get(model)
-        return 0 if unserved is None else now_ms - unserved.since_ms
-
     def _drop_expired(self, now_ms: float) -> None:
         expired = [
             model
@@ -199,20 +205,31 @@
 
 
 def _load_request(
-    model: str,
-    adapter: str,
+    key: tuple[str, str, str],
     pending_requests: list[_PendingRequest],
     now_ms: float,
-    unserved_ms: float,
+    unserved: _UnservedModel | None,
 ) -> LoadRequest:
     left_ms = (
         max(pending.expires_at_ms for pending in pending_requests) - now_ms
     )
     return LoadRequest(
-        model=model,
-        adapter=adapter,
+        model=key[1],
+        adapter=key[2],
         waiting=len(pending_requests),
         urgency=min(pending.urgency for pending in pending_requests),
         deadline_left_ms=max(int(left_ms), 0),
-        unserved_ms=int(unserved_ms),
+        unserved_ms=0 if unserved is None else int(now_ms - unserved.since_ms),
+        refused=0 if unserved is None else len(unserved.requests),
+        refused_periods=_refused_periods(unserved, now_ms),
     )
+
+
+def _refused_periods(unserved: _UnservedModel | None, now_ms: float) -> int:
+    """Return the periods in which requests were refused, as bits."""
+    periods = 0
+    if unserved is not None:
+        for refused_ms in unserved.requests.values():
+            age = int((now_ms - refused_ms) // PERIOD_MS)
+            periods |= 1 << min(age, MAX_PERIODS - 1)
+    return periods
--- a/lagoonflow/waking/controller.py
+++ b/lagoonflow/waking/controller.py
@@ -1,12 +1,11 @@
 """Chooses the orders for one runner and describes its state to routers."""
 
-import itertools
-
 from lagoonflow.backends.messages import RunnerReport
 from lagoonflow.clock import MS_PER_S
 from lagoonflow.gossip.messages import AgentState, HeldModelState
 from lagoonflow.waking.capacity import capacity_shares
 from lagoonflow.waking.copies import load_time_ms
+from lagoonflow.waking.demand import RequestedLoad
 from lagoonflow.waking.messages import OrderKind, RunnerOrder
 from lagoonflow.waking.planning import Planner
 from lagoonflow.waking.runner_view import RunnerView
@@ -57,6 +56,7 @@
             return AgentState(self._agent, runner_view.instance, 0)
         loading, unloading = self._models_in_progress()
         in_progress = runner_view.in_progress
+        store_loads = self._loads_in_turn(report, now_ms)
         return AgentState(
             agent=self._agent,
             instance=runner_view.instance,
@@ -86,8 +86,15 @@
             if report.limit_per_s is None
             else report.limit_per_s,
             work_time_percent=report.work_time_percent or 0,
-            store_requests=self._store_requests(report, now_ms),
+            store_requests={
+                load.model: int((now_ms - load.waiting_since_ms) / MS_PER_S)
+                for load in store_loads
+            },
             store_turn=self._planner.store_turn,
+            store_refusals={load.model: load.refused for load in store_loads},
+            store_periods={
+                load.model: load.refused_periods for load in store_loads
+            },
         )
 
     def _models_in_progress(self) -> tuple[str, str]:
@@ -136,25 +143,32 @@
             and name not in rejected
         )
 
-    def _store_requests(
+    def _loads_in_turn(
         self, report: RunnerReport, now_ms: float
-    ) -> dict[str, int]:
-        """Return the requested models that must come from the store."""
+    ) -> list[RequestedLoad]:
+        """Return the requested models that wait for a turn at the store.
+
+        Those of which the most requests were refused come first. The adapters
+        of a model are left out.
+        """
         runner_view = self.runner_view
         demand = runner_view.demand
         if runner_view.spec is None or not demand.is_scarce(now_ms):
-            return {}
+            return []
         models = runner_view.spec.models
-        unserved_s: dict[str, int] = {}
-        for load in demand.requested_loads(now_ms):
+        by_model: dict[str, RequestedLoad] = {}
+        for requested in demand.requested_loads(now_ms):
+            name = requested.model
             if (
-                load.model in models
-                and runner_view.held_model(load.model) is None
-                and load_time_ms(models[load.model], report)[1]
+                name in models
+                and runner_view.held_model(name) is None
+                and load_time_ms(models[name], report)[1]
             ):
-                since_s = int((now_ms - load.waiting_since_ms) / MS_PER_S)
-                unserved_s.setdefault(load.model, since_s)
-        return dict(itertools.islice(unserved_s.items(), MAX_STORE_REQUESTS))
+                first = by_model.setdefault(name, requested)
+                if first is not requested:
+                    by_model[name] = first.joined(requested)
+        by_rank = sorted(by_model.values(), key=_by_refused)
+        return by_rank[:MAX_STORE_REQUESTS]
 
     def _store_demand_per_s(self, report: RunnerReport, now_ms: float) -> float:
         """Return the demand for the model to load first from the weight store.
@@ -175,3 +189,7 @@
             and load_time_ms(spec.models[load.model], report)[1]
         ]
         return max(demands_per_s, default=0)
+
+
+def _by_refused(requested: RequestedLoad) -> int:
+    return -requested.refused
--- a/lagoonflow/waking/demand.py
+++ b/lagoonflow/waking/demand.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from lagoonflow.clock import MS_PER_S
-from lagoonflow.gossip.messages import RouterState
+from lagoonflow.gossip.messages import LoadRequest, RouterState
 from lagoonflow.waking.engine_speed import PREFILL_TOKEN_MS
 
 # Routers repeat their state at least once a second; the state of one that
@@ -29,12 +29,24 @@
     :param waiting: number of calls that wait for it at all routers.
     :param waiting_since_ms: when this agent first received a request for it,
         or when routers began to refuse calls for it.
+    :param refused: number of requests that were refused, as it isn't loaded.
+    :param refused_periods: periods in which they were, as bits.
     """
 
     model: str
     adapter: str
     waiting: int
     waiting_since_ms: float
+    refused: int = 0
+    refused_periods: int = 0
+
+    def joined(self, other: 'RequestedLoad') -> 'RequestedLoad':
+        """Return this load with the refused requests of another one."""
+        return dataclasses.replace(
+            self,
+            refused=self.refused + other.refused,
+            refused_periods=self.refused_periods | other.refused_periods,
+        )
 
 
 class Demand:
@@ -60,27 +72,23 @@
 
     def requested_loads(self, now_ms: float) -> list[RequestedLoad]:
         """Return the requested models and adapters, longest waiting first."""
-        waiting: collections.Counter[tuple[str, str]] = collections.Counter()
         since_ms = self._waiting_since_ms
         self._waiting_since_ms = {}
+        found: dict[tuple[str, str], RequestedLoad] = {}
         for received in self._recent_states(now_ms):
             if now_ms - received.received_at_ms > LOAD_REQUEST_TTL_MS:
                 continue
             for request in received.state.load_requests:
                 key = (request.model, request.adapter)
-                waiting[key] += request.waiting
-                self._waiting_since_ms[key] = min(
-                    self._waiting_since_ms.get(key, now_ms),
-                    since_ms.get(key, now_ms),
-                    now_ms - request.unserved_ms,
+                first_ms = since_ms.get(key, now_ms)
+                found[key] = _join_request(
+                    found.get(key), request, first_ms, now_ms
                 )
-        found = [
-            RequestedLoad(
-                model, adapter, count, self._waiting_since_ms[model, adapter]
-            )
-            for (model, adapter), count in waiting.items()
-        ]
-        return sorted(found, key=lambda one: (one.waiting_since_ms, one.model))
+        for key, load in found.items():
+            self._waiting_since_ms[key] = load.waiting_since_ms
+        return sorted(
+            found.values(), key=lambda one: (one.waiting_since_ms, one.model)
+        )
 
     def newest_state(self, now_ms: float) -> RouterState | None:
         """Return the state to follow; ``None`` without any.
@@ -155,3 +163,31 @@
             if received.received_at_ms < horizon_ms:
                 self._routers.pop(name)
         return list(self._routers.values())
+
+
+def _join_request(
+    load: RequestedLoad | None,
+    request: LoadRequest,
+    first_ms: float,
+    now_ms: float,
+) -> RequestedLoad:
+    """Add a router's request to those of the other routers for one load.
+
+    :param first_ms: when a request for it was first received.
+    """
+    since_ms = min(first_ms, now_ms - request.unserved_ms)
+    added = RequestedLoad(
+        request.model,
+        request.adapter,
+        request.waiting,
+        since_ms,
+        request.refused,
+        request.refused_periods,
+    )
+    if load is None:
+        return added
+    return dataclasses.replace(
+        added.joined(load),
+        waiting=load.waiting + request.waiting,
+        waiting_since_ms=min(load.waiting_since_ms, since_ms),
+    )
--- a/lagoonflow/waking/store_turns.py
+++ b/lagoonflow/waking/store_turns.py
@@ -1,15 +1,14 @@
 """Turns at the weight store for models that no runner has a copy of.
 
 The load: callers keep requesting more such models than the store can load
-soon, each of them rarely. Demand differs little between them and says nothing
-of how long their callers have been refused, so the model that has been
-unserved for the longest time comes first. Every model that is still requested
-thus gets its turn after at most one load of each of the others.
+soon, and some of them only for a short time. Models whose callers have been
+refused again and again come first, as they will probably be called for when a
+load is done; a busy model that has lost its copies passes them soon.
 """
 
+import collections
 import dataclasses
 import heapq
-import itertools
 from collections.abc import Callable, Mapping, Sequence
 
 from lagoonflow.declared.messages import EngineSpec
@@ -22,6 +21,11 @@
 # Time from the plan of a turn until its load begins: the message to the agent
 # and the eviction of a model.
 TURN_DELAY_MS = 300
+# Refused requests are counted by periods of this length, in ms: about the time of
+# a load from the store.
+PERIOD_MS = 8000
+# So many refused requests count as much as one more period with any.
+BUSY_REFUSALS = 10
 # A runner that would have to evict a model which only the store can restore
 # counts as having so many models that only it can load.
 STORE_ONLY_BLOCKING = 10
@@ -69,18 +73,24 @@
 
 
 def store_turns(spec: EngineSpec, copies: FleetCopies) -> StoreTurns:
-    """Return the models that wait for the store, by descending unserved time.
+    """Return the models that wait for the store, in the order of their turns.
 
     Agents report which of the models that routers requested from them have to
-    come from the store.
+    come from the store. One that an agent evicts another model for keeps its
+    turn.
     """
     unserved_s: dict[str, int] = {}
-    requests = itertools.chain.from_iterable(
-        state.store_requests.items() for state in copies.states.values()
-    )
-    for model, since_s in requests:
-        if model in spec.models:
-            unserved_s[model] = max(since_s, unserved_s.get(model, 0))
+    for reporting in copies.states.values():
+        for model, since_s in reporting.store_requests.items():
+            if model in spec.models:
+                unserved_s[model] = max(since_s, unserved_s.get(model, 0))
+    prepared = {state.store_turn for state in copies.states.values()}
+    demand = _refused_demand(copies)
+
+    def rank(model: str) -> tuple[bool, float, int, str]:
+        is_prepared = model in prepared
+        return not is_prepared, -demand[model], -unserved_s[model], model
+
     waiting = unserved_s.keys() - copies.counts.keys()
     busy_ms = tuple(
         float(loading.order_ready_in_ms)
@@ -88,12 +98,30 @@
         if loading.is_from_store
     )
     return StoreTurns(
-        tuple(sorted(waiting, key=lambda name: (-unserved_s[name], name))),
+        tuple(sorted(waiting, key=rank)),
         store_concurrency(copies.states),
         busy_ms,
     )
 
 
+def _refused_demand(copies: FleetCopies) -> Mapping[str, float]:
+    """Return how much models are called for, by what agents report.
+
+    That is the number of periods in which requests were refused, and more where
+    many were.
+    """
+    refused: collections.Counter[str] = collections.Counter()
+    periods: dict[str, int] = collections.defaultdict(int)
+    for reporting in copies.states.values():
+        refused.update(reporting.store_refusals)
+        for model, bits in reporting.store_periods.items():
+            periods[model] |= bits
+    demand: dict[str, float] = collections.defaultdict(float)
+    for model, count in refused.items():
+        demand[model] = periods[model].bit_count() + count / BUSY_REFUSALS
+    return demand
+
+
 def assign_turns(turns: StoreTurns, copies: FleetCopies) -> dict[str, str]:
     """Return the models that may be loaded from the store now, by instance.
 
--- a/tests/waking/test_store_turns.py
+++ b/tests/waking/test_store_turns.py
@@ -46,6 +46,36 @@
     assert store_turns(spec(), fleet).models == ('m2', 'm3', 'm1')
 
 
+def test_callers_that_return_in_several_periods_go_before_a_short_burst():
+    fleet = copies(
+        agent(
+            'i-1',
+            store_requests={'m1': 20, 'm2': 20},
+            store_refusals={'m1': 7, 'm2': 2},
+            store_periods={'m1': 0b100, 'm2': 0b100},
+        ),
+        agent(
+            'i-2',
+            store_requests={'m2': 3},
+            store_refusals={'m2': 1},
+            store_periods={'m2': 0b001},
+        ),
+    )
+    assert store_turns(spec(), fleet).models == ('m2', 'm1')
+
+
+def test_a_busy_model_that_lost_its_copies_passes_rare_ones_soon():
+    fleet = copies(
+        agent(
+            'i-1',
+            store_requests={'m1': 30, 'm2': 4},
+            store_refusals={'m1': 5, 'm2': 40},
+            store_periods={'m1': 0b1111, 'm2': 0b1},
+        )
+    )
+    assert store_turns(spec(), fleet).models == ('m2', 'm1')
+
+
 def test_a_turn_stays_with_the_agent_that_evicts_for_it():
     for preparing in ('i-1', 'i-2'):
         states = [
