Use the weight store fully while loads are slow, and waste none of its loads

Cause: loads in progress were counted, whatever part of the store they used. A load that begins beside others takes longer for all its time, so two slow ones use less than two fast ones. Loads of runners that crashed or fell silent, and those of agents that restarted, weren't counted, though they slow others.

Agents now state how slow their load is expected to be. Another load begins beside as many as run at full speed if it would be done later after waiting for the next end, and if a part of the store is unused. Routers remember the loads of silent runners until their expected end; an agent that finds its runner busy for over 1.2 s with an unknown order reports a load from the store. Leaving runners get no turn, and nothing is preloaded from the store while scarce models are in demand. Retry-After follows the same prediction.

--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -374,7 +374,10 @@
         is_scarce = service.engine is not None and (
             self._fleet.scarcity.is_scarce(service.name, service.engine, now_ms)
         )
-        return count_copies(states) if is_scarce else None
+        if not is_scarce:
+            return None
+        lost = self._fleet.lost_loads.of_others(states, now_ms)
+        return count_copies(states, lost)
 
     def _evaluate(
         self, context: _ChoiceContext, server: BackendServer
@@ -476,7 +479,7 @@
         if needs_turn:
             turns = store_turns(context.engine, copies)
             store_place = turns.place(model.name)
-            ready_ms = cost_ms + turns.ready_in_ms(model.name, load_ms)
+            ready_ms = cost_ms + turns.ready_in_ms(model.name)
         else:
             ready_ms = cost_ms + wake_time_ms(
                 model, context.engine, state, store_only
--- a/lagoonflow/backends/fleet.py
+++ b/lagoonflow/backends/fleet.py
@@ -21,6 +21,7 @@
 from lagoonflow.gossip.messages import AgentState, HeldModelState
 from lagoonflow.relay.messages import ServerLoad
 from lagoonflow.waking.scarcity import ScarcityDetector
+from lagoonflow.waking.store_loads import LostLoads
 
 # An agent's state is used for this long after it arrived.
 AGENT_FRESH_MS = 2500
@@ -66,6 +67,7 @@
     :ivar malformed_reports: counts load reports that could not be read.
     :ivar evened: estimates for services whose load is evened.
     :ivar scarcity: whether most models of a service don't fit its runners.
+    :ivar lost_loads: loads from the weight store at runners that fell silent.
     :ivar held_bytes: bytes of requests that servers hold.
     """
 
@@ -94,6 +96,7 @@
         self.malformed_reports = MalformedReports()
         self.evened = evened or EvenedLoads()
         self.scarcity = ScarcityDetector()
+        self.lost_loads = LostLoads()
         self.held_bytes = HeldBytes()
 
     # Updates.
--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -69,6 +69,8 @@
     :param store_turn: model that the agent is to load from the weight store
         next; empty for none.
     :param store_only: held models that only the weight store could restore.
+    :param store_concurrency: loads that the weight store serves at full speed
+        together; 0 while unknown.
     """
 
     router: str
@@ -90,6 +92,7 @@
     is_scarce: bool = False
     store_turn: str = ''
     store_only: tuple[str, ...] = ()
+    store_concurrency: int = 0
 
 
 class HeldModelState(msgspec.Struct, array_like=True, frozen=True):
@@ -156,6 +159,8 @@
         from the weight store; empty for none.
     :param store_refusals: requests that were refused, by those models.
     :param store_periods: periods in which they were, as bits, by those models.
+    :param store_slowdown: how many times its declared time the load from the
+        weight store in progress takes, as the agent expects.
     """
 
     agent: str
@@ -187,6 +192,7 @@
     store_turn: str = ''
     store_refusals: dict[str, int] = {}
     store_periods: dict[str, int] = {}
+    store_slowdown: float = 1
 
 
 class MeterState(_Message):
--- a/lagoonflow/waking/controller.py
+++ b/lagoonflow/waking/controller.py
@@ -55,7 +55,6 @@
         if report is None:
             return AgentState(self._agent, runner_view.instance, 0)
         loading, unloading = self._models_in_progress()
-        in_progress = runner_view.in_progress
         store_loads = self._loads_in_turn(report, now_ms)
         return AgentState(
             agent=self._agent,
@@ -64,9 +63,7 @@
             held=self._held_model_states(report, unloading, now_ms),
             loading=loading,
             unloading=unloading,
-            order_ready_in_ms=int(in_progress.ready_in_ms(now_ms))
-            if in_progress
-            else 0,
+            order_ready_in_ms=int(self._order_ready_in_ms(now_ms)),
             planned=self._planned_models(loading, now_ms),
             load_rejections=self._planner.load_rejections,
             free_mb=runner_view.free_mb(now_ms),
@@ -76,8 +73,7 @@
             in_memory=tuple(sorted(report.in_memory)),
             on_disk=tuple(sorted(report.on_disk)),
             can_order=runner_view.may_order(now_ms),
-            is_from_store=in_progress is not None
-            and in_progress.order.is_from_store,
+            is_from_store=self._is_from_store(now_ms),
             store_demand_per_s=self._store_demand_per_s(report, now_ms),
             store_concurrency=runner_view.store_concurrency.estimate,
             is_down=runner_view.is_down,
@@ -91,12 +87,35 @@
                 for load in store_loads
             },
             store_turn=self._planner.store_turn,
+            store_slowdown=round(self._store_slowdown(now_ms), 2),
             store_refusals={load.model: load.refused for load in store_loads},
             store_periods={
                 load.model: load.refused_periods for load in store_loads
             },
         )
 
+    def _is_from_store(self, now_ms: float) -> bool:
+        """Whether the load in progress is from the weight store."""
+        in_progress = self.runner_view.in_progress
+        if in_progress is None:
+            return self.runner_view.busy.is_store_load(now_ms)
+        return in_progress.order.is_from_store
+
+    def _order_ready_in_ms(self, now_ms: float) -> float:
+        in_progress = self.runner_view.in_progress
+        if in_progress is None:
+            return 0
+        slowdown: float = 1
+        if in_progress.order.is_from_store:
+            slowdown = self._store_slowdown(now_ms)
+        return in_progress.ready_in_ms(now_ms, slowdown)
+
+    def _store_slowdown(self, now_ms: float) -> float:
+        """How many times its declared time a load from the store takes."""
+        state = self.runner_view.demand.newest_state(now_ms)
+        concurrency = 0 if state is None else state.store_concurrency
+        return self.runner_view.store_concurrency.slowdown(concurrency, now_ms)
+
     def _models_in_progress(self) -> tuple[str, str]:
         """Return the model being loaded and the model being unloaded.
 
--- a/lagoonflow/waking/fleet_copies.py
+++ b/lagoonflow/waking/fleet_copies.py
@@ -6,6 +6,7 @@
 
 from lagoonflow.gossip.messages import AgentState
 from lagoonflow.waking.copies import models_with_copy
+from lagoonflow.waking.store_loads import StoreLoad
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,12 +18,14 @@
     :param counts: number of runners with such a copy, by model.
     :param demand_per_s: demand for the models that a runner holds, in requests
         per second.
+    :param lost_loads: loads from the store at runners without a state.
     """
 
     states: Mapping[str, AgentState]
     models: Mapping[str, set[str]]
     counts: collections.Counter[str]
     demand_per_s: Mapping[str, float]
+    lost_loads: tuple[StoreLoad, ...] = ()
 
     def count_only_here(self, instance: str) -> int:
         """Count the models that have their only copy at a runner.
@@ -38,7 +41,9 @@
         )
 
 
-def count_copies(states: Mapping[str, AgentState]) -> FleetCopies:
+def count_copies(
+    states: Mapping[str, AgentState], lost_loads: tuple[StoreLoad, ...] = ()
+) -> FleetCopies:
     """Count the copies in the states of all agents, by instance."""
     models = {
         instance: models_with_copy(state) for instance, state in states.items()
@@ -50,4 +55,4 @@
         instance: sum(held.demand_per_s for held in state.held)
         for instance, state in states.items()
     }
-    return FleetCopies(states, models, counts, demand_per_s)
+    return FleetCopies(states, models, counts, demand_per_s, lost_loads)
--- a/lagoonflow/waking/preloading.py
+++ b/lagoonflow/waking/preloading.py
@@ -21,6 +21,7 @@
     may_come_from_store,
     replicas_to_add,
 )
+from lagoonflow.waking.store_loads import StoreLoad
 from lagoonflow.waking.store_queue import grant_preloads, store_queue
 from lagoonflow.waking.store_turns import assign_turns, store_turns
 
@@ -102,6 +103,8 @@
     time_factors: Mapping[str, float] | None = None,
     *,
     is_scarce: bool = False,
+    leaving: Container[str] = (),
+    lost_loads: tuple[StoreLoad, ...] = (),
 ) -> dict[str, LoadPlan]:
     """Return the load plan of each agent, by instance.
 
@@ -113,23 +116,20 @@
     :param time_factors: how much longer than usual work takes at each runner,
         where that is known.
     :param is_scarce: fewer than half of the declared models fit the runners.
+    :param leaving: ids of runners that are about to end; they get no turn at the
+        weight store.
+    :param lost_loads: loads from the store at runners without a state.
     """
-    copies = count_copies(states)
+    copies = count_copies(states, lost_loads)
     replicas = replicas_to_add(copies, cold, time_factors)
-    assigned = assign_evenly(missing_models(spec, copies), copies)
-    missing_by_demand = sorted(
-        assigned, key=lambda name: -demand_per_s.get(name, 0)
-    )
-    from_store = [
-        (replicas[name], name)
-        for name in replicas
-        if name not in copies.models[replicas[name]]
-        and may_come_from_store(name, copies)
-    ]
-    from_store.extend((assigned[name], name) for name in missing_by_demand)
-    # Nothing is preloaded from the store while requested models wait for it.
-    turns = assign_turns(store_turns(spec, copies), copies) if is_scarce else {}
-    granted = {} if turns else grant_preloads(from_store, states)
+    from_store = _store_preloads(spec, copies, replicas, demand_per_s)
+    turns: dict[str, str] = {}
+    if is_scarce:
+        turns = assign_turns(store_turns(spec, copies), copies, leaving)
+    # Where models are scarce and there is demand, all loads from the store are
+    # for requested models. Routers that have just started don't know those yet.
+    may_preload = not (is_scarce and any(copies.demand_per_s.values()))
+    granted = grant_preloads(from_store, states) if may_preload else {}
     holders = _holders(states)
     queue = store_queue(states)
     return {
@@ -147,6 +147,27 @@
     }
 
 
+def _store_preloads(
+    spec: EngineSpec,
+    copies: FleetCopies,
+    replicas: Mapping[str, str],
+    demand_per_s: Mapping[str, float],
+) -> list[tuple[str, str]]:
+    """Return instances and models to preload from the store, best first."""
+    assigned = assign_evenly(missing_models(spec, copies), copies)
+    missing_by_demand = sorted(
+        assigned, key=lambda name: -demand_per_s.get(name, 0)
+    )
+    from_store = [
+        (replicas[name], name)
+        for name in replicas
+        if name not in copies.models[replicas[name]]
+        and may_come_from_store(name, copies)
+    ]
+    from_store.extend((assigned[name], name) for name in missing_by_demand)
+    return from_store
+
+
 def _preloads(
     instance: str,
     local: set[str],
--- a/lagoonflow/waking/runner_view.py
+++ b/lagoonflow/waking/runner_view.py
@@ -20,6 +20,9 @@
 # After this time at the latest, the runner's reports show an accepted order,
 # in ms.
 ORDER_VISIBLE_MS = 400
+# A runner that is busy for longer than this with an order that its agent
+# doesn't know loads from the weight store, in ms: other orders take less.
+UNKNOWN_ORDER_MS = 1200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,9 +35,12 @@
     order: RunnerOrder
     started_at_ms: float
 
-    def ready_in_ms(self, now_ms: float) -> float:
-        """Return the expected time until the order is done, in ms."""
-        done_ms = self.started_at_ms + self.order.expected_ms
+    def ready_in_ms(self, now_ms: float, slowdown: float = 1) -> float:
+        """Return the expected time until the order is done, in ms.
+
+        :param slowdown: how many times its declared time it takes.
+        """
+        done_ms = self.started_at_ms + self.order.expected_ms * slowdown
         return max(done_ms - now_ms, 0)
 
 
@@ -49,6 +55,30 @@
     started_ms: int = -1
 
 
+class BusyPeriod:
+    """Measures for how long a runner has been carrying out an order."""
+
+    def __init__(self) -> None:
+        """Start with an idle runner."""
+        self._since_ms: float | None = None
+
+    def observe(self, is_busy: bool, now_ms: float) -> None:
+        """Record whether the runner is carrying out an order."""
+        if not is_busy:
+            self._since_ms = None
+        elif self._since_ms is None:
+            self._since_ms = now_ms
+
+    def is_store_load(self, now_ms: float) -> bool:
+        """Whether an unknown order is probably a load from the store.
+
+        An agent that has restarted doesn't know the order in progress.
+        """
+        if self._since_ms is None:
+            return False
+        return now_ms - self._since_ms > UNKNOWN_ORDER_MS
+
+
 class RunnerView:
     """Holds the newest report, the demand and the order of one runner.
 
@@ -57,6 +87,7 @@
     :ivar in_progress: the model load or unload that the runner carries out.
     :ivar can_order: whether this agent has its fencing token.
     :ivar agents: number of agents that share the weight store.
+    :ivar busy: for how long the runner has been carrying out an order.
     :ivar store_load_at_ms: when the last load from the weight store began.
     """
 
@@ -75,6 +106,7 @@
         self._reported_identity = _ReportedIdentity()
         self._missed_reports = 0
         self._report_at_ms = float('-inf')
+        self.busy = BusyPeriod()
         self._held_since_ms: dict[str, float] = {}
         self._last_used_at_ms: dict[str, float] = {}
 
@@ -95,6 +127,7 @@
         self.restoration.record_report(report, now_ms)
         self.report = report
         self._report_at_ms = now_ms
+        self.busy.observe(report.is_busy, now_ms)
         self._held_since_ms = {
             held.name: self._held_since_ms.get(held.name, now_ms)
             for held in report.models
@@ -123,7 +156,9 @@
             self.in_progress = OrderInProgress(order, now_ms)
         if order.is_from_store:
             self.store_load_at_ms = now_ms
-            self.store_concurrency.begin(order.expected_ms, now_ms)
+            state = self.demand.newest_state(now_ms)
+            others = 0 if state is None else state.store_loads
+            self.store_concurrency.begin(order.expected_ms, now_ms, others)
 
     def record_unanswered(self, order: RunnerOrder, now_ms: float) -> None:
         """Reserve memory for a load that the runner may still carry out."""
--- a/lagoonflow/waking/store_queue.py
+++ b/lagoonflow/waking/store_queue.py
@@ -15,6 +15,9 @@
 # agents have estimated it.
 DEFAULT_STORE_CONCURRENCY = 4
 
+# Estimates may be too high by this much.
+ESTIMATE_EXCESS = 0.3
+
 States = Mapping[str, AgentState]
 
 
@@ -23,14 +26,30 @@
 
     That is the median of the agents' estimates.
     """
-    estimates = [
+    estimates = _estimates(states)
+    if not estimates:
+        return DEFAULT_STORE_CONCURRENCY
+    return max(round(statistics.median(estimates)), 1)
+
+
+def least_store_concurrency(states: States) -> int:
+    """Return the lowest plausible number of such loads; 0 while unknown.
+
+    A load that began before others of the same moment is slowed less than all
+    of them together would be, so estimates are rather too high.
+    """
+    estimates = _estimates(states)
+    if not estimates:
+        return 0
+    return max(round(statistics.median_low(estimates) - ESTIMATE_EXCESS), 1)
+
+
+def _estimates(states: States) -> list[float]:
+    return [
         state.store_concurrency
         for state in states.values()
         if state.store_concurrency > 0
     ]
-    if not estimates:
-        return DEFAULT_STORE_CONCURRENCY
-    return max(round(statistics.median(estimates)), 1)
 
 
 def loads_in_progress(states: States) -> int:
--- a/lagoonflow/waking/store_turns.py
+++ b/lagoonflow/waking/store_turns.py
@@ -6,17 +6,21 @@
 load is done; a busy model that has lost its copies passes them soon.
 """
 
+import bisect
 import collections
 import dataclasses
-import heapq
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Container, Mapping, Sequence
 
 from lagoonflow.declared.messages import EngineSpec
 from lagoonflow.gossip.messages import AgentState
 from lagoonflow.waking.copies import rendezvous_weight
 from lagoonflow.waking.eviction import store_only_models
 from lagoonflow.waking.fleet_copies import FleetCopies
-from lagoonflow.waking.store_queue import store_concurrency
+from lagoonflow.waking.store_loads import StoreLoad, load_in_progress
+from lagoonflow.waking.store_queue import (
+    DEFAULT_STORE_CONCURRENCY,
+    least_store_concurrency,
+)
 
 # Time from the plan of a turn until its load begins: the message to the agent
 # and the eviction of a model.
@@ -26,6 +30,9 @@
 PERIOD_MS = 8000
 # So many refused requests count as much as one more period with any.
 BUSY_REFUSALS = 10
+# Share of the store that may be in use by loads of which some are slow. Each load
+# blocks its runner, so few fast ones are better than many slow ones.
+MAX_SLOW_USE = 0.95
 # A runner that would have to evict a model which only the store can restore
 # counts as having so many models that only it can load.
 STORE_ONLY_BLOCKING = 10
@@ -35,18 +42,27 @@
 class StoreTurns:
     """Models that wait for a load from the store, the first in line in front.
 
+    A load that begins beside others takes longer, and less of what the store
+    can do at a time. So while loads are slow, another one may begin beside them.
+
     :param concurrency: loads that the store serves at full speed together.
-    :param busy_ms: times until the loads in progress are done, in ms.
+    :param loads: the loads in progress.
+    :param load_ms: time that one load takes at full speed, in ms.
     """
 
     models: tuple[str, ...]
     concurrency: int
-    busy_ms: tuple[float, ...]
+    loads: tuple[StoreLoad, ...]
+    load_ms: float
 
     @property
     def free(self) -> int:
         """Number of loads that may begin now."""
-        return max(self.concurrency - len(self.busy_ms), 0)
+        loads = list(self.loads)
+        while self._may_begin(loads):
+            slowdown = self._slowdown(len(loads))
+            loads.append(StoreLoad(self.load_ms * slowdown, slowdown))
+        return len(loads) - len(self.loads)
 
     def place(self, model: str) -> int:
         """Return how many models come before one in line.
@@ -56,20 +72,34 @@
         line = self.models
         return line.index(model) if model in line else len(line)
 
-    def ready_in_ms(self, model: str, load_ms: float) -> float:
-        """Return the time until a model can be loaded, in ms.
+    def ready_in_ms(self, model: str) -> float:
+        """Return the time until a model can be loaded, in ms."""
+        loads = sorted(self.loads, key=_ready_in_ms)
+        begins_ms: float = 0
+        done_ms: float = 0
+        for _ in range(self.place(model) + 1):
+            while loads and not self._may_begin(loads):
+                begins_ms = max(begins_ms, loads.pop(0).ready_in_ms)
+            slowdown = self._slowdown(len(loads))
+            done_ms = begins_ms + TURN_DELAY_MS + self.load_ms * slowdown
+            bisect.insort(loads, StoreLoad(done_ms, slowdown), key=_ready_in_ms)
+        return done_ms
 
-        :param load_ms: time that one load takes at full speed, in ms.
-        """
-        free_in_ms = sorted((*self.busy_ms, *(0 for _ in range(self.free))))
-        # With more loads in progress than the store serves at full speed,
-        # the next one begins when their number has fallen below that.
-        free_in_ms = free_in_ms[max(len(free_in_ms) - self.concurrency, 0) :]
-        heapq.heapify(free_in_ms)
-        for _ in range(self.place(model)):
-            done_ms = free_in_ms[0] + TURN_DELAY_MS + load_ms
-            heapq.heapreplace(free_in_ms, done_ms)
-        return free_in_ms[0] + TURN_DELAY_MS + load_ms
+    def _slowdown(self, in_progress: int) -> float:
+        """Return the slowdown of a load that begins beside others."""
+        return max((in_progress + 1) / self.concurrency, 1)
+
+    def _may_begin(self, loads: Sequence[StoreLoad]) -> bool:
+        """Whether another load should begin beside others."""
+        if len(loads) < self.concurrency:
+            return True
+        used = sum(1 / load.slowdown for load in loads)
+        used += 1 / self._slowdown(len(loads))
+        return used <= self.concurrency * MAX_SLOW_USE
+
+
+def _ready_in_ms(load: StoreLoad) -> float:
+    return load.ready_in_ms
 
 
 def store_turns(spec: EngineSpec, copies: FleetCopies) -> StoreTurns:
@@ -92,15 +122,16 @@
         return not is_prepared, -demand[model], -unserved_s[model], model
 
     waiting = unserved_s.keys() - copies.counts.keys()
-    busy_ms = tuple(
-        float(loading.order_ready_in_ms)
+    loads = tuple(
+        load_in_progress(loading)
         for loading in copies.states.values()
         if loading.is_from_store
     )
     return StoreTurns(
         tuple(sorted(waiting, key=rank)),
-        store_concurrency(copies.states),
-        busy_ms,
+        least_store_concurrency(copies.states) or DEFAULT_STORE_CONCURRENCY,
+        (*loads, *copies.lost_loads),
+        max((one.store_load_ms for one in spec.models.values()), default=0),
     )
 
 
@@ -122,17 +153,24 @@
     return demand
 
 
-def assign_turns(turns: StoreTurns, copies: FleetCopies) -> dict[str, str]:
+def assign_turns(
+    turns: StoreTurns, copies: FleetCopies, leaving: Container[str] = ()
+) -> dict[str, str]:
     """Return the models that may be loaded from the store now, by instance.
 
     An agent that is already evicting another model for its turn keeps it.
+
+    :param leaving: ids of runners that would end before the load.
     """
     assigned: dict[str, str] = {}
-    blocking = {
-        instance: _blocking(instance, copies) for instance in copies.states
+    staying = {
+        instance: state
+        for instance, state in copies.states.items()
+        if instance not in leaving and not state.is_leaving
     }
+    blocking = {instance: _blocking(instance, copies) for instance in staying}
     for model in turns.models[: turns.free]:
-        candidates = _candidates(model, copies.states, assigned)
+        candidates = _candidates(model, staying, assigned)
         if candidates:
             chosen = min(candidates, key=_turn_rank(model, blocking))
             assigned[chosen] = model
--- a/lagoonflow/wiring/platform_publishing.py
+++ b/lagoonflow/wiring/platform_publishing.py
@@ -30,7 +30,10 @@
 from lagoonflow.resumption.origins import StreamOrigins
 from lagoonflow.waking.copies import models_with_copy
 from lagoonflow.waking.preloading import LoadPlan, plan_loads
-from lagoonflow.waking.store_queue import loads_in_progress
+from lagoonflow.waking.store_queue import (
+    least_store_concurrency,
+    loads_in_progress,
+)
 
 # Interval at which loads ahead of requests (preloads) are planned, in ms.
 PLAN_INTERVAL_MS = 200
@@ -70,6 +73,7 @@
         self._plans: dict[str, LoadPlan] = {}
         self._planned_at_ms = 0
         self._store_loads = 0
+        self._store_concurrency = 0
         self._tokens_per_s: dict[str, float] = {}
         self._holder_counts: collections.Counter[str] = collections.Counter()
         self._scarce_services: set[str] = set()
@@ -142,6 +146,7 @@
             is_scarce=load_plan.is_scarce,
             store_turn=load_plan.store_turn,
             store_only=load_plan.store_only,
+            store_concurrency=self._store_concurrency,
         )
 
     def _demand_per_runner(
@@ -196,7 +201,12 @@
             self._drop_served(agents)
             # Loads in evacuated zones use the weight store, too.
             self._store_loads += loads_in_progress(agents)
+            self._store_concurrency = least_store_concurrency(agents)
             is_scarce = self._is_scarce(service, engine, servers, now_ms)
+            if is_scarce:
+                self._fleet.lost_loads.observe(agents, now_ms)
+                lost = self._fleet.lost_loads.of_others(agents, now_ms)
+                self._store_loads += len(lost)
             usable = without_evacuated(self._fleet, servers)
             self._plans.update(
                 self._plan_service(service, engine, usable, demand, now_ms)
@@ -224,6 +234,8 @@
             self._cold(agents, now_ms),
             self._time_factors(usable, now_ms),
             is_scarce=self._fleet.scarcity.is_scarce(service, engine, now_ms),
+            leaving={one.instance for one in usable if one.is_draining},
+            lost_loads=self._fleet.lost_loads.of_others(agents, now_ms),
         )
         self._log_turns(service, plans, agents)
         return plans
--- a/tests/waking/test_store_concurrency.py
+++ b/tests/waking/test_store_concurrency.py
@@ -39,3 +39,19 @@
     estimator.forget()
     estimator.end(12_000)
     assert estimator.estimate == 0
+
+
+def test_a_load_is_predicted_to_be_slowed_by_those_it_began_beside():
+    estimator = StoreConcurrencyEstimator()
+    estimator.begin(6000, 0, others=2)
+    assert estimator.slowdown(0, 100) == 1
+    assert estimator.slowdown(2, 100) == 1.5
+    assert estimator.slowdown(4, 100) == 1
+
+
+def test_an_overdue_load_is_predicted_to_take_longer():
+    estimator = StoreConcurrencyEstimator()
+    estimator.begin(6000, 0, others=1)
+    assert estimator.slowdown(2, 6100) == 1
+    assert estimator.slowdown(2, 6500) == 1.5
+    assert estimator.slowdown(2, 9500) == 2
--- a/tests/waking/test_store_turns.py
+++ b/tests/waking/test_store_turns.py
@@ -3,13 +3,27 @@
 from lagoonflow.gossip.messages import AgentState, HeldModelState
 from lagoonflow.waking.eviction import store_only_models
 from lagoonflow.waking.fleet_copies import count_copies
+from lagoonflow.waking.preloading import plan_loads
+from lagoonflow.waking.runner_view import UNKNOWN_ORDER_MS
 from lagoonflow.waking.scarcity import SETTLED_MS, ScarcityDetector
+from lagoonflow.waking.store_loads import (
+    OVERDUE_KEPT_MS,
+    LostLoads,
+    StoreLoad,
+)
 from lagoonflow.waking.store_turns import (
     TURN_DELAY_MS,
+    StoreTurns,
     assign_turns,
     store_turns,
 )
-from tests.waking.builders import spec
+from tests.waking.builders import (
+    NOW_MS,
+    make_controller,
+    report,
+    router_state,
+    spec,
+)
 
 LOAD_MS = 6000
 
@@ -30,7 +44,7 @@
     turns = store_turns(spec(), fleet)
     assert turns.models == ('m3', 'm2', 'm1')
     assert list(assign_turns(turns, fleet).values()) == ['m3']
-    assert turns.ready_in_ms('m1', LOAD_MS) == 3 * (LOAD_MS + TURN_DELAY_MS)
+    assert turns.ready_in_ms('m1') == 3 * (LOAD_MS + TURN_DELAY_MS)
 
 
 def test_the_model_with_the_most_refused_requests_comes_first():
@@ -106,3 +120,67 @@
     detector.observe_runners('llm', 2, SETTLED_MS)
     detector.observe_runners('llm', 1, SETTLED_MS)
     assert not detector.is_scarce('llm', spec(), 3 * SETTLED_MS)
+
+
+def turns(*loads, models=('m1', 'm2')):
+    return StoreTurns(models, 2, loads, LOAD_MS)
+
+
+def test_another_load_begins_beside_slow_ones():
+    """Two loads that began beside others use less than the whole store."""
+    assert turns(StoreLoad(9000, 1.5), StoreLoad(8000, 2)).free == 1
+    assert turns(StoreLoad(9000, 1.5), StoreLoad(8000, 1.5)).free == 0
+    assert turns(StoreLoad(9000), StoreLoad(8000)).free == 0
+    assert turns(StoreLoad(9000)).free == 1
+
+
+def test_a_model_is_ready_after_those_before_it():
+    full_speed = turns(StoreLoad(2000), StoreLoad(2000))
+    one_load_ms = TURN_DELAY_MS + LOAD_MS
+    assert full_speed.ready_in_ms('m1') == 2000 + one_load_ms
+    assert full_speed.ready_in_ms('m2') == 2000 + one_load_ms
+    assert full_speed.ready_in_ms('m3') == 2000 + 2 * one_load_ms
+
+
+def test_the_load_of_a_silent_runner_still_uses_the_store():
+    lost = LostLoads()
+    loading = agent('i-1', is_from_store=True, order_ready_in_ms=9000)
+    overdue = agent('i-2', is_from_store=True)
+    lost.observe({'i-1': loading, 'i-2': overdue}, 0)
+    assert lost.of_others({'i-1': loading, 'i-2': overdue}, 0) == ()
+    both = (StoreLoad(7000), StoreLoad(OVERDUE_KEPT_MS - 2000))
+    assert lost.of_others({}, 2000) == both
+    assert lost.of_others({}, 9000) == ()
+
+
+def test_loads_of_an_earlier_agent_count_as_loads_from_the_store():
+    """Otherwise more loads begin at once after all hosts have restarted."""
+    controller = make_controller(router_state())
+    view = controller.runner_view
+    view.record_report(report(busy=True), NOW_MS)
+    assert not controller.agent_state(NOW_MS).is_from_store
+    later_ms = NOW_MS + UNKNOWN_ORDER_MS + 1
+    view.record_report(report(busy=True), later_ms)
+    assert controller.agent_state(later_ms).is_from_store
+
+
+def test_no_turn_is_given_to_a_runner_that_leaves():
+    fleet = copies(
+        agent('i-1', store_requests={'m1': 5}),
+        agent('i-2', is_leaving=True),
+        agent('i-3', on_disk=('m2', 'm3')),
+    )
+    turns = store_turns(spec(), fleet)
+    assert assign_turns(turns, fleet, {'i-1'}) == {'i-3': 'm1'}
+
+
+def test_nothing_is_preloaded_while_scarce_models_are_in_demand():
+    """Routers that have just restarted don't know the refused requests yet."""
+    states = {
+        'i-1': agent('i-1', held=(HeldModelState('m1', demand_per_s=1),)),
+        'i-2': agent('i-2'),
+    }
+    plans = plan_loads(spec(), states, {}, is_scarce=True)
+    assert not any(plan.preload for plan in plans.values())
+    plans = plan_loads(spec(), states, {})
+    assert any(plan.preload for plan in plans.values())
