Refuse entries that can't be encoded or connected to, and outlive failed tasks

Cause: values were checked for their type only. A start of 2^64 + 5 failed when it was encoded for agents, which ended the task, and a task's error ended the process. Ports out of range, hosts with NUL or long labels raise no OSError when they are connected to.

Entries, reports of runners and registrations are now checked for what is done with their values: whole numbers fit datagrams and floats, addresses are IP and port, ids can be headers. A connect, a datagram or a page that fails costs only itself, and a failed task is started again after a second.

--- a/lagoonflow/declared/topic_follower.py
+++ b/lagoonflow/declared/topic_follower.py
@@ -105,11 +105,20 @@
             case RecordPage(records=records, next_offset=next_offset):
                 self._handle_success()
                 self._offset = next_offset
-                self._on_page(page, is_whole, timed.current_at_ms)
+                self._apply(page, is_whole, timed.current_at_ms)
                 # The router that answered has paused before its own read.
                 if records and not timed.is_from_router:
                     await self._gather(boottime_ms())
 
+    def _apply(
+        self, page: RecordPage, is_whole: bool, current_at_ms: float
+    ) -> None:
+        """Apply a page; the next one is read even if this one can't be."""
+        try:
+            self._on_page(page, is_whole, current_at_ms)
+        except Exception:
+            self._log.exception('page not applied', topic=self._topic)
+
     async def _gather(self, now_ms: float) -> None:
         """Pause for more records to arrive; just after the start, less."""
         is_starting = now_ms - self._started_at_ms < START_PHASE_MS
--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -5,11 +5,17 @@
 for a lost one.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from lagoonflow.gossip.entries import LimitEntry, OriginEntry, SpeedEntry
 from lagoonflow.gossip.topic_messages import TopicAnswer, TopicQuery
 
+# Entries of crashes are stored as JSON, whose numbers have no bounds, and sent
+# in datagrams, whose numbers have.
+Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+
 
 class _Message(msgspec.Struct, array_like=True, frozen=True, tag=True):
     """Base of all datagrams."""
@@ -247,13 +253,13 @@
     """
 
     instance: str
-    started_ms: int
-    at_ms: int
-    request_ages_ms: dict[str, int]
-    waiting_ages_ms: dict[str, int] = {}
+    started_ms: Int64
+    at_ms: Int64
+    request_ages_ms: dict[str, Int64]
+    waiting_ages_ms: dict[str, Int64] = {}
     proven: tuple[str, ...] = ()
     cleared: tuple[str, ...] = ()
-    call_ages_ms: dict[str, int] = {}
+    call_ages_ms: dict[str, Int64] = {}
 
     @property
     def crash_id(self) -> tuple[str, int]:
--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -291,7 +291,8 @@
         except TimeoutError as error:
             reason = 'connection not established in time'
             raise ExchangeError(ExchangeStage.CONNECTING, reason) from error
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # Hosts and ports that can't be connected to raise the latter two.
             raise ExchangeError(ExchangeStage.CONNECTING, str(error)) from error
         _set_tcp_options(transport)
         if self._is_bounded:
--- a/lagoonflow/platform/configuration.py
+++ b/lagoonflow/platform/configuration.py
@@ -144,7 +144,7 @@
             ),
             requires_keys=body.tenants is not None,
         )
-    except (msgspec.MsgspecError, KeyError) as error:
+    except (ValueError, KeyError, RecursionError) as error:
         raise ConfigurationError(str(error)) from error
 
 
--- a/lagoonflow/platform/runner.py
+++ b/lagoonflow/platform/runner.py
@@ -6,6 +6,7 @@
 from lagoonflow.clock import boottime_ms
 from lagoonflow.http1.client import ConnectionPool, WholeResponse, send_request
 from lagoonflow.http1.messages import ExchangeError, ExchangeStage, RequestHead
+from lagoonflow.platform.bounds import Count, check_server_id
 from lagoonflow.platform.cold_times import parse_cold_time
 from lagoonflow.platform.headers import (
     parse_limit,
@@ -35,15 +36,15 @@
     # Whether an order is in progress.
     busy: bool = False
     # Unix time of the start, in ms.
-    born: int = 0
+    born: Count = 0
     # Orders accepted since the start.
-    sequence: int = 0
-    queued: int = 0
-    active: int = 0
+    sequence: Count = 0
+    queued: Count = 0
+    active: Count = 0
     # Cache of running requests, in tokens. Cached prompts aren't counted,
     # since they are evicted when running requests need the space.
-    kv_used: int = 0
-    kv_total: int = 0
+    kv_used: Count = 0
+    kv_total: Count = 0
     # Adapters that are being loaded, as MODEL/NAME@VERSION.
     pending: list[str] = []
     available: AvailableCopies = msgspec.field(default_factory=AvailableCopies)
@@ -91,7 +92,7 @@
         try:
             answer = await self._send(head, b'', REPORT_TIMEOUT_MS)
             return _decode_report(answer)
-        except (ExchangeError, msgspec.MsgspecError):
+        except (ExchangeError, ValueError, RecursionError):
             return None
 
     async def identify(self, health_check_path: str) -> str:
@@ -108,7 +109,7 @@
             return ''
         for name, text in answer.headers:
             if name.lower() == IDENTITY_HEADER:
-                return text.decode('latin-1')
+                return _parse_identity(text)
         return ''
 
     async def order(
@@ -158,6 +159,13 @@
         return answer
 
 
+def _parse_identity(text: bytes) -> str:
+    try:
+        return check_server_id(text.decode('latin-1').strip())
+    except ValueError:
+        return ''
+
+
 def _decode_report(answer: WholeResponse) -> RunnerReport | None:
     if answer.status != 200:
         return None
--- a/lagoonflow/platform/servers.py
+++ b/lagoonflow/platform/servers.py
@@ -3,6 +3,13 @@
 import msgspec
 
 from lagoonflow.backends.messages import BackendServer, HeldModel
+from lagoonflow.platform.bounds import (
+    Count,
+    DurationMs,
+    Slots,
+    check_address,
+    check_server_id,
+)
 from lagoonflow.platform.cold_times import parse_cold_ms
 
 # States of a server that can be used; entries with another one are ignored.
@@ -32,13 +39,13 @@
     state: str
     # Version of the server's software, not of any weights.
     version: str | int = ''
-    slots: int = 1
+    slots: Slots = 1
     # Unix time of the start, in ms.
-    born: int = 0
+    born: Count = 0
     # Orders accepted since the start.
-    sequence: int = 0
+    sequence: Count = 0
     # Time until the server is removed; only set when that is announced.
-    remaining_ms: float | None = None
+    remaining_ms: DurationMs | None = None
     # Time for which the server is cold; a malformed one doesn't make the whole
     # entry unreadable.
     cold_left_ms: msgspec.Raw = msgspec.Raw()
@@ -58,17 +65,18 @@
     :raises EntryError: when the entry is malformed, or its state unknown.
     """
     try:
-        entry = msgspec.json.decode(raw, type=_Entry)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        return _to_server(key, msgspec.json.decode(raw, type=_Entry))
+    except (ValueError, OverflowError, RecursionError) as error:
         raise EntryError(str(error)) from error
+
+
+def _to_server(key: str, entry: _Entry) -> BackendServer:
     if entry.state not in {_READY, _DRAINING}:
         raise EntryError(f'unknown state {entry.state!r}')
-    if not entry.address.rpartition(':')[2].isdecimal():
-        raise EntryError(f'no port in address {entry.address!r}')
     return BackendServer(
-        instance=key.rpartition('/')[2],
+        instance=check_server_id(key.rpartition('/')[2]),
         service=entry.service,
-        address=entry.address,
+        address=check_address(entry.address),
         zone=entry.zone,
         slots=entry.slots,
         is_draining=entry.state == _DRAINING,
--- a/lagoonflow/wiring/platform_agent.py
+++ b/lagoonflow/wiring/platform_agent.py
@@ -102,10 +102,10 @@
             feed.on_failure,
         )
         tasks = [
-            supervise(follower.run(), self._stop),
-            supervise(self._acquire_fence(), self._stop),
-            supervise(self._read_registered_models(), self._stop),
-            supervise(self._control_runner(), self._stop),
+            supervise(follower.run),
+            supervise(self._acquire_fence),
+            supervise(self._read_registered_models),
+            supervise(self._control_runner),
         ]
         await self._stop.wait()
         for task in tasks:
--- a/lagoonflow/wiring/platform_crashes.py
+++ b/lagoonflow/wiring/platform_crashes.py
@@ -63,7 +63,7 @@
                 continue
             try:
                 entries = _ENTRIES.decode(record.value)
-            except msgspec.MsgspecError as error:
+            except (ValueError, RecursionError) as error:
                 self._log.warning(
                     'record ignored', key=record.key, why=str(error)
                 )
--- a/lagoonflow/wiring/platform_feeds.py
+++ b/lagoonflow/wiring/platform_feeds.py
@@ -9,6 +9,7 @@
 from lagoonflow.declared.records import RecordPage, StoreFailure
 from lagoonflow.declared.view import DeclaredView
 from lagoonflow.gossip.members import Members, RouterMember
+from lagoonflow.platform.bounds import check_address
 from lagoonflow.platform.configuration import (
     ConfigurationError,
     decode_configuration,
@@ -31,6 +32,16 @@
     zone: str = ''
 
 
+def decode_member(raw: bytes) -> MemberRecord:
+    """Decode a registration.
+
+    :raises ValueError: when it is malformed or its address unusable.
+    """
+    member = msgspec.json.decode(raw, type=MemberRecord)
+    check_address(member.address)
+    return member
+
+
 class ConfigurationFeed:
     """Applies configurations, and confirms that the newest one is known.
 
@@ -237,6 +248,7 @@
     def __init__(self, members: Members, role: str) -> None:
         """Start without registrations."""
         self.has_read = False
+        self._log = structlog.get_logger(part='members')
         self._members = members
         self._role = role
 
@@ -250,8 +262,11 @@
             if record.value is None:
                 continue
             try:
-                member = msgspec.json.decode(record.value, type=MemberRecord)
-            except msgspec.MsgspecError:
+                member = decode_member(record.value)
+            except (ValueError, RecursionError) as error:
+                self._log.warning(
+                    'registration ignored', key=record.key, why=str(error)
+                )
                 continue
             if member.role == self._role:
                 router = RouterMember(record.key, member.address, member.zone)
--- a/lagoonflow/wiring/platform_process.py
+++ b/lagoonflow/wiring/platform_process.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import msgspec
@@ -19,6 +19,10 @@
 REGISTRATION_RETRY_MS = 400
 # Metrics are served on the port that follows the one for datagrams.
 METRICS_PORT_OFFSET = 1
+# Delay before a task that failed is started again, in ms.
+RESTART_DELAY_MS = 1000
+
+StartTask = Callable[[], Coroutine[Any, Any, None]]
 
 
 async def register(
@@ -42,25 +46,27 @@
         await asyncio.sleep(delay_ms / MS_PER_S)
 
 
-def supervise(
-    coroutine: Coroutine[Any, Any, None], stop: asyncio.Event
-) -> asyncio.Task[None]:
-    """Run a coroutine as a task whose failure stops the process.
+def supervise(start: StartTask) -> asyncio.Task[None]:
+    """Run a coroutine as a task that is started again when it fails.
 
-    The platform then restarts the process.
+    The other tasks go on meanwhile: a process that ends cuts all its callers
+    off.
 
-    :param stop: set when the task fails.
+    :param start: returns the coroutine; called for each start.
     """
-    log = structlog.get_logger(part='process')
+    return asyncio.get_running_loop().create_task(_run_with_restarts(start))
 
-    def stop_on_failure(task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            log.error('task failed', exc_info=task.exception())
-            stop.set()
 
-    task = asyncio.get_running_loop().create_task(coroutine)
-    task.add_done_callback(stop_on_failure)
-    return task
+async def _run_with_restarts(start: StartTask) -> None:
+    log = structlog.get_logger(part='process')
+    while True:
+        try:
+            await start()
+        except Exception:
+            log.exception('task failed', task=getattr(start, '__name__', ''))
+            await asyncio.sleep(RESTART_DELAY_MS / MS_PER_S)
+        else:
+            return
 
 
 def install_signal_handlers(stop: asyncio.Event) -> None:
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Coroutine, Iterator
-from typing import Any
+from collections.abc import Iterator
 
 import prometheus_client as prometheus
 import structlog
@@ -194,8 +193,8 @@
         await self._listen()
         self._log.info('started', node=settings.node, zone=settings.zone)
         tasks = [
-            platform_process.supervise(coroutine, self._stop)
-            for coroutine in self._background_coroutines()
+            platform_process.supervise(start)
+            for start in self._background_tasks()
         ]
         await self._stop.wait()
         await self._drain()
@@ -214,7 +213,7 @@
         await self._admin.http.listen(settings.readiness_address)
         await self._http.listen(settings.caller_address)
 
-    def _background_coroutines(self) -> Iterator[Coroutine[Any, Any, None]]:
+    def _background_tasks(self) -> Iterator[platform_process.StartTask]:
         configuration = build_configuration_feed(
             self._view,
             self._fleet,
@@ -228,13 +227,13 @@
         for follower in topic_followers(
             self._store, feeds, self._shared_reads, self._settings.drain_ms
         ):
-            yield follower.run()
-        yield self._register()
-        yield self._crash_publisher.save()
-        yield self._publish_updates()
-        yield self._inflight_publisher.run()
+            yield follower.run
+        yield self._register
+        yield self._crash_publisher.save
+        yield self._publish_updates
+        yield self._inflight_publisher.run
         if self._memory is not None:
-            yield self._memory.run()
+            yield self._memory.run
 
     async def _register(self) -> None:
         await platform_process.register(self._store, self._settings, ROLE)
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -148,3 +148,15 @@
         await fetch(pool, timeout_ms=50)
     assert await asyncio.wait_for(close_kind, 1) == 'reset'
     server.close()
+
+
+@pytest.mark.parametrize(
+    'address',
+    ['127.0.0.1:99999', f'127.0.0.1:{"9" * 400}', 'a\0b:80', f'{"a" * 300}:80'],
+)
+async def test_an_address_that_cannot_be_connected_to_is_a_failed_connect(
+    address,
+):
+    with pytest.raises(ExchangeError) as raised:
+        await ConnectionPool(address).connect(1000)
+    assert raised.value.stage is ExchangeStage.CONNECTING
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,9 +1,14 @@
 """Decoding of configurations, server entries and settings files."""
 
+import json
+import socket
+
 import msgspec
 import pytest
+from hypothesis import given, strategies
 
 from lagoonflow.declared.messages import RouteKind
+from lagoonflow.gossip.messages import RouterState, decode, encode
 from lagoonflow.platform.configuration import (
     ConfigurationError,
     decode_configuration,
@@ -134,6 +139,60 @@
     assert not server.is_draining
 
 
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'born': 2**64 + 5},
+        {'sequence': 10**30},
+        {'slots': 10**400},
+        {'remaining_ms': 10**300},
+        {'address': '10.1.1.1:99999'},
+        {'address': f'10.1.1.1:{"9" * 400}'},
+        {'address': '10.1.1.1:0'},
+        {'address': '10.1.1.1\0:80'},
+        {'address': f'{"a" * 300}.example:80'},
+        {'address': ':80'},
+    ],
+)
+def test_an_entry_that_cannot_be_sent_or_connected_to_is_refused(change):
+    # JSON of the standard library has numbers of any length.
+    raw = json.dumps({**ENTRY, **change}).encode()
+    with pytest.raises(EntryError):
+        decode_server('i-1', raw)
+
+
+@pytest.mark.parametrize('key', ['servers/', 'i-1\r\nHost: x', 'i 1', '\0'])
+def test_an_entry_whose_id_cannot_be_a_header_is_refused(key):
+    with pytest.raises(EntryError):
+        decode_server(key, msgspec.json.encode(ENTRY))
+
+
+@given(
+    field=strategies.sampled_from(sorted(ENTRY)),
+    value=strategies.recursive(
+        strategies.none()
+        | strategies.booleans()
+        | strategies.integers()
+        | strategies.floats()
+        | strategies.text(),
+        lambda inner: strategies.lists(inner, max_size=3),
+        max_leaves=5,
+    ),
+)
+def test_any_entry_is_refused_or_can_be_announced(field, value):
+    """Guards against entries that fail later, when they are encoded."""
+    raw = json.dumps({**ENTRY, field: value}).encode('utf-8', 'surrogatepass')
+    try:
+        server = decode_server('i-1', raw)
+    except EntryError:
+        return
+    message = RouterState('r', 'h', 1, server.instance, server.started_ms)
+    assert decode(encode(message)) == message
+    host, _, port = server.address.rpartition(':')
+    assert 0 < int(port) < 65_536
+    socket.inet_aton(host)
+
+
 def test_a_draining_entry_states_its_remaining_time():
     entry = {**ENTRY, 'state': 'draining', 'remaining_ms': 2000}
     server = decode_server('i-1', msgspec.json.encode(entry))
