Don't believe a refusal that may be an earlier one written again

On a reused connection to a server that states ids, a refusal without one is skipped and the answer awaited; a success without one counts as broken off. Where servers state no ids, such a refusal is no longer taken to say that the request hasn't run. A connection on which a request was refused doesn't carry that request again, as its id would not tell the two refusals apart.

--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -43,6 +43,9 @@
 DEFAULT_IDLE_LIMIT_MS = 4000
 # The kernel drops a connection when sent bytes stay unacknowledged this long.
 TCP_USER_TIMEOUT_MS = 3000
+# A connection on which more requests than this were refused isn't reused, which
+# bounds the ids to remember.
+MAX_REFUSED_IDS = 256
 KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
 
 
@@ -56,10 +59,18 @@
 
 
 class ClientConnection:
-    """A connection and its current exchange of request and response."""
+    """A connection and its current exchange of request and response.
+
+    :ivar has_stated_ids: the server has stated the id of a request in an
+        answer on this connection.
+    :ivar refused_ids: ids of the requests that were refused on it as not run.
+    """
 
     def __init__(self, channel: Channel) -> None:
         """Wrap a connected channel."""
+        self.has_stated_ids = False
+        self.refused_ids: set[str] = set()
+        self._sent_requests = 0
         self.channel = channel
         self.idle_until_ms: float = 0
         self._is_exchange_complete = False
@@ -76,12 +87,18 @@
             channel.is_open and is_quiet and boottime_ms() < self.idle_until_ms
         )
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether more than one request was sent on the connection."""
+        return self._sent_requests > 1
+
     async def send(self, head: RequestHead, body: bytes) -> None:
         """Send a whole request.
 
         :raises ExchangeError: at stage ``SENT``, because a part of the
             request may have been sent.
         """
+        self._sent_requests += 1
         request = h11.Request(
             method=head.method,
             target=head.target,
@@ -265,11 +282,16 @@
         self._max_idle = max_idle
         self._idle: collections.deque[ClientConnection] = collections.deque()
 
-    def take_idle(self) -> ClientConnection | None:
-        """Return the most recently used idle connection, if one is usable."""
+    def take_idle(self, request_id: str = '') -> ClientConnection | None:
+        """Return the most recently used idle connection, if one is usable.
+
+        :param request_id: id of the request to be sent. Connections on which
+            it was refused before are closed: the refusal may be repeated.
+        """
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_usable:
+            has_refused = request_id in connection.refused_ids
+            if connection.is_usable and not has_refused:
                 connection.channel.is_idle = False
                 return connection
             connection.close()
@@ -301,7 +323,11 @@
 
     def release(self, connection: ClientConnection) -> None:
         """Keep a reusable connection if there is room, else close it."""
-        if connection.is_reusable and len(self._idle) < self._max_idle:
+        is_kept = (
+            connection.is_reusable
+            and len(connection.refused_ids) <= MAX_REFUSED_IDS
+        )
+        if is_kept and len(self._idle) < self._max_idle:
             connection.channel.is_idle = True
             self._idle.append(connection)
         else:
--- a/lagoonflow/platform/headers.py
+++ b/lagoonflow/platform/headers.py
@@ -127,14 +127,9 @@
     return RequestHead(call.head.method, call.head.target, tuple(headers))
 
 
-def answers_call(call: Call, head: ResponseHead) -> bool:
-    """Return whether an answer belongs to a call.
-
-    An answer without an attempt id is taken to belong to it, since rejections
-    and answers of faulty servers may lack the id.
-    """
-    answered_id = head.get(b'attempt-id')
-    return answered_id is None or answered_id == call.request_id.encode()
+def answered_id(head: ResponseHead) -> bytes | None:
+    """Return the id of the attempt that an answer states; ``None`` for none."""
+    return head.get(b'attempt-id')
 
 
 def decode_answer(head: ResponseHead) -> Answer:
--- a/lagoonflow/relay/attempts.py
+++ b/lagoonflow/relay/attempts.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lagoonflow.relay.sending import Failed
+from lagoonflow.relay.outcomes import Failed
 from lagoonflow.results import Refusal, Result
 
 # Callers retry after this time when no runner takes their call: about the time
--- a/lagoonflow/relay/ports.py
+++ b/lagoonflow/relay/ports.py
@@ -15,8 +15,8 @@
     def encode_call(self, call: Call, target: Target) -> RequestHead:
         """Return the request head that a backend server receives."""
 
-    def answers_call(self, call: Call, head: ResponseHead) -> bool:
-        """Return whether an answer belongs to a call."""
+    def answered_id(self, head: ResponseHead) -> bytes | None:
+        """Return the id of the call that an answer states; ``None`` for none."""
 
     def decode_answer(self, head: ResponseHead) -> Answer:
         """Decode the head of a backend server's answer."""
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -1,7 +1,6 @@
 """Sending of a call to one backend server, and the outcome."""
 
 import asyncio
-import dataclasses
 import functools
 from collections.abc import Callable
 
@@ -27,12 +26,23 @@
 )
 from lagoonflow.http1.server import ResponseWriter
 from lagoonflow.relay.admission import Admission, AdmittedCall
+from lagoonflow.relay.answer_matching import AnswerMatcher
 from lagoonflow.relay.crash_monitor import AnsweredSend, CrashMonitor
 from lagoonflow.relay.messages import Answer, Target
+from lagoonflow.relay.outcomes import (
+    MIN_SERVER_ERROR_STATUS,
+    Broken,
+    Delivered,
+    Failed,
+    Forbidden,
+    NotRun,
+    NotSent,
+    Outcome,
+    Withheld,
+)
 from lagoonflow.relay.ports import CallCodec
 from lagoonflow.relay.streaming import AnswerStream, Progress
 from lagoonflow.relay.waits import AnswerTimeout, AnswerWaits
-from lagoonflow.results import Refusal
 from lagoonflow.resumption.messages import StreamOrigin
 
 # A connection must open within this time; a host on the same network accepts
@@ -46,68 +56,9 @@
 PROVEN_AFTER_MS = 1000
 # Answers other than event streams are read whole, up to this length.
 MAX_BODY_BYTES = 8_388_608
-# Callers take these statuses to mean that their request has not run. A server's
-# answer with one of them is not forwarded unless the server states that the
-# request has not run.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-MIN_SERVER_ERROR_STATUS = 500
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Delivered:
-    """The caller has received the whole answer."""
-
-    status: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotSent:
-    """Nothing of the request was sent to the server."""
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Forbidden:
-    """The server must not get the request now, so nothing was sent.
-
-    This is no failure of the server; the call chooses again.
-    """
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotRun:
-    """The server states that it did not run the request."""
-
-    status: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Failed:
-    """The server answered with an error, which may be forwarded."""
-
-    answer: Answer
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Broken:
-    """No complete valid answer arrived; the request may have run."""
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Withheld:
-    """The call was refused right before the send, so nothing was sent."""
-
-    refusal: Refusal
 
 
 AnnounceStream = Callable[[StreamOrigin], None]
-Outcome = Delivered | NotSent | Forbidden | NotRun | Failed | Broken | Withheld
 
 
 class _Reading:
@@ -357,7 +308,7 @@
         self, server: BackendServer, admitted: AdmittedCall
     ) -> ClientConnection | NotSent:
         pool = self._pool(server)
-        connection = pool.take_idle()
+        connection = pool.take_idle(admitted.call.request_id)
         if connection is not None:
             return connection
         left_ms = admitted.time_left_ms(boottime_ms())
@@ -445,13 +396,16 @@
         answer_timeout: AnswerTimeout,
     ) -> Answer:
         answers: list[Answer] = []
+        matcher = AnswerMatcher(admitted.call.request_id, connection)
         sent_at_ms = boottime_ms()
 
         def is_expected(head: ResponseHead) -> bool:
             # Answers to earlier requests, too, tell whether the server leaves.
             answers.append(self._codec.decode_answer(head))
             self._note_availability(server, answers[-1])
-            return self._codec.answers_call(admitted.call, head)
+            return matcher.is_expected(
+                answers[-1], self._codec.answered_id(head)
+            )
 
         await connection.send(request, admitted.call.body)
         try:
@@ -467,7 +421,7 @@
                 ExchangeStage.SENT, 'no answer in time'
             ) from error
         self._note_limit(server, answers[-1], sent_at_ms)
-        return answers[-1]
+        return matcher.believed(answers[-1])
 
     def _note_limit(
         self, server: BackendServer, answer: Answer, sent_at_ms: float
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -20,10 +20,7 @@
 from lagoonflow.relay.attempts import BUSY_RETRY_MS, Attempts
 from lagoonflow.relay.call_log import CallLog, CallRecord
 from lagoonflow.relay.events import EventSplitter
-from lagoonflow.relay.placing import Placer
-from lagoonflow.relay.ports import CallCodec
-from lagoonflow.relay.refusals import body_of, headers_of, status_of
-from lagoonflow.relay.sending import (
+from lagoonflow.relay.outcomes import (
     MIN_SERVER_ERROR_STATUS,
     NOT_RUN_STATUSES,
     Broken,
@@ -33,9 +30,12 @@
     NotRun,
     NotSent,
     Outcome,
-    Sender,
     Withheld,
 )
+from lagoonflow.relay.placing import Placer
+from lagoonflow.relay.ports import CallCodec
+from lagoonflow.relay.refusals import body_of, headers_of, status_of
+from lagoonflow.relay.sending import Sender
 from lagoonflow.relay.streaming import Progress
 from lagoonflow.relay.timers import move_timeout
 from lagoonflow.relay.waits import AnswerTimeout
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -4,7 +4,7 @@
 
 from lagoonflow.http1.messages import RequestHead, ResponseHead
 from lagoonflow.platform.headers import (
-    answers_call,
+    answered_id,
     decode_answer,
     decode_call,
     encode_call,
@@ -170,8 +170,8 @@
 
 def test_an_answer_to_another_request_is_recognised():
     other = ResponseHead(200, b'', ((b'Attempt-Id', b'other'),))
-    assert not answers_call(call(), other)
-    assert answers_call(call(), ResponseHead(503, b'', ()))
+    assert answered_id(other) == b'other'
+    assert answered_id(ResponseHead(503, b'', ())) is None
 
 
 def test_drops_hop_by_hop_headers_of_answers():
--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -102,6 +102,7 @@
 
     def __init__(self, script: Script) -> None:
         self.requests: list[ReceivedRequest] = []
+        self.connections = 0
         self.script = script
         self.has_request = asyncio.Event()
         self.closed_by_peer = asyncio.Event()
@@ -114,6 +115,7 @@
         )
 
     async def _serve(self, reader, writer) -> None:
+        self.connections += 1
         try:
             while True:
                 received = await _read(reader)
