--- a/lagoonflow/wiring/platform_publishing.py
+++ b/lagoonflow/wiring/platform_publishing.py
@@ -204,15 +204,19 @@
             self._store_concurrency = least_store_concurrency(agents)
             is_scarce = self._is_scarce(service, engine, servers, now_ms)
             if is_scarce:
-                self._fleet.lost_loads.observe(agents, now_ms)
-                lost = self._fleet.lost_loads.of_others(agents, now_ms)
-                self._store_loads += len(lost)
+                self._store_loads += self._count_lost_loads(agents, now_ms)
             usable = without_evacuated(self._fleet, servers)
             self._plans.update(
                 self._plan_service(service, engine, usable, demand, now_ms)
                 or _plans_without_loads(before, usable, is_scarce=is_scarce)
             )
 
+    def _count_lost_loads(
+        self, agents: Mapping[str, AgentState], now_ms: float
+    ) -> int:
+        self._fleet.lost_loads.observe(agents, now_ms)
+        return len(self._fleet.lost_loads.of_others(agents, now_ms))
+
     def _plan_service(
         self,
         service: str,
