Reset the logs after a test that runs lagoonflowctl

tests/backends/test_evacuations.py failed once, with two workers: it captures lines of level info, and a test of lagoonflowctl that ran before in the same process had left the level at warning.

--- a/tests/cli/programs.py
+++ b/tests/cli/programs.py
@@ -3,6 +3,8 @@
 import dataclasses
 import io
 
+import structlog
+
 from lagoonflow.cli.ctl import main
 from lagoonflow.cli.environment import Environment
 
@@ -20,5 +22,9 @@
     """Run lagoonflowctl with arguments and environment variables."""
     stdout, stderr = io.StringIO(), io.StringIO()
     environment = Environment(stdout=stdout, stderr=stderr, variables=variables)
-    status = main([str(argument) for argument in arguments], environment)
+    try:
+        status = main([str(argument) for argument in arguments], environment)
+    finally:
+        # Other tests in this process capture logs of lower levels.
+        structlog.reset_defaults()
     return CompletedRun(status, stdout.getvalue(), stderr.getvalue())
