--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -64,12 +64,14 @@
     :ivar has_stated_ids: the server has stated the id of a request in an
         answer on this connection.
     :ivar refused_ids: ids of the requests that were refused on it as not run.
+    :ivar body_bytes: bytes of the current response's body that have arrived.
     """
 
     def __init__(self, channel: Channel) -> None:
         """Wrap a connected channel."""
         self.has_stated_ids = False
         self.refused_ids: set[str] = set()
+        self.body_bytes = 0
         self._sent_requests = 0
         self.channel = channel
         self.idle_until_ms: float = 0
@@ -99,6 +101,7 @@
             request may have been sent.
         """
         self._sent_requests += 1
+        self.body_bytes = 0
         request = h11.Request(
             method=head.method,
             target=head.target,
@@ -142,6 +145,7 @@
         except ConnectionClosedError as error:
             raise ExchangeError(ExchangeStage.ANSWERING, str(error)) from error
         if isinstance(event, h11.Data):
+            self.body_bytes += len(event.data)
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             self._finish()
@@ -363,7 +367,10 @@
             response = await connection.read_head()
             content = await connection.read_body(max_body_bytes)
     except TimeoutError as error:
-        raise ExchangeError(stage, 'no response in time') from error
+        body_bytes = 0 if connection is None else connection.body_bytes
+        raise ExchangeError(
+            stage, f'no response in time, {body_bytes} bytes of it arrived'
+        ) from error
     finally:
         if connection is not None:
             pool.release(connection)
--- a/lagoonflow/wiring/platform_feeds.py
+++ b/lagoonflow/wiring/platform_feeds.py
@@ -94,7 +94,11 @@
             self._log.error('configuration not readable', why=str(error))
             return False
         if self._view.apply(state):
-            self._log.info('configuration in force', version=state.version)
+            self._log.info(
+                'configuration in force',
+                version=state.version,
+                size_bytes=len(raw),
+            )
             self._on_change()
         return True
 
