Limit reads of the store by pauses, and repeat them only by probes

Callers saw: from a configuration of 2,800 more routes on, routers behind thin links refused most calls, as they could no longer confirm what they had.

Cause: a limit on the whole of a transfer, and a repetition that competes with what it repeats. A read had 800 ms beyond its wait for its whole answer; 300 ms beyond it another read transferred the same beside it, then one each 300 ms, and none ended in time. A router that had missed one version asked for that and the next. A record longer than a read was asked for without a pause and never read.

Now a read is ended by a pause of its bytes, never while they arrive. An overdue one is repeated by a probe of 16 kB; of several whole reads only the one that progresses goes on. Where more than 64 kB follow the first record, only the newest record of each key is read. A list of newest records without its last page is a failure: it would confirm an older configuration.

FailingStore, LateStore, Store and ScriptedStore take the new arguments; LateStore gives up a read when the reader's own limit says so instead of after a copy of it.

--- a/lagoonflow/declared/overdue_read.py
+++ b/lagoonflow/declared/overdue_read.py
@@ -2,11 +2,17 @@
 
 import asyncio
 import dataclasses
+import functools
+
+import structlog
 
 from lagoonflow.clock import MS_PER_S, Clock
 from lagoonflow.declared.records import (
-    HistoryExpired,
+    DEFAULT_OPTIONS,
+    Answer,
     KeyedStore,
+    ReadOptions,
+    RecordCut,
     RecordPage,
     StoreFailure,
 )
@@ -14,11 +20,21 @@
 # The clocks of the store and of this host may differ by this much during one
 # wait, in ms.
 MAX_CLOCK_DRIFT_MS = 50
-
-# Times that one read of a page waits for an answer or its repetition at most.
-MAX_WAITS = 24
-
-Answer = RecordPage | HistoryExpired | StoreFailure
+# Answers of a store that is known to be slow are overdue later, up to this
+# long after the wait of their read, in ms.
+MAX_OVERDUE_MS = 1500
+# The same as a multiple of how late the store's last answer was.
+OVERDUE_RATIO = 1.5
+# An answer that is as late as this counts as lost, in ms.
+LOST_MS = 3000
+# A page is given up when nothing has arrived for so long after the wait of its
+# read, in ms.
+MAX_SILENCE_MS = 7000
+# Bytes that a repetition asks for until the store has answered one: it competes
+# with the answer that it repeats, which may only be late.
+PROBE_BYTES = 16_384
+# Reads of whole pages that may be in progress at once, all of them silent.
+MAX_WHOLE_READS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,18 +52,20 @@
 
     @property
     def is_usable(self) -> bool:
-        """Whether the store has answered."""
-        return not isinstance(self.answer, StoreFailure)
+        """Whether the store has answered with what was asked for."""
+        return not isinstance(self.answer, StoreFailure | RecordCut)
 
 
 class OverdueRead:
-    """Reads a topic; an overdue read is begun again beside those before it.
+    """Reads a topic; an overdue read is repeated beside those before it.
 
-    The first answer that isn't a failure is returned, so that one lost or late
-    answer delays the reader only by ``overdue_ms``.
+    The first usable answer is returned, so that one lost or late answer delays
+    the reader only by ``overdue_ms``. Only one read transfers a page: one whose
+    bytes arrive ends those that have received fewer, and is overdue again only
+    once its bytes stop arriving.
 
     :param overdue_ms: time beyond the wait of a read after which its answer is
-        overdue, in ms.
+        overdue, in ms; longer while the store is slow.
     """
 
     def __init__(
@@ -58,39 +76,201 @@
         self._topic = topic
         self._overdue_ms = overdue_ms
         self._clock = clock
+        self._late_ms: float = 0
+        # Grows to the longest record that was seen.
+        self._max_bytes = DEFAULT_OPTIONS.max_bytes
 
-    async def read(self, offset: int, wait_ms: int) -> TimedAnswer:
+    async def read(
+        self,
+        offset: int,
+        wait_ms: int,
+        max_replaced_bytes: float = DEFAULT_OPTIONS.max_replaced_bytes,
+    ) -> TimedAnswer:
         """Return the records from an offset on.
 
         :param wait_ms: longest time to wait for the first record, in ms.
+        :param max_replaced_bytes: as in :class:`ReadOptions`.
         """
-        pending = {self._begin(offset, wait_ms)}
-        overdue_at_ms = self._clock() + wait_ms + self._overdue_ms
+        whole = ReadOptions(LOST_MS, self._max_bytes, max_replaced_bytes)
+        race = _Race(self._store, self._topic, offset, whole, self._clock)
+        overdue_ms = min(
+            max(self._late_ms * OVERDUE_RATIO, self._overdue_ms), MAX_OVERDUE_MS
+        )
+        race.begin(wait_ms)
         try:
-            for _ in range(MAX_WAITS):
-                left_ms = max(overdue_at_ms - self._clock(), 0)
-                answered, pending = await _wait(pending, left_ms)
-                found = _best_answer(answered)
-                if found is not None and (found.is_usable or not pending):
-                    return found
-                if self._clock() >= overdue_at_ms:
-                    pending.add(self._begin(offset, 0))
-                    overdue_at_ms += self._overdue_ms
-            return TimedAnswer(StoreFailure('no answer'), float('-inf'))
+            found = await race.run(overdue_ms)
         finally:
-            await _end(pending)
+            await race.end()
+        self._max_bytes = race.max_bytes
+        if found.is_usable:
+            self._late_ms = race.late_ms
+        return found
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Read:
+    """One request to the store.
+
+    :ivar due_at_ms: boot time at which its wait ends.
+    :ivar arrived_bytes: bytes of its answer that have arrived.
+    """
+
+    begun_at_ms: float
+    due_at_ms: float
+    is_whole: bool
+    arrived_bytes: int = 0
+    task: asyncio.Task[TimedAnswer] | None = None
+
+
+class _Race:
+    """Reads of the same page, of which one is used.
+
+    :ivar late_ms: how late the used answer was, where that is known.
+    :ivar max_bytes: bytes that the reads of the whole page ask for.
+    """
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        topic: str,
+        offset: int,
+        options: ReadOptions,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._topic = topic
+        self._offset = offset
+        self._options = options
+        self._clock = clock
+        self._reads: list[_Read] = []
+        self._progressed_at_ms = float('-inf')
+        self._failure = StoreFailure('no answer')
+        self._log = structlog.get_logger(part='store')
+        self.max_bytes = options.max_bytes
+        self.late_ms: float = 0
+
+    def begin(self, wait_ms: int, *, is_whole: bool = True) -> None:
+        """Begin a read."""
+        now_ms = self._clock()
+        read = _Read(now_ms, now_ms + wait_ms, is_whole)
+        on_progress = functools.partial(self._note_progress, read)
+        options = dataclasses.replace(
+            self._options,
+            max_bytes=self.max_bytes if is_whole else PROBE_BYTES,
+            on_progress=on_progress if is_whole else None,
+        )
+        read.task = asyncio.create_task(
+            read_timed(
+                self._store,
+                self._topic,
+                self._offset,
+                wait_ms,
+                self._clock,
+                options,
+            )
+        )
+        self._reads.append(read)
+
+    async def run(self, overdue_ms: float) -> TimedAnswer:
+        """Return the first usable answer; repeat the read while it is late."""
+        silent_from_ms = self._reads[0].due_at_ms
+        overdue_at_ms = silent_from_ms + overdue_ms
+        while self._reads and self._clock() < silent_from_ms + MAX_SILENCE_MS:
+            answered = await self._wait_until(overdue_at_ms)
+            found = self._find_usable(answered)
+            if found is not None:
+                return found
+            overdue_at_ms = self._repeat_if_overdue(overdue_at_ms, overdue_ms)
+            silent_from_ms = max(silent_from_ms, self._progressed_at_ms)
+        self._log.info(
+            'read given up',
+            topic=self._topic,
+            reads=len(self._reads),
+            reason=self._failure.reason,
+        )
+        return TimedAnswer(self._failure, float('-inf'))
 
-    def _begin(self, offset: int, wait_ms: int) -> asyncio.Task[TimedAnswer]:
-        return asyncio.create_task(self._read_once(offset, wait_ms))
+    async def end(self) -> None:
+        """Cancel the reads that are still in progress."""
+        tasks = [read.task for read in self._reads]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _read_once(self, offset: int, wait_ms: int) -> TimedAnswer:
-        return await read_timed(
-            self._store, self._topic, offset, wait_ms, self._clock
+    async def _wait_until(self, until_ms: float) -> list[_Read]:
+        """Wait for an answer; return the reads that have one."""
+        await asyncio.wait(
+            [read.task for read in self._reads],
+            timeout=max(until_ms - self._clock(), 0) / MS_PER_S,
+            return_when=asyncio.FIRST_COMPLETED,
         )
+        done = [read for read in self._reads if read.task.done()]
+        self._reads = [read for read in self._reads if not read.task.done()]
+        return [read for read in done if not read.task.cancelled()]
+
+    def _find_usable(self, answered: list[_Read]) -> TimedAnswer | None:
+        """Return a usable answer; go on by what the other answers tell."""
+        for read in answered:
+            timed = read.task.result()
+            match timed.answer:
+                case RecordCut():
+                    self._note_cut(read, timed.answer)
+                case StoreFailure():
+                    self._failure = timed.answer
+                case _:
+                    self._note_lateness(read, timed)
+                    return timed
+        return None
+
+    def _repeat_if_overdue(
+        self, overdue_at_ms: float, overdue_ms: float
+    ) -> float:
+        """Ask again if nothing arrives; return when to look again, in ms."""
+        now_ms = self._clock()
+        if now_ms < self._progressed_at_ms + overdue_ms:
+            return self._progressed_at_ms + overdue_ms
+        if not self._reads or now_ms < overdue_at_ms:
+            return overdue_at_ms
+        self.begin(0, is_whole=False)
+        return overdue_at_ms + overdue_ms
+
+    def _note_progress(self, read: _Read, arrived_bytes: int) -> None:
+        """End other reads, which would transfer the same bytes.
+
+        One that has received more may only have paused.
+        """
+        self._progressed_at_ms = self._clock()
+        read.arrived_bytes = arrived_bytes
+        for other in self._reads:
+            if other is not read and other.arrived_bytes <= arrived_bytes:
+                other.task.cancel()
+
+    def _note_cut(self, read: _Read, cut: RecordCut) -> None:
+        """Read the whole page, unless a read of it began after this one.
+
+        An earlier one may have lost its answer, as the store answers by now.
+        """
+        self.max_bytes = max(self.max_bytes, cut.needed_bytes)
+        whole = [one for one in self._reads if one.is_whole]
+        is_newest = all(one.begun_at_ms <= read.begun_at_ms for one in whole)
+        if is_newest and len(whole) < MAX_WHOLE_READS:
+            self.begin(0)
+
+    def _note_lateness(self, read: _Read, timed: TimedAnswer) -> None:
+        has_records = (
+            isinstance(timed.answer, RecordPage) and timed.answer.records
+        )
+        if not has_records:
+            self.late_ms = max(self._clock() - read.due_at_ms, 0)
 
 
 async def read_timed(
-    store: KeyedStore, topic: str, offset: int, wait_ms: int, clock: Clock
+    store: KeyedStore,
+    topic: str,
+    offset: int,
+    wait_ms: int,
+    clock: Clock,
+    options: ReadOptions = DEFAULT_OPTIONS,
 ) -> TimedAnswer:
     """Read a topic from an offset on.
 
@@ -99,33 +279,9 @@
     before that proves nothing after the request.
     """
     requested_at_ms = clock()
-    answer = await store.read(topic, offset, wait_ms)
+    answer = await store.read(topic, offset, wait_ms, options)
     has_waited = clock() - requested_at_ms >= wait_ms
     if has_waited and isinstance(answer, RecordPage) and not answer.records:
         waited_ms = max(wait_ms - MAX_CLOCK_DRIFT_MS, 0)
         return TimedAnswer(answer, requested_at_ms + waited_ms)
     return TimedAnswer(answer, requested_at_ms)
-
-
-_Reads = set[asyncio.Task[TimedAnswer]]
-
-
-async def _wait(pending: _Reads, timeout_ms: float) -> tuple[_Reads, _Reads]:
-    """Wait for an answer; return the reads that have one, and the others."""
-    return await asyncio.wait(
-        pending,
-        timeout=timeout_ms / MS_PER_S,
-        return_when=asyncio.FIRST_COMPLETED,
-    )
-
-
-def _best_answer(reads: _Reads) -> TimedAnswer | None:
-    """Return an answer that isn't a failure; else a failure, if any."""
-    answers = [read.result() for read in reads]
-    return max(answers, key=lambda one: one.is_usable, default=None)
-
-
-async def _end(reads: _Reads) -> None:
-    for read in reads:
-        read.cancel()
-    await asyncio.gather(*reads, return_exceptions=True)
--- a/lagoonflow/declared/topic_follower.py
+++ b/lagoonflow/declared/topic_follower.py
@@ -13,8 +13,14 @@
     read_timed,
 )
 from lagoonflow.declared.records import (
+    DEFAULT_LATE_MS,
+    DEFAULT_OPTIONS,
+    NEWEST_LATE_MS,
     HistoryExpired,
+    HistoryTooLong,
     KeyedStore,
+    ReadOptions,
+    RecordCut,
     RecordPage,
     StoreFailure,
 )
@@ -38,6 +44,12 @@
 # An answer that comes later than this after the wait of its read is overdue, in
 # ms; a slow store answers in less.
 OVERDUE_MS = 300
+# Where more bytes than this follow the first record, reading only the newest
+# record of each key transfers less.
+MAX_REPLACED_BYTES = 65_536
+# After failures, answers may be this many times as late before they count as
+# lost: a store may be slow rather than silent.
+MAX_LATE_RATIO = 3
 
 
 class TopicFollower:
@@ -82,6 +94,11 @@
         )
         self._shared_reads = shared_reads
         self._offset: int | None = None
+        # Where to go on if the newest records can't be read.
+        self._skipped_offset: int | None = None
+        self._max_replaced_bytes: float = MAX_REPLACED_BYTES
+        self._max_bytes = DEFAULT_OPTIONS.max_bytes
+        self._is_behind = False
         self._failures = 0
         self._started_at_ms: float = 0
         self._log = structlog.get_logger(part='store')
@@ -102,9 +119,16 @@
             case HistoryExpired():
                 self._log.info('history expired', topic=self._topic)
                 self._offset = None
+            case HistoryTooLong():
+                self._log.info('history skipped', topic=self._topic)
+                self._skipped_offset = self._offset
+                self._offset = None
+            case RecordCut(needed_bytes=needed_bytes):
+                self._max_bytes = needed_bytes
             case RecordPage(records=records, next_offset=next_offset):
                 self._handle_success()
                 self._offset = next_offset
+                self._note_age(timed)
                 self._apply(page, is_whole, timed.current_at_ms)
                 # The router that answered has paused before its own read.
                 if records and not timed.is_from_router:
@@ -125,23 +149,47 @@
         gather_ms = START_GATHER_MS if is_starting else self._gather_ms
         await asyncio.sleep(min(gather_ms, self._gather_ms) / MS_PER_S)
 
+    def _note_age(self, timed: TimedAnswer) -> None:
+        """Read without a wait next if what is known is old already.
+
+        A page that took long to transfer proves only what was known when it
+        was asked for.
+        """
+        page = timed.answer
+        age_ms = boottime_ms() - timed.current_at_ms
+        is_old = bool(page.records) and age_ms > self._wait_ms
+        self._is_behind = is_old or not page.is_current
+
     async def _read(self) -> TimedAnswer:
         if self._offset is None:
             requested_at_ms = boottime_ms()
-            page = await self._store.newest(self._topic)
+            page = await self._store.newest(
+                self._topic, NEWEST_LATE_MS * self._late_ratio
+            )
             return TimedAnswer(page, requested_at_ms)
-        wait_ms = 0 if self._failures else self._wait_ms
+        wait_ms = self._wait_ms
+        if self._failures or self._is_behind:
+            wait_ms = 0
         if self._shared_reads is None or self._failures:
             return await self._read_store(self._offset, wait_ms)
         return await self._shared_reads.read(
             self._offset, wait_ms, self._read_store
         )
 
+    @property
+    def _late_ratio(self) -> int:
+        return min(self._failures + 1, MAX_LATE_RATIO)
+
     async def _read_store(self, offset: int, wait_ms: int) -> TimedAnswer:
         if self._overdue_read is not None:
-            return await self._overdue_read.read(offset, wait_ms)
+            return await self._overdue_read.read(
+                offset, wait_ms, self._max_replaced_bytes
+            )
+        options = ReadOptions(
+            DEFAULT_LATE_MS * self._late_ratio, self._max_bytes
+        )
         return await read_timed(
-            self._store, self._topic, offset, wait_ms, boottime_ms
+            self._store, self._topic, offset, wait_ms, boottime_ms, options
         )
 
     def _handle_success(self) -> None:
@@ -150,6 +198,8 @@
                 'store regained', topic=self._topic, failures=self._failures
             )
         self._failures = 0
+        self._skipped_offset = None
+        self._max_replaced_bytes = MAX_REPLACED_BYTES
 
     async def _handle_failure(self, failure: StoreFailure) -> None:
         if not self._failures:
@@ -158,6 +208,10 @@
             )
         self._failures += 1
         self._on_failure(failure)
+        if self._skipped_offset is not None:
+            self._offset = self._skipped_offset
+            self._skipped_offset = None
+            self._max_replaced_bytes = float('inf')
         delay_ms = min(
             MIN_RETRY_DELAY_MS * 2 ** min(self._failures - 1, 8),
             MAX_RETRY_DELAY_MS
--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -58,6 +58,20 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transfer:
+    """How the body of a response is read.
+
+    :param max_pause_ms: longest time between two parts of it, in ms.
+    :param on_part: called with the head, and with all of the body that was read
+        so far, when the head and when a part has arrived. What it raises ends
+        the exchange.
+    """
+
+    max_pause_ms: float
+    on_part: Callable[[ResponseHead, bytearray], None]
+
+
 class ClientConnection:
     """A connection and its current exchange of request and response.
 
@@ -158,12 +172,14 @@
         self,
         max_body_bytes: int,
         wait_for_room: Callable[[int], Awaitable[None]] | None = None,
+        observe: Callable[[bytearray], None] | None = None,
     ) -> bytes:
         """Return the whole body.
 
         :param max_body_bytes: longest accepted body, in bytes.
         :param wait_for_room: waits until more may be read, after a number of
             bytes that were read.
+        :param observe: called after each part with all that was read.
         :raises ExchangeError: at stage ``ANSWERING``, when the body is cut
             off or too long.
         """
@@ -177,6 +193,8 @@
                     body_bytes, len(part), max_body_bytes
                 )
                 pieces += part
+                if observe is not None:
+                    observe(pieces)
                 if wait_for_room is not None:
                     await wait_for_room(len(pieces))
                 part = await self.read_part()
@@ -349,23 +367,32 @@
     body: bytes,
     timeout_ms: float,
     max_body_bytes: int = MAX_CONTENT_BYTES,
+    transfer: Transfer | None = None,
 ) -> WholeResponse:
     """Send one request and read the whole response.
 
-    :param timeout_ms: time limit of the whole exchange, in ms.
+    :param timeout_ms: time limit of the whole exchange, in ms; with a
+        ``transfer``, of the exchange until the response has begun.
     :param max_body_bytes: longest accepted body, in bytes.
+    :param transfer: how the body is to be read.
     :raises ExchangeError: when no whole response arrived.
     """
     connection = pool.take_idle()
     stage = ExchangeStage.SENT if connection else ExchangeStage.CONNECTING
     try:
-        async with asyncio.timeout(timeout_ms / MS_PER_S):
+        async with asyncio.timeout(timeout_ms / MS_PER_S) as limit:
             if connection is None:
                 connection = await pool.connect(timeout_ms)
                 stage = ExchangeStage.SENT
             await connection.send(head, body)
             response = await connection.read_head()
-            content = await connection.read_body(max_body_bytes)
+            observe = None
+            if transfer is not None:
+                observe = _follow(transfer, response, limit)
+                observe(bytearray())
+            content = await connection.read_body(
+                max_body_bytes, observe=observe
+            )
     except TimeoutError as error:
         body_bytes = 0 if connection is None else connection.body_bytes
         raise ExchangeError(
@@ -377,6 +404,24 @@
     return WholeResponse(response.status, response.headers, content)
 
 
+def _follow(
+    transfer: Transfer, head: ResponseHead, limit: asyncio.Timeout
+) -> Callable[[bytearray], None]:
+    """Return a function that is called with the body as it arrives.
+
+    It extends the time limit, since a long body may take any time as long as
+    its parts go on arriving.
+    """
+    loop = asyncio.get_running_loop()
+
+    def observe(body: bytearray) -> None:
+        if not limit.expired():
+            limit.reschedule(loop.time() + transfer.max_pause_ms / MS_PER_S)
+        transfer.on_part(head, body)
+
+    return observe
+
+
 def _client_channel() -> Channel:
     return Channel(h11.CLIENT, MAX_HEAD_BYTES)
 
--- a/tests/backends/test_evacuations.py
+++ b/tests/backends/test_evacuations.py
@@ -153,10 +153,10 @@
         self._view = view
         self.zones_while_down = []
 
-    async def newest(self, topic):
+    async def newest(self, topic, max_late_ms):
         return RecordPage(records('a'), 1)
 
-    async def read(self, topic, offset, wait_ms):
+    async def read(self, topic, offset, wait_ms, options):
         if len(self.zones_while_down) < 2:
             self.zones_while_down.append(self._view())
             return StoreFailure('down')
--- a/tests/declared/test_late_answers.py
+++ b/tests/declared/test_late_answers.py
@@ -21,8 +21,6 @@
 LOST = 10**9
 # An outage of the store as long as this refuses no request, in ms.
 OUTAGE_MS = 3000
-# Time after which the client of the store gives up a read, beyond its wait.
-READ_TIMEOUT_MS = 800
 
 
 class LateStore:
@@ -44,10 +42,10 @@
         self._share = share
         self._was_late = False
 
-    async def newest(self, topic):
+    async def newest(self, topic, max_late_ms):
         return RecordPage((), 0)
 
-    async def read(self, topic, offset, wait_ms):
+    async def read(self, topic, offset, wait_ms, options):
         self.reads += 1
         self._was_late = (
             not self._was_late and self._random.random() < self._share
@@ -56,7 +54,7 @@
         delay_ms = wait_ms + ROUND_TRIP_MS - self.early_ms
         if self._was_late:
             delay_ms += self._late_ms
-        timeout_ms = wait_ms + READ_TIMEOUT_MS
+        timeout_ms = wait_ms + options.max_late_ms
         if any(
             begins_ms < end_ms and begins_ms + delay_ms > start_ms
             for start_ms, end_ms in self._outage_ms
--- a/tests/declared/test_shared_reads.py
+++ b/tests/declared/test_shared_reads.py
@@ -30,7 +30,7 @@
         self.is_down_for = frozenset()
         self._loop = loop
 
-    async def read(self, topic, offset, wait_ms):
+    async def read(self, topic, offset, wait_ms, options):
         self.reads += 1
         for _ in range(wait_ms // 5):
             if len(self.records) > offset:
--- a/tests/declared/test_topic_follower.py
+++ b/tests/declared/test_topic_follower.py
@@ -5,7 +5,9 @@
 
 from lagoonflow.declared.records import (
     HistoryExpired,
+    HistoryTooLong,
     KeyedRecord,
+    RecordCut,
     RecordPage,
     StoreFailure,
 )
@@ -19,10 +21,10 @@
         self.calls: list[tuple] = []
         self._answers = list(answers)
 
-    async def newest(self, topic):
+    async def newest(self, topic, max_late_ms):
         return await self._next('newest')
 
-    async def read(self, topic, offset, wait_ms):
+    async def read(self, topic, offset, wait_ms, options):
         return await self._next('read', offset, wait_ms)
 
     async def _next(self, *call):
@@ -87,3 +89,34 @@
     with contextlib.suppress(TimeoutError):
         await asyncio.wait_for(follower.run(), 1)
     assert len(pages) == 3
+
+
+async def test_a_history_that_is_too_long_is_replaced_by_the_newest_records():
+    calls, pages, failures = await follow(
+        page(7), HistoryTooLong(), page(20, 'a'), page(20)
+    )
+    assert calls[:4] == [
+        ('newest',),
+        ('read', 7, 900),
+        ('newest',),
+        ('read', 20, 900),
+    ]
+    assert pages[1][1]
+    assert not failures
+
+
+async def test_a_history_is_read_after_all_if_the_newest_records_can_not_be():
+    calls, pages, _ = await follow(
+        page(7), HistoryTooLong(), StoreFailure('cut'), page(9, 'a'), page(9)
+    )
+    assert calls[3] == ('read', 7, 0)
+    assert not pages[1][1]
+
+
+async def test_a_record_that_was_cut_is_read_again_without_a_failure():
+    calls, pages, failures = await follow(
+        page(7), RecordCut(5000), page(8, 'a'), page(8)
+    )
+    assert calls[2][:2] == ('read', 7)
+    assert len(pages) >= 2
+    assert not failures
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,8 +5,16 @@
 
 import pytest
 
-from lagoonflow.declared.records import RecordPage, StoreFailure
-from lagoonflow.platform.store import StoreClient
+from lagoonflow.declared.records import (
+    DEFAULT_OPTIONS,
+    Answer,
+    HistoryTooLong,
+    ReadOptions,
+    RecordCut,
+    RecordPage,
+    StoreFailure,
+)
+from lagoonflow.platform.store import MAX_RECORD_BYTES, StoreClient
 
 RECORDS = (b'\x01aone', b'\x01btwo')
 FIRST_OFFSET = 7
@@ -16,8 +24,17 @@
 UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\n'
 
 
-async def read_page(answer: bytes) -> RecordPage | StoreFailure:
+async def read_page(
+    answer: bytes, options: ReadOptions = DEFAULT_OPTIONS
+) -> Answer:
     """Read from a store that sends these bytes and closes the connection."""
+    return await call_store(
+        answer, lambda client: client.read('keyed.op', FIRST_OFFSET, 0, options)
+    )
+
+
+async def call_store(answer: bytes, call) -> Answer:
+    """Call a store that sends these bytes and closes the connection."""
 
     async def handle(reader, writer) -> None:
         await reader.readuntil(b'\r\n\r\n')
@@ -29,7 +46,7 @@
     port = server.sockets[0].getsockname()[1]
     async with server:
         client = StoreClient(f'127.0.0.1:{port}')
-        return await client.read('keyed.op', FIRST_OFFSET, 0)
+        return await call(client)
 
 
 async def test_a_whole_page_is_current():
@@ -44,3 +61,47 @@
     if isinstance(page, RecordPage):
         assert not page.is_current
         assert page.next_offset == FIRST_OFFSET + len(page.records)
+
+
+def framed(body: bytes) -> bytes:
+    return b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body
+
+
+async def test_newest_records_without_the_last_page_are_a_failure():
+    """They would confirm a configuration that is no longer the newest one."""
+    body = b'{"items":[],"end_offset":7,"has_more":true}'
+    newest = await call_store(
+        framed(body), lambda client: client.newest('keyed.op')
+    )
+    assert isinstance(newest, StoreFailure)
+
+
+async def test_a_record_longer_than_asked_for_is_reported_with_its_length():
+    page = await read_page(framed(PAGE), ReadOptions(max_bytes=6))
+    assert page == RecordCut(4 + len(RECORDS[0]))
+
+
+async def test_a_record_longer_than_any_that_is_read_is_a_failure():
+    length = struct.pack('>I', MAX_RECORD_BYTES)
+    page = await read_page(framed(PAGE[:16] + length + b'a' * 9))
+    assert isinstance(page, StoreFailure)
+
+
+@pytest.mark.parametrize(
+    ('max_bytes', 'is_too_long'), [(len(RECORDS[1]), True), (100, False)]
+)
+async def test_a_history_with_many_bytes_after_its_first_record_is_not_read(
+    max_bytes, is_too_long
+):
+    options = ReadOptions(max_replaced_bytes=max_bytes)
+    page = await read_page(framed(PAGE), options)
+    assert isinstance(page, HistoryTooLong) is is_too_long
+
+
+async def test_progress_is_reported_once_records_arrive():
+    progress = []
+    options = ReadOptions(on_progress=progress.append)
+    await read_page(framed(PAGE[:16]), options)
+    assert not progress
+    await read_page(framed(PAGE), options)
+    assert progress[-1] == len(PAGE)
--- a/tests/wiring/test_platform_feeds.py
+++ b/tests/wiring/test_platform_feeds.py
@@ -53,10 +53,10 @@
         has_next.set()
 
     class Store:
-        async def newest(self, _topic):
+        async def newest(self, _topic, _max_late_ms):
             return RecordPage((RECORD,), 1)
 
-        async def read(self, _topic, offset, _wait_ms):
+        async def read(self, _topic, offset, _wait_ms, _options):
             await asyncio.sleep(0.01)
             return RecordPage((), offset)
 
