Apply a configuration although other keys of its page can't be applied

A page isn't read again when applying it fails, and the next page confirms the configuration in force. So a failure in another key (evacuations) let an older configuration be confirmed for good. The new test fails without the change.

--- a/lagoonflow/wiring/platform_feeds.py
+++ b/lagoonflow/wiring/platform_feeds.py
@@ -71,8 +71,18 @@
         :param current_at_ms: time until which no record is missing; the
             newest configuration is confirmed as of this time.
         """
-        if self._apply_other_keys is not None:
-            self._apply_other_keys(page, is_snapshot, current_at_ms)
+        try:
+            if self._apply_other_keys is not None:
+                self._apply_other_keys(page, is_snapshot, current_at_ms)
+        finally:
+            # The page isn't read again, and the next one would confirm the
+            # configuration before this one.
+            self._apply_newest(page, current_at_ms)
+
+    def on_failure(self, failure: StoreFailure) -> None:
+        """Ignore a failed read; the last confirmation ages by itself."""
+
+    def _apply_newest(self, page: RecordPage, current_at_ms: float) -> None:
         newest = [
             record.value
             for record in page.records
@@ -83,9 +93,6 @@
         if is_proof and self._view.state is not None:
             self._view.confirm(current_at_ms)
 
-    def on_failure(self, failure: StoreFailure) -> None:
-        """Ignore a failed read; the last confirmation ages by itself."""
-
     def _apply(self, raw: bytes) -> bool:
         """Apply a configuration, and return whether it could be decoded."""
         try:
--- a/tests/wiring/test_platform_feeds.py
+++ b/tests/wiring/test_platform_feeds.py
@@ -1,6 +1,7 @@
 """What the records of the metadata store change."""
 
 import asyncio
+import contextlib
 
 import msgspec
 
@@ -30,6 +31,19 @@
     assert view.confirmed_at_ms == 3000
 
 
+def test_a_configuration_is_applied_although_other_keys_can_not_be():
+    """The next page would confirm the configuration before it."""
+
+    def fail(*_):
+        raise OverflowError
+
+    view = DeclaredView()
+    feed = ConfigurationFeed(view, lambda: None, fail)
+    with contextlib.suppress(OverflowError):
+        feed.on_page(RecordPage((RECORD,), 3), True, 1000)
+    assert (view.version, view.confirmed_at_ms) == (3, 1000)
+
+
 def test_a_registration_without_a_usable_address_is_ignored():
     members = Members('r1')
     feed = MembersFeed(members, 'router')
