Refuse calls before their send whose answers a stopping router can't await

Callers saw: in a planned stop, requests that came late in the grace were passed on and got 502 or 504 at its end, among them requests that may run once only.

The router remembers how long the answers of each route take (nine tenths of the last 32, else the route's latency target), and while it stops it refuses, as not run, a call whose answer would come after its end. Begun streams and calls that may have run are not affected.

--- a/lagoonflow/relay/placing.py
+++ b/lagoonflow/relay/placing.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import math
+from collections.abc import Callable
 
 from lagoonflow.backends.choosing import (
     Choice,
@@ -24,6 +25,8 @@
 from lagoonflow.results import Refusal, Result
 from lagoonflow.waking.return_times import spread_return_ms
 
+RefuseLate = Callable[[AdmittedCall], Refusal | None]
+
 # A waiting call repeats the choice of a server at least this often.
 RECHECK_MS = 120
 # A runner is excluded for a call when its agent has not planned the requested
@@ -72,6 +75,7 @@
         clock: Clock = boottime_ms,
         cold: ColdServers | None = None,
         held_bytes: HeldBytes | None = None,
+        refuse_late: RefuseLate | None = None,
     ) -> None:
         """Place calls by the choices of a chooser.
 
@@ -80,7 +84,10 @@
         :param cold: when cold servers may be sent requests.
         :param held_bytes: counts the bytes of requests from the choice of
             their server on.
+        :param refuse_late: refuses calls that can't be answered in time,
+            before their first send.
         """
+        self._refuse_late = refuse_late or _never_late
         self._cold = cold or ColdServers()
         self._clock = clock
         self._admission = admission
@@ -229,6 +236,8 @@
         now_ms: float,
     ) -> Choice | Refusal:
         refusal = self._admission.refuse_crashing(admitted)
+        if refusal is None and not attempts.possible_runs:
+            refusal = self._refuse_late(admitted)
         if refusal is not None:
             return refusal
         requirements = Requirements(
@@ -263,6 +272,10 @@
             self.load_requests_changed.set()
 
 
+def _never_late(_admitted: AdmittedCall) -> None:
+    """Let every call be sent."""
+
+
 def _time_left_ms(admitted: AdmittedCall, now_ms: float) -> float:
     return admitted.start_time_left_ms(now_ms) - ANSWER_MARGIN_MS
 
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -8,7 +8,7 @@
 from lagoonflow.backends.choosing import Chooser
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
-from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.clock import boottime_ms
 from lagoonflow.declared.view import DeclaredView
 from lagoonflow.http1.channel import ConnectionClosedError
 from lagoonflow.http1.server import (
@@ -19,6 +19,7 @@
 from lagoonflow.relay.admission import Admission, AdmittedCall
 from lagoonflow.relay.attempts import BUSY_RETRY_MS, Attempts
 from lagoonflow.relay.call_log import CallLog, CallRecord
+from lagoonflow.relay.deadlines import CallDeadlines, answer_timeout
 from lagoonflow.relay.events import EventSplitter
 from lagoonflow.relay.outcomes import (
     MIN_SERVER_ERROR_STATUS,
@@ -37,14 +38,9 @@
 from lagoonflow.relay.refusals import body_of, headers_of, status_of
 from lagoonflow.relay.sending import Sender
 from lagoonflow.relay.streaming import Progress
-from lagoonflow.relay.timers import move_timeout
-from lagoonflow.relay.waits import AnswerTimeout
 from lagoonflow.results import Refusal, Result
 from lagoonflow.retries.budget import RetryBudgets
 
-# A request that may be sent again waits for this share of its remaining time
-# for an answer to begin; then it is sent to another server.
-FIRST_SEND_TIME_SHARE = 0.45
 # A call is refused after this many sends that servers rejected.
 MAX_REJECTED_SENDS = 3
 # Callers that a stopping router refuses retry at once, at another router.
@@ -67,12 +63,14 @@
         budgets: RetryBudgets,
     ) -> None:
         """Use the given parts; the placer is created here."""
+        self._deadlines = CallDeadlines(view)
         self.placer = Placer(
             chooser,
             admission,
             fleet.limits,
             cold=fleet.cold,
             held_bytes=fleet.held_bytes,
+            refuse_late=self._deadlines.refuse_late,
         )
         self._view = view
         self._fleet = fleet
@@ -83,8 +81,6 @@
         self._call_log = call_log
         self._budgets = budgets
         self._log = structlog.get_logger(part='call')
-        self._timers: dict[int, tuple[AdmittedCall, asyncio.Timeout]] = {}
-        self._stop_at_ms = float('inf')
 
     async def handle(
         self, request: CallerRequest, reply: ResponseWriter
@@ -125,25 +121,18 @@
 
     def apply_timeouts(self) -> None:
         """Apply lowered route timeouts to calls in flight."""
-        for admitted, timer in self._timers.values():
-            route = self._view.find_route(
-                admitted.call.host, admitted.call.path
-            )
-            if route is not None and route.timeout_ms:
-                limit_ms = admitted.arrived_ms + route.timeout_ms
-                _lower_deadline(admitted, timer, limit_ms)
+        self._deadlines.apply_route_timeouts()
 
     def finish_calls_by(self, stop_at_ms: float) -> None:
         """Answer or refuse all calls by a time, as the process is stopping.
 
-        Calls whose model would be loaded after that time are refused at once,
-        so that their callers can wait at another router.
+        Calls whose model would be loaded after that time, or whose answer
+        usually takes longer, are refused at once, so that their callers can
+        use another router.
 
         :param stop_at_ms: boot time by which all calls are answered.
         """
-        self._stop_at_ms = stop_at_ms
-        for admitted, timer in self._timers.values():
-            _lower_deadline(admitted, timer, stop_at_ms)
+        self._deadlines.finish_by(stop_at_ms)
         self.placer.fleet_changed.notify()
 
     async def _serve(self, record: CallRecord, reply: ResponseWriter) -> None:
@@ -154,7 +143,7 @@
             return
         record.admitted = admitted
         record.software_version = admitted.software_version
-        admitted.deadline_at_ms = min(admitted.deadline_at_ms, self._stop_at_ms)
+        self._deadlines.bound(admitted)
         self._budgets.budget_for(admitted.service.name).count_request(now_ms)
         if admitted.call.model:
             self._fleet.demand.count(admitted.call, now_ms)
@@ -168,7 +157,7 @@
             if not attempts.possible_runs:
                 self._admission.refund(admitted)
         if refusal is not None:
-            if self._stop_at_ms < float('inf'):
+            if self._deadlines.is_stopping:
                 refusal = dataclasses.replace(
                     refusal, retry_after_ms=OTHER_ROUTER_RETRY_MS
                 )
@@ -181,10 +170,8 @@
         attempts: Attempts,
         reply: ResponseWriter,
     ) -> Refusal | None:
-        left_s = admitted.time_left_ms(boottime_ms()) / MS_PER_S
         try:
-            async with asyncio.timeout(left_s) as timer:
-                self._timers[id(admitted)] = (admitted, timer)
+            async with self._deadlines.limit(admitted):
                 return await self._send_until_answered(
                     record, admitted, attempts, reply
                 )
@@ -193,8 +180,6 @@
                 Result.DEADLINE_UNREACHABLE,
                 'the deadline passed before the answer was complete',
             )
-        finally:
-            self._timers.pop(id(admitted), None)
 
     async def _send_until_answered(
         self,
@@ -217,14 +202,15 @@
                 refusal = choice
                 break
             server = choice.server
-            answer_timeout = _answer_timeout(admitted, attempts)
+            sent_ms = boottime_ms()
+            time_limit = answer_timeout(admitted, attempts)
             # Counted before the send, as a cancelled send may have run, too.
             attempts.possible_runs += 1
             with self._fleet.held_bytes.sending(
                 server.instance, id(admitted.call), boottime_ms
             ):
                 outcome = await self._sender.send(
-                    admitted, choice, progress, answer_timeout
+                    admitted, choice, progress, time_limit
                 )
             record.note_send(server.instance, outcome, boottime_ms())
             record.note_progress(progress)
@@ -232,6 +218,9 @@
                 attempts.software_version = progress.software_version
             if isinstance(outcome, Delivered):
                 self._note_delivered(admitted, server)
+                self._deadlines.usual.note(
+                    admitted.route, boottime_ms() - sent_ms
+                )
                 record.finish('delivered')
                 return None
             refusal = self._handle_failed_send(
@@ -360,31 +349,3 @@
 
 def _departure(reply: ResponseWriter) -> str:
     return 'caller took nothing' if reply.is_caller_cut else 'caller left'
-
-
-def _lower_deadline(
-    admitted: AdmittedCall, timer: asyncio.Timeout, limit_ms: float
-) -> None:
-    """Set the deadline of a call in flight if the new one is earlier."""
-    if limit_ms < admitted.deadline_at_ms:
-        admitted.deadline_at_ms = limit_ms
-        left_s = max(limit_ms - boottime_ms(), 0) / MS_PER_S
-        move_timeout(timer, asyncio.get_running_loop().time() + left_s)
-
-
-def _answer_timeout(
-    admitted: AdmittedCall, attempts: Attempts
-) -> AnswerTimeout:
-    """Return how long to wait, with time left for a retry if one is allowed.
-
-    Without a retry the call's own deadline ends the wait.
-    """
-    left_ms = admitted.time_left_ms(boottime_ms())
-    may_retry = (
-        admitted.route.is_repeatable
-        and attempts.possible_runs + 1 < admitted.route.most_sends
-    )
-    timeout_ms = (
-        left_ms * FIRST_SEND_TIME_SHARE if may_retry else left_ms + MS_PER_S
-    )
-    return AnswerTimeout(timeout_ms, may_retry)
--- a/lagoonflow/relay/waits.py
+++ b/lagoonflow/relay/waits.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from lagoonflow.backends.liveness import HostLiveness
+from lagoonflow.clock import MS_PER_S
 from lagoonflow.relay.admission import AdmittedCall
 from lagoonflow.relay.timers import move_timeout
 
@@ -15,6 +16,9 @@
 # The wait for a silent host to answer a request that may not be sent again is
 # aborted this long before the caller gives up.
 CALLER_LEAVES_MARGIN_MS = 200
+# A request that may be sent again waits for this share of its remaining time
+# for an answer to begin; then it is sent to another server.
+FIRST_SEND_TIME_SHARE = 0.45
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +33,17 @@
     may_retry: bool
 
 
+def answer_timeout_ms(left_ms: float, may_retry: bool) -> float:
+    """Return how long an answer may take to begin, in ms.
+
+    :param left_ms: time until the caller's deadline, in ms.
+    :param may_retry: whether time is left for another send.
+    """
+    if may_retry:
+        return left_ms * FIRST_SEND_TIME_SHARE
+    return left_ms + MS_PER_S
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Wait:
     """One request that waits for a server's answer.
--- a/tests/relay/test_stopping.py
+++ b/tests/relay/test_stopping.py
@@ -4,7 +4,17 @@
 
 from lagoonflow.clock import boottime_ms
 from lagoonflow.gossip.messages import AgentState
-from tests.relay.harness import RelayHarness, never_answer, runner_harness
+from tests.relay.harness import (
+    RelayHarness,
+    answer_events,
+    answer_with,
+    encode_request,
+    never_answer,
+    read_framed_answer,
+    runner_harness,
+)
+
+WORK_MS = 300
 
 
 async def harness_with_pending_load():
@@ -58,3 +68,69 @@
     assert status == 504
     assert 'retry-after' not in headers
     assert boottime_ms() - stopped_ms < 600
+
+
+def answer_after(work_ms):
+    """Return a script that answers after a time."""
+    answer = answer_with('200 OK', 'fine')
+
+    async def script(writer, received):
+        await asyncio.sleep(work_ms / 1000)
+        await answer(writer, received)
+
+    return script
+
+
+async def harness_with_known_work():
+    """Return a relay that knows how long the answers of its server take."""
+    harness = RelayHarness()
+    (backend,) = await harness.add_backends(answer_after(WORK_MS))
+    for _ in range(3):
+        assert (await harness.send_request('/book/x'))[0] == 200
+    backend.requests.clear()
+    return harness, backend
+
+
+async def test_a_call_is_not_sent_when_the_process_ends_before_its_answer():
+    """Its caller would get 502 or 504, though it may run only once."""
+    harness, backend = await harness_with_known_work()
+    harness.calls.finish_calls_by(boottime_ms() + WORK_MS - 50)
+    sent_ms = boottime_ms()
+    status, headers, _ = await harness.send_request('/book/x')
+    assert (status, backend.requests) == (503, [])
+    assert 0 < float(headers['retry-after']) < 0.1
+    assert boottime_ms() - sent_ms < 150
+
+
+async def test_a_call_is_served_when_its_answer_comes_before_the_process_ends():
+    harness, _ = await harness_with_known_work()
+    harness.calls.finish_calls_by(boottime_ms() + WORK_MS + 300)
+    assert (await harness.send_request('/book/x'))[0] == 200
+
+
+async def test_the_latency_target_counts_where_no_answer_is_known():
+    harness = RelayHarness()
+    (backend,) = await harness.add_backends(answer_with('200 OK', 'fine'))
+    harness.calls.finish_calls_by(boottime_ms() + 150)
+    assert (await harness.send_request('/book/x'))[0] == 503
+    assert not backend.requests
+
+
+async def test_a_begun_stream_goes_on_at_another_server_while_stopping():
+    harness = RelayHarness()
+    _, second = await harness.add_backends(
+        answer_events(1, 2, ends=False), answer_events(3, 4)
+    )
+    reader, writer = await harness.connect()
+    harness.calls.finish_calls_by(boottime_ms() + 600)
+    writer.write(encode_request('/resume/x'))
+    second.script = _stop_before(harness, second.script)
+    assert (await read_framed_answer(reader)).is_complete
+
+
+def _stop_before(harness, script):
+    async def run(writer, received):
+        harness.calls.finish_calls_by(boottime_ms() + 100)
+        return await script(writer, received)
+
+    return run
