Continue streams of unknown origin only by a list of servers as new as the call

Callers saw: streams that had begun at a newer software version, and broke, were continued at an older one by a router that had been out of step.

Cause: a conclusion about now from proof of a moment before. That all servers of a service have had one version was concluded from a list that may be 3 s old. Now the list has to be known as complete at the arrival of the call, which has it read at once and waits for it 1 s at most; else the call is refused with Retry-After. A server that joined and left within one page counts, too.

--- a/lagoonflow/declared/topic_follower.py
+++ b/lagoonflow/declared/topic_follower.py
@@ -1,6 +1,7 @@
 """Reads a keyed topic of the metadata store continuously."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -66,6 +67,8 @@
         the store hardly delay the next page.
     :param shared_reads: reads the topic from another router where possible;
         ``None`` to read the store always.
+    :ivar read_wanted: set when the topic is to be read at once, for a proof
+        that nothing has been written until then.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         shared_reads: SharedReads | None = None,
     ) -> None:
         """Create the follower; ``run`` reads the topic."""
+        self.read_wanted = asyncio.Event()
         self._store = store
         self._topic = topic
         self._wait_ms = wait_ms
@@ -147,7 +151,11 @@
         """Pause for more records to arrive; just after the start, less."""
         is_starting = now_ms - self._started_at_ms < START_PHASE_MS
         gather_ms = START_GATHER_MS if is_starting else self._gather_ms
-        await asyncio.sleep(min(gather_ms, self._gather_ms) / MS_PER_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(
+                min(gather_ms, self._gather_ms) / MS_PER_S
+            ):
+                await self.read_wanted.wait()
 
     def _note_age(self, timed: TimedAnswer) -> None:
         """Read without a wait next if what is known is old already.
@@ -168,9 +176,11 @@
             )
             return TimedAnswer(page, requested_at_ms)
         wait_ms = self._wait_ms
-        if self._failures or self._is_behind:
+        is_wanted = self.read_wanted.is_set()
+        self.read_wanted.clear()
+        if self._failures or self._is_behind or is_wanted:
             wait_ms = 0
-        if self._shared_reads is None or self._failures:
+        if self._shared_reads is None or self._failures or is_wanted:
             return await self._read_store(self._offset, wait_ms)
         return await self._shared_reads.read(
             self._offset, wait_ms, self._read_store
--- a/lagoonflow/relay/admission.py
+++ b/lagoonflow/relay/admission.py
@@ -49,6 +49,16 @@
 RESUME_MARGIN_MS = 1000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AwaitsServerList:
+    """The call can be decided on with a newer list of servers only.
+
+    :param refusal: answer if no newer list arrives.
+    """
+
+    refusal: Refusal
+
+
 @dataclasses.dataclass(slots=True)
 class AdmittedCall:
     """A call that passed admission, with its deadlines.
@@ -127,11 +137,15 @@
         if withdrawal_ms:
             self._max_view_age_ms = withdrawal_ms - CONFIRMATION_MARGIN_MS
 
-    def admit(self, call: Call, now_ms: float) -> AdmittedCall | Refusal:
+    def admit(
+        self, call: Call, now_ms: float, arrived_ms: float | None = None
+    ) -> AdmittedCall | Refusal | AwaitsServerList:
         """Admit a call and charge its organisation, or refuse it.
 
         An unknown route or key is refused for good only while the
         configuration is known to be current: a newer one may declare it.
+
+        :param arrived_ms: boot time at which the call arrived, if not now.
         """
         state = self._view.state
         if state is None:
@@ -153,9 +167,17 @@
             reason = 'the route names no declared service'
             return Refusal(Result.NO_RUNNER, reason)
         return self._admit_and_charge(
-            call, route, service, organisation, now_ms
+            call,
+            route,
+            service,
+            organisation,
+            now_ms if arrived_ms is None else arrived_ms,
         )
 
+    def is_list_confirmed(self, at_ms: float) -> bool:
+        """Return whether the list of servers was complete at a time."""
+        return self._version_rule.history.is_confirmed(at_ms)
+
     def is_view_fresh(self, now_ms: float) -> bool:
         """Return whether the configuration is recent enough to trust keys."""
         return self._view.age_ms(now_ms) <= self._max_view_age_ms
@@ -224,8 +246,8 @@
         route: Route,
         service: Service,
         organisation: Organisation | None,
-        now_ms: float,
-    ) -> AdmittedCall | Refusal:
+        arrived_ms: float,
+    ) -> AdmittedCall | Refusal | AwaitsServerList:
         caller_timeout_ms = call.deadline_ms
         if caller_timeout_ms is None:
             caller_timeout_ms = route.timeout_ms or DEFAULT_TIMEOUT_MS
@@ -233,22 +255,25 @@
             caller_timeout_ms, route.timeout_ms or caller_timeout_ms
         )
         requirement = self._version_rule.require(
-            call, route, service.name, now_ms
+            call, route, service.name, arrived_ms
         )
         if isinstance(requirement, UnknownVersion):
-            return Refusal(
+            refusal = Refusal(
                 Result.NO_RUNNER,
                 requirement.reason,
                 retry_after_ms=UNKNOWN_VERSION_RETRY_MS,
             )
+            if requirement.may_become_known:
+                return AwaitsServerList(refusal)
+            return refusal
         admitted = AdmittedCall(
             call,
             route,
             service,
             organisation,
-            arrived_ms=now_ms,
-            deadline_at_ms=now_ms + timeout_ms,
-            start_by_ms=now_ms + min(_start_timeout_ms(route), timeout_ms),
+            arrived_ms=arrived_ms,
+            deadline_at_ms=arrived_ms + timeout_ms,
+            start_by_ms=arrived_ms + min(_start_timeout_ms(route), timeout_ms),
             charged_tokens=0,
             fingerprint=_fingerprint(call, organisation),
             software_version=_required_version(requirement),
@@ -257,7 +282,7 @@
         if crashing is not None:
             return crashing
         if organisation is not None:
-            return self._charge_organisation(admitted, organisation, now_ms)
+            return self._charge_organisation(admitted, organisation, arrived_ms)
         return admitted
 
     def _charge_organisation(
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -17,6 +17,7 @@
     ResponseWriter,
 )
 from lagoonflow.relay.admission import Admission, AdmittedCall
+from lagoonflow.relay.admitting import Admitter
 from lagoonflow.relay.attempts import BUSY_RETRY_MS, Attempts
 from lagoonflow.relay.call_log import CallLog, CallRecord
 from lagoonflow.relay.deadlines import CallDeadlines, answer_timeout
@@ -49,7 +50,10 @@
 
 
 class CallService:
-    """Serves calls until they are answered or refused."""
+    """Serves calls until they are answered or refused.
+
+    :ivar list_wanted: set when the list of servers is to be read at once.
+    """
 
     def __init__(
         self,
@@ -72,6 +76,8 @@
             held_bytes=fleet.held_bytes,
             refuse_late=self._deadlines.refuse_late,
         )
+        self._admitter = Admitter(admission, self.placer.fleet_changed)
+        self.list_wanted = self._admitter.list_wanted
         self._view = view
         self._fleet = fleet
         self._chooser = chooser
@@ -137,7 +143,7 @@
 
     async def _serve(self, record: CallRecord, reply: ResponseWriter) -> None:
         now_ms = boottime_ms()
-        admitted = self._admission.admit(record.call, now_ms)
+        admitted = await self._admitter.admit(record.call, now_ms)
         if isinstance(admitted, Refusal):
             await self._refuse(record, reply, admitted)
             return
--- a/lagoonflow/resumption/decision.py
+++ b/lagoonflow/resumption/decision.py
@@ -30,16 +30,18 @@
         self.history = history
 
     def require(
-        self, call: Call, route: Route, service: str, now_ms: float
+        self, call: Call, route: Route, service: str, arrived_ms: float
     ) -> VersionRequirement:
         """Return at which version the call may run.
 
         A version that is not known for certain is never assumed: servers do
         not check that they continue a stream of their own version.
+
+        :param arrived_ms: boot time by which the stream had begun.
         """
         if not (route.is_resumable and call.resume_after):
             return AnyVersion()
-        origin = self.origins.find(call.resumed_request_id, now_ms)
+        origin = self.origins.find(call.resumed_request_id, arrived_ms)
         if origin is not None:
             if origin.service != service:
                 return UnknownVersion('the stream began at another service')
@@ -49,9 +51,10 @@
         )
         # Streams still began at a version until its end was noticed.
         window_ms += MAX_LIST_AGE_MS
-        version = self.history.only_version(service, window_ms, now_ms)
+        version = self.history.only_version(service, window_ms, arrived_ms)
         if version is None:
             return UnknownVersion(
-                'the software version that began the stream is not known'
+                'the software version that began the stream is not known',
+                may_become_known=not self.history.is_confirmed(arrived_ms),
             )
         return OneVersion(version)
--- a/lagoonflow/resumption/messages.py
+++ b/lagoonflow/resumption/messages.py
@@ -17,9 +17,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnknownVersion:
-    """The call resumes a stream, but not at which version it began."""
+    """The call resumes a stream, but not at which version it began.
+
+    :param may_become_known: whether a newer list of servers may tell.
+    """
 
     reason: str
+    may_become_known: bool = False
 
 
 VersionRequirement = AnyVersion | OneVersion | UnknownVersion
--- a/lagoonflow/wiring/platform_feeds.py
+++ b/lagoonflow/wiring/platform_feeds.py
@@ -208,7 +208,7 @@
             now_ms,
             wall_clock_ms(),
         )
-        self._note_versions(page, current_at_ms)
+        self._note_versions(page, servers, current_at_ms)
         self._on_change()
 
     def on_failure(self, failure: StoreFailure) -> None:
@@ -227,9 +227,15 @@
             self._log.info('entries removed', servers=removed_instances)
             self._fleet.roster.remove_together(removed_instances, now_ms)
 
-    def _note_versions(self, page: RecordPage, current_at_ms: float) -> None:
+    def _note_versions(
+        self,
+        page: RecordPage,
+        servers: list[BackendServer],
+        current_at_ms: float,
+    ) -> None:
         now_ms = boottime_ms()
-        for server in self._fleet.roster.all():
+        # A server of the page may have been removed by its later records.
+        for server in (*servers, *self._fleet.roster.all()):
             self._history.note(server.service, server.software_version, now_ms)
         if page.is_current:
             self._history.confirm(current_at_ms)
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -225,7 +225,11 @@
             configuration, servers, self._members_feed, self._crashes_feed
         )
         for follower in topic_followers(
-            self._store, feeds, self._shared_reads, self._settings.drain_ms
+            self._store,
+            feeds,
+            self._shared_reads,
+            self._settings.drain_ms,
+            self._calls.list_wanted,
         ):
             yield follower.run
         yield self._register
--- a/lagoonflow/wiring/platform_topics.py
+++ b/lagoonflow/wiring/platform_topics.py
@@ -1,5 +1,6 @@
 """How a router reads the topics of the metadata store."""
 
+import asyncio
 import dataclasses
 from collections.abc import Iterator
 from typing import Protocol
@@ -90,10 +91,12 @@
     feeds: Feeds,
     shared_reads: SharedReadService,
     drain_ms: int,
+    list_wanted: asyncio.Event,
 ) -> Iterator[TopicFollower]:
     """Return the followers of all topics.
 
     :param drain_ms: time after which a leaving server must get no requests.
+    :param list_wanted: set when the list of servers is to be read at once.
     """
     readings = (
         _Reading(
@@ -116,7 +119,7 @@
         ),
     )
     for reading in readings:
-        yield TopicFollower(
+        follower = TopicFollower(
             store,
             reading.topic,
             reading.wait_ms,
@@ -126,6 +129,9 @@
             is_urgent=reading.topic == CONFIGURATION_TOPIC,
             shared_reads=reading.share(shared_reads),
         )
+        if reading.topic == SERVERS_TOPIC:
+            follower.read_wanted = list_wanted
+        yield follower
 
 
 def gather_time_ms(drain_ms: int) -> int:
--- a/loopback/platform_fleet.py
+++ b/loopback/platform_fleet.py
@@ -169,7 +169,12 @@
         return host
 
     def start_runner(
-        self, host: Host, models: str, software_version: str = 'v1'
+        self,
+        host: Host,
+        models: str,
+        software_version: str = 'v1',
+        *,
+        is_registered: bool = True,
     ) -> None:
         """Start the runner of a host.
 
@@ -185,6 +190,23 @@
             '--crash-on-part',
             self.crashing_part,
         )
+        if is_registered:
+            self.register(host)
+
+    def add_unregistered_runner(
+        self, models: str, software_version: str
+    ) -> Host:
+        """Start a runner that isn't listed before :meth:`register`."""
+        host = Host(self._next_ip())
+        self.start_runner(host, models, software_version, is_registered=False)
+        return host
+
+    def register(self, host: Host) -> None:
+        """Let a runner or plain server register itself.
+
+        The stand-in does so after its first request.
+        """
+        http.request(f'{host.ip}:{RUNNER_PORT}', 'GET', '/healthz')
 
     def add_plain_server(self, zone: str = 'zone-a') -> Host:
         """Start a plain application server on a new host."""
@@ -195,6 +217,7 @@
     def start_plain_server(self, host: Host, zone: str = 'zone-a') -> None:
         """Start the plain application server of a host."""
         host.runner = self._start_backend(host, PLAIN_SERVICE, '--zone', zone)
+        self.register(host)
 
     def start_agent(self, host: Host) -> None:
         """Start the agent of a host."""
@@ -334,8 +357,6 @@
             *flags,
         )
         process.wait_listening()
-        # The stand-in registers itself only after its first request.
-        http.request(f'{host.ip}:{RUNNER_PORT}', 'GET', '/healthz')
         return process
 
     def _start_program(
--- a/tests/declared/test_topic_follower.py
+++ b/tests/declared/test_topic_follower.py
@@ -91,6 +91,21 @@
     assert len(pages) == 3
 
 
+async def test_a_topic_is_read_at_once_when_that_is_wanted():
+    """A call waits for the proof that nothing has been written until now."""
+    store = ScriptedStore(page(7, 'a'), page(8, 'b'), page(9))
+    follower = TopicFollower(
+        store, 'topic', 900, 5000, lambda *_: None, lambda _: None
+    )
+    reading = asyncio.create_task(follower.run())
+    await asyncio.sleep(0.3)
+    calls = len(store.calls)
+    follower.read_wanted.set()
+    await asyncio.sleep(0.05)
+    assert store.calls[calls] == ('read', 8, 0)
+    reading.cancel()
+
+
 async def test_a_history_that_is_too_long_is_replaced_by_the_newest_records():
     calls, pages, failures = await follow(
         page(7), HistoryTooLong(), page(20, 'a'), page(20)
--- a/tests/relay/test_software_versions.py
+++ b/tests/relay/test_software_versions.py
@@ -1,5 +1,7 @@
 """Tests of streams beside servers of two software versions."""
 
+import asyncio
+
 from lagoonflow.clock import boottime_ms
 from lagoonflow.resumption.messages import StreamOrigin
 from tests.relay.harness import (
@@ -99,15 +101,61 @@
     assert not backend.requests
 
 
-async def test_the_only_version_of_a_service_needs_no_origin():
-    harness = RelayHarness()
-    await harness.add_backends(answer_events(3, 4))
+def follow_list(harness, *versions):
+    """Let the relay have followed the list of servers until now."""
     now_ms = boottime_ms()
     for age_ms in range(100_000, -1, -1000):
         harness.versions.confirm(now_ms - age_ms)
-    harness.versions.note('app', 'v1', now_ms)
+    for version in versions:
+        harness.versions.note('app', version, now_ms)
+
+
+async def follow_older_list(harness, *versions):
+    """Let the next call come in a later ms than the list."""
+    follow_list(harness, *versions)
+    await asyncio.sleep(0.002)
+
+
+async def read_list_when_wanted(harness, *versions):
+    """Read the list of servers as soon as a call waits for it."""
+    await harness.calls.list_wanted.wait()
+    await asyncio.sleep(0.05)
+    follow_list(harness, *versions)
+    harness.calls.placer.fleet_changed.notify()
+
+
+async def test_the_only_version_of_a_service_needs_no_origin():
+    harness = RelayHarness()
+    await harness.add_backends(answer_events(3, 4))
+    await follow_older_list(harness, 'v1')
+    reading = asyncio.create_task(read_list_when_wanted(harness, 'v1'))
     status, _, _ = await harness.send_request('/resume/x', RESUME[0])
     assert status == 200
+    await reading
+
+
+async def test_a_stream_is_not_joined_to_a_version_that_its_own_one_followed():
+    """Streams may have begun at a version that joined after the last list."""
+    harness = RelayHarness()
+    (backend,) = await harness.add_backends(answer_events(3, 4))
+    await follow_older_list(harness, 'v1')
+    reading = asyncio.create_task(read_list_when_wanted(harness, 'v1', 'v2'))
+    status, _, _ = await harness.send_request('/resume/x', *RESUME)
+    assert status == 503
+    assert not backend.requests
+    await reading
+
+
+async def test_a_resumed_stream_waits_no_longer_than_a_list_takes():
+    harness = RelayHarness()
+    (backend,) = await harness.add_backends(answer_events(3, 4))
+    await follow_older_list(harness, 'v1')
+    sent_ms = boottime_ms()
+    status, headers, _ = await harness.send_request('/resume/x', *RESUME)
+    assert status == 503
+    assert float(headers['retry-after']) > 0
+    assert boottime_ms() - sent_ms < 1500
+    assert not backend.requests
 
 
 async def test_a_request_that_cannot_be_resumed_needs_no_version():
--- a/tests/resumption/test_versions.py
+++ b/tests/resumption/test_versions.py
@@ -1,5 +1,7 @@
 """Tests of what is concluded from the list of servers."""
 
+import pytest
+
 from lagoonflow.resumption.versions import MAX_LIST_AGE_MS, VersionHistory
 
 WINDOW_MS = 10_000
@@ -31,15 +33,21 @@
     history.note('llm', 'v1', 20_000 - WINDOW_MS)
     history.note('llm', 'v2', 20_000)
     assert history.only_version('llm', WINDOW_MS, 20_000) is None
+    history.confirm(20_001)
     assert history.only_version('llm', WINDOW_MS, 20_001) == 'v2'
 
 
-def test_nothing_is_concluded_from_an_old_list():
+@pytest.mark.parametrize('list_age_ms', [1, 100, 1500, MAX_LIST_AGE_MS])
+def test_nothing_is_concluded_from_a_list_that_a_version_may_have_joined_since(
+    list_age_ms,
+):
     history = followed(20_000)
     history.note('llm', 'v1', 20_000)
-    late_ms = 20_000 + MAX_LIST_AGE_MS
-    assert history.only_version('llm', WINDOW_MS, late_ms) == 'v1'
-    assert history.only_version('llm', WINDOW_MS, late_ms + 1) is None
+    now_ms = 20_000 + list_age_ms
+    assert history.only_version('llm', WINDOW_MS, now_ms) is None
+    history.note('llm', 'v2', now_ms)
+    history.confirm(now_ms)
+    assert history.only_version('llm', WINDOW_MS, now_ms) is None
 
 
 def test_nothing_is_concluded_just_after_the_start():
