--- a/lagoonflow/http1/channel.py
+++ b/lagoonflow/http1/channel.py
@@ -1,8 +1,11 @@
 """TCP connection that speaks HTTP/1.1, as client or as server."""
 
+import array
 import asyncio
+import fcntl
 import socket
 import struct
+import termios
 from collections.abc import Callable
 
 import h11
@@ -208,6 +211,16 @@
     return channel.transport.get_write_buffer_size()
 
 
+def undelivered_bytes(channel: Channel) -> int:
+    """Return how many written bytes the peer's kernel has not confirmed."""
+    if channel.transport is None or not channel.is_open:
+        return 0
+    raw = channel.transport.get_extra_info('socket')
+    queued_bytes = array.array('i', [0])
+    fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, queued_bytes)
+    return unsent_bytes(channel) + queued_bytes[0]
+
+
 def pause_reading(channel: Channel) -> None:
     """Let received bytes wait in the kernel until more are needed."""
     if channel.is_open and not channel.is_paused:
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -1,6 +1,5 @@
 """Sending of a call to one backend server, and the outcome."""
 
-import asyncio
 import functools
 from collections.abc import Callable
 
@@ -12,7 +11,7 @@
 from lagoonflow.backends.limits import LimitStatement
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.backends.names import full_name
-from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.clock import boottime_ms
 from lagoonflow.crashes.watch import BrokenSend
 from lagoonflow.http1.client import ClientConnection, ConnectionPool
 from lagoonflow.http1.messages import (
@@ -407,15 +406,12 @@
                 answers[-1], self._codec.answered_id(head)
             )
 
-        await connection.send(request, admitted.call.body)
         try:
-            async with asyncio.timeout(
-                answer_timeout.timeout_ms / MS_PER_S
-            ) as timer:
-                with self.waits.watch(
-                    admitted, server.instance, answer_timeout, timer
-                ):
-                    await connection.read_head(is_expected)
+            async with self.waits.limit(
+                admitted, server.instance, connection.channel, answer_timeout
+            ):
+                await connection.send(request, admitted.call.body)
+                await connection.read_head(is_expected)
         except TimeoutError as error:
             raise ExchangeError(
                 ExchangeStage.SENT, 'no answer in time'
--- a/lagoonflow/relay/waits.py
+++ b/lagoonflow/relay/waits.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import AsyncIterator
 
 from lagoonflow.backends.liveness import HostLiveness
-from lagoonflow.clock import MS_PER_S
+from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.http1.channel import Channel
 from lagoonflow.relay.admission import AdmittedCall
 from lagoonflow.relay.timers import move_timeout
+from lagoonflow.relay.transfers import extend_during_transfer
 
 # A host that has sent nothing for this long is paused or unreachable: its agent
 # repeats its state each 500 ms, and two in a row may be lost.
@@ -65,21 +67,39 @@
         self._liveness = liveness
         self._waits: dict[int, _Wait] = {}
 
-    @contextlib.contextmanager
-    def watch(
+    @contextlib.asynccontextmanager
+    async def limit(
         self,
         admitted: AdmittedCall,
         instance: str,
+        channel: Channel,
         answer_timeout: AnswerTimeout,
-        timer: asyncio.Timeout,
-    ) -> Iterator[None]:
-        """Register a wait for the time of the context; it can be aborted."""
-        wait = _Wait(admitted, instance, answer_timeout.may_retry, timer)
-        self._waits[id(wait)] = wait
-        try:
-            yield
-        finally:
-            self._waits.pop(id(wait))
+    ) -> AsyncIterator[None]:
+        """Raise ``TimeoutError`` when an answer has not begun in time.
+
+        The context begins with writing the request. It can be aborted.
+
+        :param channel: connection to the server.
+        """
+        may_retry = answer_timeout.may_retry
+
+        def left_ms() -> float:
+            call_left_ms = admitted.time_left_ms(boottime_ms())
+            return answer_timeout_ms(call_left_ms, may_retry)
+
+        async with asyncio.timeout(
+            answer_timeout.timeout_ms / MS_PER_S
+        ) as timer:
+            wait = _Wait(admitted, instance, may_retry, timer)
+            self._waits[id(wait)] = wait
+            request_bytes = len(admitted.call.body)
+            try:
+                async with extend_during_transfer(
+                    channel, request_bytes, timer, left_ms
+                ):
+                    yield
+            finally:
+                self._waits.pop(id(wait))
 
     def abort_waits_on_silent_hosts(self, now_ms: float) -> None:
         """Abort waits for answers from hosts that have fallen silent.
