Serve connections that only the kernel has accepted when a server stops

Now the queue is accepted first, and the first requests of these connections are waited for (100 ms). The same for the servers of our own interface.

--- /dev/null
+++ b/lagoonflow/http1/listening.py
@@ -0,0 +1,71 @@
+"""Closes listening sockets without a reset of the connections of their queues."""
+
+import asyncio
+import socket
+import ssl
+from collections.abc import Callable, Iterator
+
+import structlog
+
+from lagoonflow.clock import MS_PER_S
+
+# The first requests of the last connections to be accepted are still in transit
+# for this long, in ms.
+LAST_REQUESTS_MS = 100
+# Longest time for the TLS handshakes of the last connections, in ms.
+HANDSHAKES_MS = 1000
+_LOG = structlog.get_logger(part='http')
+
+
+async def stop_listening(
+    server: asyncio.Server,
+    listener: socket.socket,
+    protocol_factory: Callable[[], asyncio.BaseProtocol],
+    tls: ssl.SSLContext | None = None,
+) -> None:
+    """Close a listening socket, then wait for the requests sent before.
+
+    Closing it resets the connections that the kernel has accepted and the
+    process has not, so these are accepted first.
+
+    :param listener: the only socket of the server, in non-blocking mode.
+    :param protocol_factory: creates the protocol of a connection.
+    :param tls: context of the server; None for plain TCP.
+    """
+    pending = list(_accept_pending(listener))
+    server.close()
+    loop = asyncio.get_running_loop()
+    openings = [
+        loop.create_task(
+            loop.connect_accepted_socket(protocol_factory, accepted, ssl=tls)
+        )
+        for accepted in pending
+    ]
+    await _finish(openings)
+    await asyncio.sleep(LAST_REQUESTS_MS / MS_PER_S)
+
+
+async def _finish(openings: list[asyncio.Task[object]]) -> None:
+    if not openings:
+        return
+    done, late = await asyncio.wait(openings, timeout=HANDSHAKES_MS / MS_PER_S)
+    for opening in late:
+        opening.cancel()
+    for opening in done:
+        if opening.exception() is not None:
+            _LOG.warning('connection not opened', why=repr(opening.exception()))
+
+
+def _accept_pending(listener: socket.socket) -> Iterator[socket.socket]:
+    while True:
+        try:
+            accepted, _ = listener.accept()
+        except ConnectionAbortedError:
+            continue
+        except BlockingIOError:
+            return
+        except OSError as error:
+            _LOG.warning('connections not accepted', why=str(error))
+            return
+        accepted.setblocking(False)
+        yield accepted
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import socket
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -15,6 +16,7 @@
     NoMemoryError,
     ProcessMemory,
 )
+from lagoonflow.http1.listening import stop_listening
 from lagoonflow.http1.messages import (
     BodyFraming,
     Headers,
@@ -230,6 +232,7 @@
         self._refuse = refuse
         self._limits = limits
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
         self._connections: set[_CallerConnection] = set()
 
     async def listen(self, address: str) -> None:
@@ -238,17 +241,23 @@
         :raises OSError: when the address can't be used.
         """
         host, _, port = address.rpartition(':')
+        self._listener = socket.create_server((host, int(port)))
+        self._listener.setblocking(False)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._accept, host, int(port), backlog=LISTEN_BACKLOG
+            self._accept, sock=self._listener, backlog=LISTEN_BACKLOG
         )
 
-    def stop_accepting(self) -> None:
-        """Close the listening socket and all idle connections."""
+    async def stop_accepting(self) -> None:
+        """Close the listening socket and all idle connections.
+
+        Requests that were sent before are served, also those of connections
+        that only the kernel has accepted.
+        """
         self.is_stopping = True
         self.is_accepting = False
         if self._server is not None:
-            self._server.close()
+            await stop_listening(self._server, self._listener, self._accept)
         for connection in list(self._connections):
             connection.close_if_idle()
 
--- a/lagoonflow/wire/asgi_server.py
+++ b/lagoonflow/wire/asgi_server.py
@@ -9,6 +9,7 @@
 
 import uvicorn
 
+from lagoonflow.http1.listening import stop_listening
 from lagoonflow.wire.address import Address
 
 BACKLOG = 1024
@@ -16,13 +17,30 @@
 
 
 class _Server(uvicorn.Server):
-    """A uvicorn server that installs no signal handlers."""
+    """A uvicorn server on one socket that installs no signal handlers."""
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Keep the signal handlers of the program."""
         yield
 
+    async def shutdown(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """Serve the requests that were sent before, then shut down."""
+        for server, listener in zip(self.servers, sockets or [], strict=True):
+            await stop_listening(
+                server, listener, self._create_protocol, self.config.ssl
+            )
+        await super().shutdown(sockets)
+
+    def _create_protocol(self) -> asyncio.Protocol:
+        return self.config.http_protocol_class(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
 
 def bind(address: Address) -> socket.socket:
     """Bind a listening TCP socket.
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -253,7 +253,7 @@
         )
         self._calls.finish_calls_by(deadline_ms - ANSWER_DELIVERY_MARGIN_MS)
         await asyncio.sleep(UNREADY_PERIOD_MS / MS_PER_S)
-        self._http.stop_accepting()
+        await self._http.stop_accepting()
         remaining_ms = max(deadline_ms - boottime_ms(), 0)
         await self._http.wait_until_closed(remaining_ms)
         self._log.info('finished', left=self._http.open_connection_count)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -15,6 +16,8 @@
     idle_timeout_ms=200,
 )
 
+# More than the kernel takes for a caller that doesn't read.
+
 
 class Harness:
     """A server that runs the handler of a test."""
@@ -27,10 +30,12 @@
         self.refused.append(status)
         await reply.send_whole(status, b'Refused', (), b'')
 
-    async def connect(self):
+    async def listen(self):
         await self.server.listen('127.0.0.1:0')
-        port = self.server._server.sockets[0].getsockname()[1]
-        return await asyncio.open_connection('127.0.0.1', port)
+        return self.server._server.sockets[0].getsockname()
+
+    async def connect(self):
+        return await asyncio.open_connection(*await self.listen())
 
 
 async def send_fine(_request, reply) -> None:
@@ -120,7 +125,7 @@
     reader, writer = await harness.connect()
     writer.write(GET)
     await asyncio.sleep(0.05)
-    harness.server.stop_accepting()
+    await harness.server.stop_accepting()
     release.set()
     raw = await asyncio.wait_for(reader.read(), 1)
     assert raw.endswith(b'late')
@@ -145,7 +150,7 @@
     writer.write(GET)
     await reader.readuntil(b'\r\n\r\n')
     harness.server.is_stopping = True
-    harness.server.stop_accepting()
+    await harness.server.stop_accepting()
     release.set()
     writer.write(GET)
     with contextlib.suppress(ConnectionError):
@@ -154,6 +159,44 @@
     assert len(handled) == 1
 
 
+async def test_a_stop_answers_requests_whose_connection_it_has_not_accepted():
+    """Closing the listening socket resets the connections of its queue."""
+    harness = Harness(send_fine)
+    address = await harness.listen()
+    callers = [socket.create_connection(address, timeout=1) for _ in range(5)]
+    for caller in callers:
+        caller.sendall(GET)
+    await harness.server.stop_accepting()
+    for caller in callers:
+        raw = await asyncio.to_thread(read_all, caller)
+        assert raw.endswith(b'fine')
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(address, timeout=1)
+
+
+async def test_a_stop_answers_a_request_that_it_has_not_read():
+    harness = Harness(send_fine)
+    caller = socket.create_connection(await harness.listen(), timeout=1)
+    await asyncio.sleep(0.05)
+    caller.sendall(GET)
+    await harness.server.stop_accepting()
+    assert (await asyncio.to_thread(read_all, caller)).endswith(b'fine')
+
+
+async def test_a_stop_waits_for_the_first_request_of_a_new_connection():
+    harness = Harness(send_fine)
+    caller = socket.create_connection(await harness.listen(), timeout=1)
+    stopping = asyncio.create_task(harness.server.stop_accepting())
+    await asyncio.sleep(0.02)
+    caller.sendall(GET)
+    await stopping
+    assert (await asyncio.to_thread(read_all, caller)).endswith(b'fine')
+
+
+def read_all(caller):
+    return b''.join(iter(lambda: caller.recv(4096), b''))
+
+
 async def test_an_unfinished_response_to_an_http_1_0_caller_is_reset():
     async def send_half(_request, reply) -> None:
         await reply.start(200, b'OK', ())
--- a/tests/relay/test_held_bytes.py
+++ b/tests/relay/test_held_bytes.py
@@ -42,7 +42,7 @@
     answers = await asyncio.gather(*answers)
     for writer in writers:
         writer.close()
-    harness.http.stop_accepting()
+    await harness.http.stop_accepting()
     harness.sender.forget(['i-0', 'i-1'])
     await asyncio.sleep(0.05)
     return [(status, 'retry-after' in head) for status, head, _ in answers], [
--- a/tests/relay/test_slow_readers.py
+++ b/tests/relay/test_slow_readers.py
@@ -79,7 +79,7 @@
         sweeps.cancel()
         while OPEN:
             OPEN.pop().transport.abort()
-        harness.http.stop_accepting()
+        await harness.http.stop_accepting()
         harness.sender.forget(['i-0', 'i-1', 'other-0'])
         await asyncio.sleep(0.05)
 
