Accept no more connections while a server stops to listen

Between the last accept and the close of the listening socket the kernel accepts further connections, which the close resets; 3 of 100 runs of the test failed here, four at a time. A socket filter now drops the segments that would open a connection before the queue is accepted, so its client repeats it and is refused.

--- a/lagoonflow/http1/listening.py
+++ b/lagoonflow/http1/listening.py
@@ -1,8 +1,10 @@
 """Closes listening sockets without a reset of the connections of their queues."""
 
 import asyncio
+import ctypes
 import socket
 import ssl
+import struct
 from collections.abc import Callable, Iterator
 
 import structlog
@@ -14,6 +16,17 @@
 LAST_REQUESTS_MS = 100
 # Longest time for the TLS handshakes of the last connections, in ms.
 HANDSHAKES_MS = 1000
+# Socket option of Linux that the standard library doesn't name.
+SO_ATTACH_FILTER = 26
+# Classic BPF program that drops the segments that open a connection (SYN without
+# ACK) and passes all others: code, jumps if true and false, operand.
+_DROP_OPENINGS = (
+    (0x30, 0, 0, 13),  # load the byte of the TCP flags
+    (0x54, 0, 0, 0x12),  # keep SYN and ACK
+    (0x15, 0, 1, 0x2),  # is SYN the only one?
+    (0x6, 0, 0, 0),  # drop
+    (0x6, 0, 0, 0xFFFFFFFF),  # pass
+)
 _LOG = structlog.get_logger(part='http')
 
 
@@ -26,12 +39,14 @@
     """Close a listening socket, then wait for the requests sent before.
 
     Closing it resets the connections that the kernel has accepted and the
-    process has not, so these are accepted first.
+    process has not, so these are accepted first. Clients that connect meanwhile
+    are refused when they repeat the first segment, after it is closed.
 
     :param listener: the only socket of the server, in non-blocking mode.
     :param protocol_factory: creates the protocol of a connection.
     :param tls: context of the server; None for plain TCP.
     """
+    _drop_openings(listener)
     pending = list(_accept_pending(listener))
     server.close()
     loop = asyncio.get_running_loop()
@@ -45,6 +60,21 @@
     await asyncio.sleep(LAST_REQUESTS_MS / MS_PER_S)
 
 
+def _drop_openings(listener: socket.socket) -> None:
+    """Have the kernel accept no more connections.
+
+    Connections that are accepted later inherit the filter; it passes all of
+    their segments.
+    """
+    instructions = [struct.pack('HBBI', *one) for one in _DROP_OPENINGS]
+    program = ctypes.create_string_buffer(b''.join(instructions))
+    option = struct.pack('HP', len(instructions), ctypes.addressof(program))
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, option)
+    except OSError as error:
+        _LOG.warning('last connections may be reset', why=str(error))
+
+
 async def _finish(openings: list[asyncio.Task[object]]) -> None:
     if not openings:
         return
--- a/tests/http1/test_listening.py
+++ b/tests/http1/test_listening.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 import ssl
+import threading
+import time
 
 from lagoonflow.http1 import listening
 
@@ -35,3 +37,33 @@
     server.close()
     await listening.stop_listening(server, listener, asyncio.Protocol)
     assert not server.is_serving()
+
+
+def connect(address, outcomes):
+    try:
+        with socket.create_connection(address, timeout=5) as client:
+            client.sendall(b'request')
+            outcomes.append(client.recv(1))
+    except OSError as error:
+        outcomes.append(type(error))
+
+
+async def test_a_client_that_connects_at_the_last_moment_is_not_reset(
+    monkeypatch,
+):
+    server, listener = await open_listener(asyncio.Protocol)
+    outcomes = []
+    client = threading.Thread(
+        target=connect, args=(listener.getsockname(), outcomes)
+    )
+    accept_pending = listening._accept_pending
+
+    def accept_before_the_client(listener):
+        yield from accept_pending(listener)
+        client.start()
+        time.sleep(0.1)
+
+    monkeypatch.setattr(listening, '_accept_pending', accept_before_the_client)
+    await listening.stop_listening(server, listener, asyncio.Protocol)
+    await asyncio.to_thread(client.join)
+    assert outcomes == [ConnectionRefusedError]
--- a/tests/wire/test_asgi_server.py
+++ b/tests/wire/test_asgi_server.py
@@ -27,6 +27,9 @@
             caller = socket.create_connection(address, timeout=5)
         except ConnectionRefusedError:
             return
+        except OSError as error:
+            outcomes.append(repr(error))
+            return
         with caller:
             try:
                 caller.sendall(GET)
