Deliver answers whole that the kernel hasn't taken when a router stops

Callers saw: of an answer of 20 MB, 3.9 MB arrived, as a stop discarded what the kernel had not taken yet; and an answer that began after the stop, to a call from before it, did not say that the connection closes. A connection now counts as busy until the kernel has taken its answer, as long as the caller takes any of it within the idle time. Each of the three new tests failed before.

--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -10,7 +10,11 @@
 import structlog
 
 from lagoonflow.clock import MS_PER_S, boottime_ms
-from lagoonflow.http1.channel import Channel, ConnectionClosedError
+from lagoonflow.http1.channel import (
+    Channel,
+    ConnectionClosedError,
+    unsent_bytes,
+)
 from lagoonflow.http1.connection_memory import (
     ConnectionMemory,
     NoMemoryError,
@@ -29,6 +33,8 @@
 BAD_REQUEST_STATUS = 400
 NO_MEMORY_STATUS = 503
 LISTEN_BACKLOG = 1024
+# Interval at which a caller that hasn't taken its answer yet is looked at, in ms.
+TAKEN_CHECK_MS = 50
 _LOG = structlog.get_logger(part='http')
 CLOSE_HEADER = ((b'connection', b'close'),)
 
@@ -80,13 +86,13 @@
         self,
         channel: Channel,
         *,
-        closes: bool,
+        closes: Callable[[], bool],
         memory: ConnectionMemory | None = None,
     ) -> None:
         """Create a writer that has sent nothing.
 
-        :param closes: whether the head announces that the connection is
-            closed after the response.
+        :param closes: asked when the head is sent; whether the head announces
+            that the connection is closed after the response.
         :param memory: bounds what is written and not yet taken; without it
             each method waits until the caller has taken most of it.
         """
@@ -196,7 +202,7 @@
         has_length = find_header(headers, b'content-length') is not None
         version = self._channel.http.their_http_version or b''
         self.ends_with_connection = not has_length and version < b'1.1'
-        extra = CLOSE_HEADER if self._closes else ()
+        extra = CLOSE_HEADER if self._closes() else ()
         return h11.Response(
             status_code=status, reason=reason, headers=[*headers, *extra]
         )
@@ -355,8 +361,7 @@
         reply = await self._answer_next()
         if reply is None:
             return False
-        if self._memory is not None:
-            await self._memory.wait_until_taken()
+        await self._wait_until_taken()
         if not reply.is_complete:
             self._break_off()
             return False
@@ -366,8 +371,28 @@
         http = self.channel.http
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
+    async def _wait_until_taken(self) -> None:
+        """Wait until the kernel has taken the whole answer.
+
+        :raises ConnectionClosedError: when the caller takes nothing for as long
+            as a connection may be idle.
+        """
+        if self._memory is not None:
+            await self._memory.wait_until_taken()
+            return
+        stalled_ms = 0
+        left_bytes = unsent_bytes(self.channel)
+        while left_bytes:
+            await asyncio.sleep(TAKEN_CHECK_MS / MS_PER_S)
+            before_bytes, left_bytes = left_bytes, unsent_bytes(self.channel)
+            has_taken = left_bytes < before_bytes
+            stalled_ms = 0 if has_taken else stalled_ms + TAKEN_CHECK_MS
+            if stalled_ms >= self._limits.idle_timeout_ms:
+                raise ConnectionClosedError('the caller takes nothing')
+
     async def _answer_next(self) -> ResponseWriter | None:
         """Answer the next request; return ``None`` when none could be read."""
+        self._reply = None
         try:
             request = await self._read_request()
         except _BadRequestError as error:
@@ -375,8 +400,11 @@
             return None
         if request is None:
             return None
-        closes = self._server.is_stopping
-        reply = ResponseWriter(self.channel, closes=closes, memory=self._memory)
+        reply = ResponseWriter(
+            self.channel,
+            closes=lambda: self._server.is_stopping,
+            memory=self._memory,
+        )
         self._reply = reply
         await self._server.handle(request, reply)
         return reply
@@ -389,7 +417,8 @@
             self.channel.abort()
 
     async def _refuse_unreadable(self, error: _BadRequestError) -> None:
-        reply = ResponseWriter(self.channel, closes=True)
+        reply = ResponseWriter(self.channel, closes=lambda: True)
+        self._reply = reply
         if self.channel.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             with contextlib.suppress(h11.LocalProtocolError):
                 await self._server.refuse(reply, error.status, str(error))
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -17,6 +17,7 @@
 )
 
 # More than the kernel takes for a caller that doesn't read.
+LARGE_BODY = b'x' * 20_000_000
 
 
 class Harness:
@@ -159,6 +160,24 @@
     assert len(handled) == 1
 
 
+async def test_a_response_that_begins_after_the_stop_says_that_it_is_the_last():
+    """Its caller would send the next request while the connection closes."""
+    release = asyncio.Event()
+
+    async def wait(_request, reply) -> None:
+        await release.wait()
+        await reply.send_whole(200, b'OK', (), b'late')
+
+    harness = Harness(wait)
+    reader, writer = await harness.connect()
+    writer.write(GET)
+    await asyncio.sleep(0.05)
+    harness.server.is_stopping = True
+    release.set()
+    head = await reader.readuntil(b'\r\n\r\n')
+    assert b'connection: close' in head.lower()
+
+
 async def test_a_stop_answers_requests_whose_connection_it_has_not_accepted():
     """Closing the listening socket resets the connections of its queue."""
     harness = Harness(send_fine)
@@ -197,6 +216,32 @@
     return b''.join(iter(lambda: caller.recv(4096), b''))
 
 
+async def send_large(_request, reply) -> None:
+    await reply.send_whole(200, b'OK', (), LARGE_BODY)
+
+
+async def test_a_stop_does_not_cut_an_answer_that_its_caller_still_reads():
+    harness = Harness(send_large)
+    reader, writer = await harness.connect()
+    writer.write(GET)
+    await reader.readuntil(b'\r\n\r\n')
+    stopping = asyncio.create_task(harness.server.stop_accepting())
+    await asyncio.sleep(LIMITS.idle_timeout_ms / 2000)
+    assert len(await reader.read()) == len(LARGE_BODY)
+    await stopping
+    await harness.server.wait_until_closed(500)
+    assert harness.server.open_connection_count == 0
+
+
+async def test_a_caller_that_takes_nothing_of_an_answer_is_disconnected():
+    harness = Harness(send_large)
+    reader, writer = await harness.connect()
+    writer.write(GET)
+    await reader.readuntil(b'\r\n\r\n')
+    await asyncio.sleep(3 * LIMITS.idle_timeout_ms / 1000)
+    assert harness.server.open_connection_count == 0
+
+
 async def test_an_unfinished_response_to_an_http_1_0_caller_is_reset():
     async def send_half(_request, reply) -> None:
         await reply.start(200, b'OK', ())
