Deliver the last answer of a connection while its caller still sends

Callers saw: calls that had run were cut when a router stopped, if their caller sent its next request meanwhile; closing a connection with unread bytes resets it, and what the caller has not read is lost. After the last answer the server now sends its end and drops what arrives until the caller closes, for as long as bytes come within 500 ms of each other.

--- a/lagoonflow/http1/channel.py
+++ b/lagoonflow/http1/channel.py
@@ -2,6 +2,7 @@
 
 import array
 import asyncio
+import contextlib
 import fcntl
 import socket
 import struct
@@ -10,6 +11,8 @@
 
 import h11
 
+from lagoonflow.clock import MS_PER_S
+
 # Reading pauses above this many unread bytes, so that TCP slows the peer.
 MAX_UNREAD_BYTES = 262_144
 # Sizes of the kernel's buffers for the connections of a process whose memory is
@@ -62,6 +65,8 @@
         self.on_writable: Callable[[], None] | None = None
         self.written_bytes = 0
         self._is_bounded = is_bounded
+        # What the peer sends is dropped.
+        self.is_discarding = False
         self._bytes_arrived: asyncio.Future[None] | None = None
         self._writable: asyncio.Future[None] | None = None
         self.is_paused = False
@@ -81,6 +86,9 @@
         if self.is_idle:
             self.reset()
             return
+        if self.is_discarding:
+            _resolve(self._bytes_arrived)
+            return
         self.unread_bytes += len(data)
         self.http.receive_data(data)
         _resolve(self._bytes_arrived)
@@ -90,7 +98,8 @@
 
     def eof_received(self) -> bool:
         """Record that the peer sends no more; the transport stays open."""
-        self.http.receive_data(b'')
+        if not self.is_discarding:
+            self.http.receive_data(b'')
         self._mark_peer_closed()
         return True
 
@@ -133,7 +142,7 @@
                 return event
             if self.has_peer_closed:
                 raise ConnectionClosedError('connection closed by the peer')
-            await self._wait_for_bytes()
+            await self.wait_for_bytes()
 
     async def wait_for_request(self) -> None:
         """Wait for the first bytes of the next request.
@@ -143,7 +152,7 @@
         while not self.http.trailing_data[0]:
             if self.has_peer_closed:
                 raise ConnectionClosedError('connection closed by the peer')
-            await self._wait_for_bytes()
+            await self.wait_for_bytes()
 
     async def send(self, *events: h11.Event) -> None:
         """Write events, then wait while the write buffer is full.
@@ -183,7 +192,8 @@
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
             self.transport.abort()
 
-    async def _wait_for_bytes(self) -> None:
+    async def wait_for_bytes(self) -> None:
+        """Wait until the peer sends more, or no longer sends."""
         self.unread_bytes = 0
         self._events_in_row = 0
         if self.is_paused:
@@ -204,6 +214,25 @@
             self.on_peer_closed()
 
 
+async def discard_until_closed(channel: Channel, max_pause_ms: float) -> None:
+    """Send no more, and drop what the peer sends until it closes.
+
+    Closing a connection with unread bytes resets it, which would discard what
+    the peer has not read yet.
+
+    :param max_pause_ms: return when nothing arrives for so long, in ms.
+    """
+    if not channel.is_open or channel.transport.is_closing():
+        return
+    channel.is_discarding = True
+    channel.on_peer_closed = None
+    channel.transport.write_eof()
+    with contextlib.suppress(TimeoutError):
+        while not channel.has_peer_closed:
+            async with asyncio.timeout(max_pause_ms / MS_PER_S):
+                await channel.wait_for_bytes()
+
+
 def unsent_bytes(channel: Channel) -> int:
     """Return how many written bytes the kernel has not taken yet."""
     if channel.transport is None or not channel.is_open:
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -13,6 +13,7 @@
 from lagoonflow.http1.channel import (
     Channel,
     ConnectionClosedError,
+    discard_until_closed,
     unsent_bytes,
 )
 from lagoonflow.http1.connection_memory import (
@@ -36,6 +37,9 @@
 # Interval at which a caller that hasn't taken its answer yet is looked at, in ms.
 TAKEN_CHECK_MS = 50
 _LOG = structlog.get_logger(part='http')
+# A connection that is closed after an answer stays open as long as its caller goes
+# on sending with pauses shorter than this, in ms.
+LINGER_MS = 500
 CLOSE_HEADER = ((b'connection', b'close'),)
 
 
@@ -313,6 +317,7 @@
     def __init__(self, server: HttpServer, limits: ServerLimits) -> None:
         self.is_busy = False
         self.task: asyncio.Task[None] | None = None
+        self._is_lingering = False
         self._reply: ResponseWriter | None = None
         self._server = server
         self._limits = limits
@@ -332,6 +337,7 @@
     async def serve(self) -> None:
         try:
             await self._serve_requests()
+            await self._linger()
         except (ConnectionClosedError, asyncio.CancelledError):
             self._break_off()
         except h11.LocalProtocolError as error:
@@ -345,7 +351,8 @@
                 self._memory.release()
 
     def close_if_idle(self) -> None:
-        if not self.is_busy and self.task is not None:
+        is_idle = not self.is_busy and not self._is_lingering
+        if is_idle and self.task is not None:
             self.task.cancel()
 
     def _on_caller_left(self) -> None:
@@ -356,6 +363,15 @@
         while await self._serve_one():
             self.channel.http.start_next_cycle()
 
+    async def _linger(self) -> None:
+        """Let the caller read an answer while it still sends."""
+        if self._reply is None or not self._reply.is_complete:
+            return
+        self._is_lingering = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._limits.idle_timeout_ms / MS_PER_S):
+                await discard_until_closed(self.channel, LINGER_MS)
+
     async def _serve_one(self) -> bool:
         """Serve one request; return whether another may follow."""
         reply = await self._answer_next()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lagoonflow.http1.server import HttpServer, ServerLimits
+from lagoonflow.http1.server import LINGER_MS, HttpServer, ServerLimits
 
 GET = b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n'
 LIMITS = ServerLimits(
@@ -216,6 +216,52 @@
     return b''.join(iter(lambda: caller.recv(4096), b''))
 
 
+@pytest.mark.parametrize('body_bytes', [100, 3_000_000])
+async def test_a_refusal_reaches_a_caller_that_still_sends_its_body(body_bytes):
+    """Closing with unread bytes resets the connection, answer included."""
+    harness = Harness(send_fine)
+    reader, writer = await harness.connect()
+    head = f'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {body_bytes}\r\n\r\n'
+    writer.write(head.encode() + bytes(body_bytes))
+    await asyncio.sleep(0.1)
+    raw = await asyncio.wait_for(reader.read(), 2)
+    assert raw.startswith(b'HTTP/1.1 413')
+
+
+async def test_the_last_answer_reaches_a_caller_that_sends_the_next_request():
+    release = asyncio.Event()
+
+    async def wait(_request, reply) -> None:
+        await release.wait()
+        await reply.send_whole(200, b'OK', (), LARGE_BODY)
+
+    harness = Harness(wait)
+    reader, writer = await harness.connect()
+    writer.write(GET + b'POST / HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n')
+    writer.write(bytes(9_000_000))
+    await asyncio.sleep(0.05)
+    await harness.server.stop_accepting()
+    release.set()
+    await reader.readuntil(b'\r\n\r\n')
+    body = b''
+    while len(body) < len(LARGE_BODY):
+        body += await reader.read(500_000)
+        await asyncio.sleep(0.005)
+    assert body == LARGE_BODY
+    writer.close()
+    await harness.server.wait_until_closed(1000)
+    assert harness.server.open_connection_count == 0
+
+
+async def test_a_caller_that_neither_sends_nor_closes_is_not_waited_for():
+    harness = Harness(send_fine)
+    reader, writer = await harness.connect()
+    writer.write(GET.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n'))
+    assert (await asyncio.wait_for(reader.read(), 0.5)).endswith(b'fine')
+    await asyncio.sleep(2 * LINGER_MS / 1000)
+    assert harness.server.open_connection_count == 0
+
+
 async def send_large(_request, reply) -> None:
     await reply.send_whole(200, b'OK', (), LARGE_BODY)
 
