--- a/lagoonflow/backends/speeds.py
+++ b/lagoonflow/backends/speeds.py
@@ -32,6 +32,8 @@
 # Offsets are fitted at most this often, in ms: a fit of full tables takes some
 # 20 ms of a processor core.
 FIT_INTERVAL_MS = 2000
+# Times are differences of whole ms, so one of 0 is shorter than this.
+CLOCK_TICK_MS = 1
 # Ratio of time to predicted time beyond which an observation is a fault of the
 # prediction or of the server, as a logarithm.
 MAX_LOG_TIME = 12
@@ -146,10 +148,10 @@
             known is None
             or known.started_ms != server.started_ms
             or not self._is_service_active(server.service, now_ms)
-            or min(took_ms, predicted_ms) <= 0
+            or predicted_ms <= 0
         ):
             return
-        log_time = math.log(took_ms / predicted_ms)
+        log_time = math.log(max(took_ms, CLOCK_TICK_MS) / predicted_ms)
         log_time -= known.momentary_log(now_ms)
         if abs(log_time) < MAX_LOG_TIME:
             fit = self._fits[server.service]
--- a/tests/relay/test_load_reports.py
+++ b/tests/relay/test_load_reports.py
@@ -60,3 +60,16 @@
     )
     await harness.send_request('/once/x')
     assert harness.fleet.speeds.own_observations(boottime_ms())
+
+
+async def test_an_answer_faster_than_the_clocks_tick_counts_for_speed(
+    monkeypatch,
+):
+    harness = RelayHarness()
+    await harness.add_backends(
+        answer_with('200 OK', 'fine', 'Instance-Load: 1,0,8,100')
+    )
+    now_ms = boottime_ms()
+    monkeypatch.setattr('lagoonflow.relay.sending.boottime_ms', lambda: now_ms)
+    await harness.send_request('/read/x')
+    assert harness.fleet.speeds.own_observations(boottime_ms())
