--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,8 @@
 """Fixtures that all tests can use."""
 
+# Loaded before the tests: CPython 3.11 fails to parse a module during whose
+# import connections that a test left open are collected.
+import hypothesis.internal.observability  # noqa: F401
 import pytest
 
 from loopback.cluster import Cluster
--- a/tests/support/traffic.py
+++ b/tests/support/traffic.py
@@ -92,8 +92,10 @@
     def describe(self) -> tuple[str, str, float]:
         """Return router, outcome and duration for a failed assertion."""
         outcome = self.failure or self.refusal
-        text = f'{len(self.answer.text)} of {len(self.request.expected_answer)} characters'
-        return (self.router, outcome or text, self.ended_s - self.sent_s)
+        if not outcome:
+            expected = len(self.request.expected_answer)
+            outcome = f'{len(self.answer.text)} of {expected} characters'
+        return (self.router, outcome, self.ended_s - self.sent_s)
 
 
 Address = Callable[[str], str]
