Say why a connection was closed without an answer

The line now has a reason, and lagoonflow_unanswered_closes counts by it. A cancellation counts as the connection's own only if its task was cancelled (Task.cancelling), and a ConnectionClosedError as the caller's only if the caller's connection has ended.

--- /dev/null
+++ b/lagoonflow/http1/connection_ends.py
@@ -0,0 +1,53 @@
+"""Why the connections of callers end."""
+
+import asyncio
+import enum
+
+from lagoonflow.http1.channel import Channel, is_writable
+
+
+class ConnectionEnd(enum.StrEnum):
+    """Why a caller's connection has ended."""
+
+    FINISHED = 'no further request is read'
+    CALLER_CLOSED = 'the caller has closed it'
+    CALLER_CUT = 'the caller took nothing'
+    IDLE = 'closed as idle'
+    PROCESS_STOP = 'the process stops'
+    CANCELLED_INSIDE = 'what a request waited for was cancelled'
+    OTHER_CONNECTION = 'another connection was closed'
+    ERROR = 'an unexpected error'
+
+
+def is_cancelled() -> bool:
+    """Return whether the current task itself was cancelled.
+
+    Otherwise a ``CancelledError`` is that of something that the task awaited.
+    Use it outside of time limits, which cancel the task as well.
+    """
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
+def cancellation_end(channel: Channel, *, is_idle: bool) -> ConnectionEnd:
+    """Return why the task of a connection got a ``CancelledError``.
+
+    :param is_idle: the task was cancelled to close an idle connection.
+    """
+    if channel.has_peer_closed:
+        return ConnectionEnd.CALLER_CLOSED
+    if not is_cancelled():
+        return ConnectionEnd.CANCELLED_INSIDE
+    return ConnectionEnd.IDLE if is_idle else ConnectionEnd.PROCESS_STOP
+
+
+def closed_end(channel: Channel, *, is_cut: bool) -> ConnectionEnd:
+    """Return why the task of a connection got a ``ConnectionClosedError``.
+
+    :param is_cut: the caller was disconnected for taking nothing.
+    """
+    if is_cut:
+        return ConnectionEnd.CALLER_CUT
+    if channel.has_peer_closed or not is_writable(channel):
+        return ConnectionEnd.CALLER_CLOSED
+    return ConnectionEnd.OTHER_CONNECTION
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for callers; handles one request per connection at a time."""
 
 import asyncio
+import collections
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable
@@ -18,6 +19,11 @@
     unsent_bytes,
     write_raw,
 )
+from lagoonflow.http1.connection_ends import (
+    ConnectionEnd,
+    cancellation_end,
+    closed_end,
+)
 from lagoonflow.http1.connection_memory import (
     ConnectionMemory,
     ProcessMemory,
@@ -236,8 +242,9 @@
         answers are read at the pace of their callers.
     :param bodies: bounds the bodies of requests; with the default bound if
         left out.
-    :ivar unanswered_closes: number of connections that were closed with a
-        request that had arrived, at least in part, and got no answer.
+    :ivar unanswered_by_end: number of connections that were closed with a
+        request that had arrived, at least in part, and got no answer, by why
+        they ended.
     """
 
     def __init__(
@@ -253,7 +260,9 @@
         self.bodies = bodies or RequestBodies()
         self.is_stopping = False
         self.is_accepting = True
-        self.unanswered_closes = 0
+        self.unanswered_by_end: collections.Counter[ConnectionEnd] = (
+            collections.Counter()
+        )
         self._handler = handler
         self._refuse = refuse
         self._limits = limits
@@ -301,6 +310,11 @@
         if tasks:
             await asyncio.wait(tasks, timeout=timeout_ms / MS_PER_S)
 
+    @property
+    def unanswered_closes(self) -> int:
+        """Number of connections that were closed with an unanswered request."""
+        return self.unanswered_by_end.total()
+
     @property
     def busy_connection_count(self) -> int:
         """Number of connections whose request is being read or handled."""
@@ -323,11 +337,12 @@
         """Answer a request that is malformed or breaks a limit."""
         await self._refuse(reply, status, reason)
 
-    def note_unanswered(self, channel: Channel) -> None:
+    def note_unanswered(self, channel: Channel, end: ConnectionEnd) -> None:
         """Count a connection that closes with a request without an answer."""
-        self.unanswered_closes += 1
+        self.unanswered_by_end[end] += 1
         _LOG.warning(
             'connection closed without an answer',
+            reason=end.value,
             unparsed_bytes=len(channel.http.trailing_data[0]),
             is_stopping=self.is_stopping,
             silent_ms=int(boottime_ms() - channel.received_at_ms),
@@ -350,6 +365,9 @@
     ) -> None:
         self.task: asyncio.Task[None] | None = None
         self._is_lingering = False
+        self._is_closed_as_idle = False
+        self._has_stalled = False
+        self._end = ConnectionEnd.ERROR
         # The connection ends after a request that could not be read.
         self._is_refused = False
         self._reply: ResponseWriter | None = None
@@ -379,7 +397,9 @@
         try:
             await self._serve_requests()
             await self._linger()
-        except (ConnectionClosedError, asyncio.CancelledError):
+            self._end = ConnectionEnd.FINISHED
+        except (ConnectionClosedError, asyncio.CancelledError) as error:
+            self._end = self._end_by(error)
             self._break_off()
         finally:
             self._close()
@@ -387,6 +407,7 @@
     def close_if_idle(self) -> None:
         is_idle = not self.is_busy and not self._is_lingering
         if is_idle and not has_input(self.channel):
+            self._is_closed_as_idle = True
             self.cancel()
 
     def stop_reading(self) -> None:
@@ -460,6 +481,7 @@
             has_taken = left_bytes < before_bytes
             stalled_ms = 0 if has_taken else stalled_ms + TAKEN_CHECK_MS
             if stalled_ms >= self._get_limits().idle_timeout_ms:
+                self._has_stalled = True
                 raise ConnectionClosedError('the caller takes nothing')
 
     async def _answer_next(self, reply: ResponseWriter) -> bool:
@@ -487,12 +509,21 @@
     def _close(self) -> None:
         has_answered = self._reply is not None and self._reply.has_started
         if _is_unanswered(self.channel, self.is_busy and not has_answered):
-            self._server.note_unanswered(self.channel)
+            self._server.note_unanswered(self.channel, self._end)
         self.channel.close()
         self._reader.held_body.release()
         if self._memory is not None:
             self._memory.release()
 
+    def _end_by(self, error: BaseException) -> ConnectionEnd:
+        """Return why the connection ends with an error."""
+        if isinstance(error, asyncio.CancelledError):
+            return cancellation_end(
+                self.channel, is_idle=self._is_closed_as_idle
+            )
+        is_cut = self._reply is not None and self._reply.is_caller_cut
+        return closed_end(self.channel, is_cut=is_cut or self._has_stalled)
+
     def _break_off(self) -> None:
         """Close the connection so that an unfinished response shows."""
         if self._reply is not None and self._reply.ends_with_connection:
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import Iterator
 
 import prometheus_client as prometheus
@@ -22,6 +23,7 @@
 )
 from lagoonflow.gossip.topic_messages import TopicAnswer, TopicQuery
 from lagoonflow.gossip.transport import GossipSocket
+from lagoonflow.http1.connection_ends import ConnectionEnd
 from lagoonflow.http1.request_reader import ServerLimits
 from lagoonflow.http1.server import HttpServer
 from lagoonflow.platform import headers as codec
@@ -201,11 +203,7 @@
         settings = self._settings
         platform_process.install_signal_handlers(self._stop)
         platform_process.measure_stalls(self._registry)
-        prometheus.Gauge(
-            'lagoonflow_unanswered_closes',
-            'Connections that were closed with a request that got no answer.',
-            registry=self._registry,
-        ).set_function(lambda: self._http.unanswered_closes)
+        self._export_unanswered_closes()
         await self._listen()
         self._log.info('started', node=settings.node, zone=settings.zone)
         tasks = [
@@ -219,6 +217,18 @@
         await platform_process.remove_own_registration(self._store, settings)
         self._log.info('stopped')
 
+    def _export_unanswered_closes(self) -> None:
+        closes = prometheus.Gauge(
+            'lagoonflow_unanswered_closes',
+            'Connections that were closed with a request that got no answer.',
+            ['reason'],
+            registry=self._registry,
+        )
+        for end in ConnectionEnd:
+            closes.labels(end.value).set_function(
+                functools.partial(self._http.unanswered_by_end.get, end, 0)
+            )
+
     async def _listen(self) -> None:
         settings = self._settings
         port = settings.peer_port
