Measure a stall from the round that caused it

The selector of the programs' event loops now notes when each wait begins and ends. A tick that is late by over 20 ms shows a stall, as before, and its time is that of the longest round since the tick before. So what counts as a stall has not changed, and loops that are always a little late count little more than before. Left: a process that is stopped while it waits for sockets is measured as before, since nothing tells when that began.

--- a/lagoonflow/cli/launch.py
+++ b/lagoonflow/cli/launch.py
@@ -10,6 +10,7 @@
 from lagoonflow.cli.exit_status import ExitStatus
 from lagoonflow.cli.settings import CommonSettings, SettingError
 from lagoonflow.cli.version import package_version
+from lagoonflow.event_loop import new_event_loop
 from lagoonflow.telemetry.logs import configure_logs
 
 HELP_HINT = 'Try {program} --help.'
@@ -69,7 +70,8 @@
         settings.log_level,
     )
     try:
-        asyncio.run(serve(settings, environment))
+        with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            runner.run(serve(settings, environment))
     except OSError as error:
         environment.print_to_stderr(CANNOT_LISTEN.format(error=error))
         return ExitStatus.ERROR
--- a/lagoonflow/cli/platform_launch.py
+++ b/lagoonflow/cli/platform_launch.py
@@ -4,6 +4,7 @@
 
 from lagoonflow.cli.environment import Environment
 from lagoonflow.cli.exit_status import ExitStatus
+from lagoonflow.event_loop import new_event_loop
 from lagoonflow.platform.settings import (
     SETTINGS_VARIABLE,
     PlatformSettingError,
@@ -30,7 +31,8 @@
         return ExitStatus.USAGE
     configure_json_output(settings.node)
     try:
-        asyncio.run(ROLES[role](settings))
+        with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            runner.run(ROLES[role](settings))
     except OSError as error:
         environment.print_to_stderr(f'Cannot listen on an address: {error}')
         return ExitStatus.ERROR
--- a/lagoonflow/stalls.py
+++ b/lagoonflow/stalls.py
@@ -6,6 +6,7 @@
 import structlog
 
 from lagoonflow.clock import MS_PER_S
+from lagoonflow.event_loop import rounds_of
 
 # Interval at which the event loop notes that it runs, in ms.
 TICK_MS = 100
@@ -20,8 +21,11 @@
     """Measures for how long an event loop did not run.
 
     A loop stands still while a callback runs long, and while the process is
-    stopped or gets no processor time. Stalls shorter than a tick may be
-    measured too short.
+    stopped or gets no processor time. A tick that is late shows a stall; its
+    time is that of the loop's longest round since the tick before. Stalls
+    shorter than a tick may go unnoticed. Where rounds aren't measured, or while
+    the loop waits for sockets, a stall is measured from the due time of the
+    tick, so up to a tick too short.
 
     :ivar longest_ms: longest stall so far, in ms.
     """
@@ -31,6 +35,7 @@
         self.longest_ms: float = 0
         # The meter must not keep its loop alive, as it is the key of the meter.
         self._loop_ref = weakref.ref(loop)
+        self._rounds = rounds_of(loop)
         self._log = structlog.get_logger(part='process')
         self._uses = 0
         self._due_s: float = 0
@@ -63,10 +68,15 @@
         if self._tick_handle is None or loop is None:
             return 0
         late_s = loop.time() - self._due_s
-        return late_s if late_s > TOLERANCE_MS / MS_PER_S else 0
+        if late_s <= TOLERANCE_MS / MS_PER_S:
+            return 0
+        longest_s = 0 if self._rounds is None else self._rounds.longest_s()
+        return max(late_s, longest_s)
 
     def _schedule(self) -> None:
         loop = asyncio.get_running_loop()
+        if self._rounds is not None:
+            self._rounds.restart()
         self._due_s = loop.time() + TICK_MS / MS_PER_S
         self._tick_handle = loop.call_at(self._due_s, self._tick)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,12 +5,18 @@
 import hypothesis.internal.observability  # noqa: F401
 import pytest
 
+from lagoonflow.event_loop import new_event_loop
 from loopback.cluster import Cluster
 from loopback.processes import ProcessSet
 
 pytest_plugins = ['tests.support.steps', 'tests.support.fleet_steps']
 
 
+def pytest_asyncio_loop_factories():
+    """Run tests on the event loop that the programs use."""
+    return {'measured': new_event_loop}
+
+
 @pytest.fixture
 def processes(tmp_path):
     """Return a set of processes that end with the test."""
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -5,6 +5,8 @@
 import time
 import weakref
 
+import pytest
+
 from lagoonflow.stalls import TICK_MS, stall_meter
 
 
@@ -26,6 +28,17 @@
     assert 400 <= meter.longest_ms < 600
 
 
+@pytest.mark.parametrize('before_s', [0.005, 0.05, 0.09])
+async def test_a_stall_between_two_ticks_is_measured_whole(before_s):
+    meter = stall_meter()
+    meter.begin_use()
+    await asyncio.sleep(before_s)
+    stall(0.25)
+    await asyncio.sleep(0)
+    assert 0.24 <= meter.stalled_s() <= 0.3
+    meter.end_use()
+
+
 async def test_nothing_is_measured_without_a_use():
     meter = stall_meter()
     stall(0.2)
