Wait for a server that accepts a connection late

A connection that didn't open within 400 ms excluded its server for the call. With one server that accepts after 1 s and a deadline of 5 s callers got a 503 after 400 ms, with 4.6 s left.

The attempt to connect now goes on beside the call, for 3.5 s at most, which covers the kernel's own repetitions after 1 s and 3 s. Another server is preferred at once, as before. Without one, or if a model would be ready elsewhere only after the deadline, the call looks each 50 ms whether the connection has opened; then the server may be chosen again, for as long as the rest of the call's time allows. Nothing was sent, so this uses no retry of the budget and is safe for calls that run once at most. The attempt ends with its call, also when the caller leaves. A server that has accepted nothing for 3.5 s counts as down: calls to it are refused after 400 ms, as before, so that they aren't held until their deadlines.

A call whose time runs out is refused as not run, before its deadline.

--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -381,7 +381,10 @@
         :param timeout_ms: time limit, in ms.
         :raises ExchangeError: at stage ``CONNECTING``.
         """
-        connection = await self.connect(timeout_ms)
+        self.keep_unused(await self.connect(timeout_ms))
+
+    def keep_unused(self, connection: ClientConnection) -> None:
+        """Keep a new connection, which the next request uses."""
         self._in_use.discard(connection)
         connection.idle_until_ms = boottime_ms() + UNUSED_IDLE_LIMIT_MS
         connection.channel.is_idle = True
--- a/lagoonflow/relay/attempts.py
+++ b/lagoonflow/relay/attempts.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lagoonflow.backends.choosing import Send
+from lagoonflow.relay.openings import Opening
 from lagoonflow.relay.outcomes import Failed
 from lagoonflow.results import Refusal, Result
 
@@ -16,6 +17,8 @@
     """State of the sends of one call.
 
     :ivar excluded: servers that are not tried again.
+    :ivar openings: attempts to connect that go on, by server. These servers
+        are excluded until their connection has opened.
     :ivar rejecting: servers that rejected the call, as they have just unloaded
         its model; they are tried again once they were asked to load it.
     :ivar possible_runs: number of sends after which the call may have run.
@@ -30,6 +33,7 @@
     """
 
     excluded: set[str] = dataclasses.field(default_factory=set)
+    openings: dict[str, Opening] = dataclasses.field(default_factory=dict)
     rejecting: set[str] = dataclasses.field(default_factory=set)
     possible_runs: int = 0
     rejected_sends: int = 0
@@ -38,6 +42,25 @@
     software_version: str | None = None
     replacement: Send | None = None
 
+    def exclude(self, instance: str, opening: Opening | None) -> None:
+        """Don't try a server again, unless its connection opens later."""
+        self.excluded.add(instance)
+        if opening is not None:
+            self.openings[instance] = opening
+
+    def admit_opened(self) -> None:
+        """Try servers again whose connections have opened."""
+        for instance, opening in list(self.openings.items()):
+            if opening.is_open:
+                self.excluded.discard(instance)
+            if opening.is_open or opening.has_failed:
+                self.openings.pop(instance)
+
+    def close_openings(self) -> None:
+        """End all attempts to connect."""
+        while self.openings:
+            self.openings.popitem()[1].close()
+
     def take_replacement(self) -> Send | None:
         """Return the reserved server, which is not reserved any more."""
         replacement = self.replacement
--- a/lagoonflow/relay/outcomes.py
+++ b/lagoonflow/relay/outcomes.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lagoonflow.relay.messages import Answer
+from lagoonflow.relay.openings import Opening
 from lagoonflow.results import Refusal
 
 # Callers take these statuses to mean that their request has not run. A server's
@@ -21,9 +22,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotSent:
-    """Nothing of the request was sent to the server."""
+    """Nothing of the request was sent to the server.
+
+    :param opening: the attempt to connect, if it goes on.
+    """
 
     reason: str
+    opening: Opening | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagoonflow/relay/placing.py
+++ b/lagoonflow/relay/placing.py
@@ -38,6 +38,9 @@
 # or for a runner that is unloading its model. After a start of the router,
 # agents send their state within this time.
 FIRST_AGENTS_MS = 1000
+# While no other server is at hand than one that accepts its connection late,
+# the call looks at this interval whether it has.
+OPENING_RECHECK_MS = 50
 # Time that must be left for the answer itself after a model is loaded.
 ANSWER_MARGIN_MS = 60
 
@@ -116,21 +119,19 @@
             return attempts.take_replacement()
         requested = RequestedLoad()
         began_ms = self._clock()
-        wait_for_agents_until_ms = began_ms + min(
+        agents_until_ms = began_ms + min(
             FIRST_AGENTS_MS, _time_left_ms(admitted, began_ms)
         )
         try:
             while True:
                 now_ms = self._clock()
+                attempts.admit_opened()
                 choice = self._choose(admitted, attempts, requested, now_ms)
-                if (
-                    isinstance(choice, NoServer)
-                    and choice.may_change
-                    and now_ms < wait_for_agents_until_ms
-                ):
-                    await self.fleet_changed.wait(
-                        RECHECK_MS, admitted.arrived_ms
-                    )
+                pause_ms = _pause_ms(
+                    choice, admitted, attempts, now_ms, agents_until_ms
+                )
+                if pause_ms:
+                    await self.fleet_changed.wait(pause_ms, admitted.arrived_ms)
                     continue
                 decision = self._decide(
                     record, admitted, attempts, requested, choice
@@ -330,6 +331,29 @@
     return admitted.start_time_left_ms(now_ms) - ANSWER_MARGIN_MS
 
 
+def _pause_ms(
+    choice: Choice | Refusal,
+    admitted: AdmittedCall,
+    attempts: Attempts,
+    now_ms: float,
+    agents_until_ms: float,
+) -> float:
+    """Return after how many ms to choose again; 0 to decide on the choice.
+
+    :param agents_until_ms: boot time until which to wait for agents that have
+        not sent their state yet.
+    """
+    left_ms = _time_left_ms(admitted, now_ms)
+    match choice:
+        case NoServer(may_change=True) if now_ms < agents_until_ms:
+            return RECHECK_MS
+        case NoServer() if attempts.openings and left_ms > 0:
+            return OPENING_RECHECK_MS
+        case Wake(ready_in_ms=ready_in_ms) if attempts.openings:
+            return OPENING_RECHECK_MS if 0 < left_ms < ready_in_ms else 0
+    return 0
+
+
 def _target_left_ms(admitted: AdmittedCall, now_ms: float) -> float:
     """Return the time until the call misses its latency target, in ms."""
     target_ms = admitted.route.target_latency_ms or float('inf')
--- a/lagoonflow/relay/pools.py
+++ b/lagoonflow/relay/pools.py
@@ -7,12 +7,16 @@
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.clock import boottime_ms
-from lagoonflow.http1.client import ConnectionPool
+from lagoonflow.http1.client import ClientConnection, ConnectionPool
 from lagoonflow.http1.messages import ExchangeError
+from lagoonflow.relay.openings import (
+    CONNECT_TIMEOUT_MS,
+    LateServers,
+    Opening,
+    open_in_time,
+)
+from lagoonflow.relay.outcomes import NotSent
 
-# A connection must open within this time; a host on the same network accepts
-# within a few ms.
-CONNECT_TIMEOUT_MS = 400
 # A server that refused a connection is not prepared again within this time.
 REFUSED_RETRY_MS = 400
 
@@ -38,6 +42,7 @@
         self._pools: dict[str, ConnectionPool] = {}
         self._opening: dict[str, asyncio.Task[None]] = {}
         self._refused_ms: dict[str, float] = {}
+        self._late = LateServers()
 
     def pool(self, server: BackendServer) -> ConnectionPool:
         """Return the pool of a server at its present address."""
@@ -55,10 +60,30 @@
         """Close the idle connections to servers that were removed."""
         for instance in instances:
             self._refused_ms.pop(instance, None)
+            self._late.forget(instance)
             pool = self._pools.pop(instance, None)
             if pool is not None:
                 pool.close()
 
+    async def open(
+        self, server: BackendServer, timeout_ms: float
+    ) -> ClientConnection | NotSent:
+        """Open a connection for a call.
+
+        :param timeout_ms: time that is left for the call, in ms.
+        """
+        try:
+            opened = await open_in_time(self.pool(server), timeout_ms)
+        except ExchangeError as error:
+            return NotSent(str(error))
+        if not isinstance(opened, Opening):
+            self._late.note_open(server.instance)
+            return opened
+        if not self._late.note_late(server.instance, boottime_ms()):
+            opened.close()
+            return NotSent('the server accepts no connection')
+        return NotSent('connection not established in time', opened)
+
     def prepare(self, server: BackendServer, request_id: str) -> bool:
         """Return whether a server is connected; open a connection if not.
 
--- a/lagoonflow/relay/replacing.py
+++ b/lagoonflow/relay/replacing.py
@@ -135,6 +135,7 @@
     ) -> None:
         """Give up what is reserved or requested for a call that has ended."""
         self._placer.load_requests.remove(admitted)
+        attempts.close_openings()
         replacement = attempts.take_replacement()
         if replacement is None:
             return
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -37,7 +37,7 @@
     Outcome,
     Withheld,
 )
-from lagoonflow.relay.pools import CONNECT_TIMEOUT_MS, ServerPools
+from lagoonflow.relay.pools import ServerPools
 from lagoonflow.relay.ports import CallCodec
 from lagoonflow.relay.streaming import AnswerStream, Progress
 from lagoonflow.relay.waits import AnswerTimeout, AnswerWaits
@@ -305,10 +305,7 @@
         if connection is not None:
             return connection
         left_ms = admitted.time_left_ms(boottime_ms())
-        try:
-            return await pool.connect(min(CONNECT_TIMEOUT_MS, left_ms))
-        except ExchangeError as error:
-            return NotSent(str(error))
+        return await self.pools.open(server, left_ms)
 
     async def _exchange(
         self,
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -266,7 +266,8 @@
         if isinstance(outcome, NotRun) and admitted.call.model:
             attempts.rejecting.add(server.instance)
         else:
-            attempts.excluded.add(server.instance)
+            opening = outcome.opening if isinstance(outcome, NotSent) else None
+            attempts.exclude(server.instance, opening)
         match outcome:
             case NotSent(reason=reason):
                 health.note_no_answer(now_ms)
