Read an answer in many parts that had arrived as its time ended

A task that reads many parts lets others run after each 32, so an answer of more than 320 parts may take more than the ten rounds for which a limit that ends leaves room. send_request, which the clients of the metadata store, runners and other routers' reads use, has one limit for the whole exchange: of an answer of 10,000 parts that had arrived 8 ms before the limit 1,182 and 1,662 bytes were read, then it was given up ("no response in time").

--- a/lagoonflow/http1/channel.py
+++ b/lagoonflow/http1/channel.py
@@ -43,6 +43,7 @@
     :ivar on_writable: called when the write buffer has room again; ``None``
         for nothing.
     :ivar written_bytes: bytes that were written so far.
+    :ivar received_bytes: bytes that were received so far.
     :ivar received_at_ms: boot time at which bytes last arrived.
     """
 
@@ -66,6 +67,7 @@
         self.on_peer_closed = on_peer_closed
         self.on_writable: Callable[[], None] | None = None
         self.written_bytes = 0
+        self.received_bytes = 0
         self.received_at_ms: float = 0
         self._is_bounded = is_bounded
         # What the peer sends is dropped.
@@ -93,6 +95,7 @@
             _resolve(self._bytes_arrived)
             return
         self.received_at_ms = boottime_ms()
+        self.received_bytes += len(data)
         self.unread_bytes += len(data)
         self.http.receive_data(data)
         _resolve(self._bytes_arrived)
@@ -275,6 +278,20 @@
     return _query_bytes(channel.transport, termios.FIONREAD) > 0
 
 
+def arrived_bytes(channel: Channel) -> int:
+    """Return how many bytes have arrived, with those left in the kernel."""
+    if channel.transport is None or not channel.is_open:
+        return channel.received_bytes
+    return channel.received_bytes + _query_bytes(
+        channel.transport, termios.FIONREAD
+    )
+
+
+def parsed_bytes(channel: Channel) -> int:
+    """Return how many of the received bytes were parsed."""
+    return channel.received_bytes - len(channel.http.trailing_data[0])
+
+
 async def arrives_in_time(channel: Channel, timeout_ms: float) -> bool:
     """Wait for the first bytes of a request; return whether they came.
 
--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -10,6 +10,7 @@
 import h11
 
 from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.http1.arrived_input import ArrivedInput
 from lagoonflow.http1.body_memory import MEMORY, reserve_part
 from lagoonflow.http1.channel import (
     Channel,
@@ -434,11 +435,15 @@
     """
     connection = pool.take_idle()
     stage = ExchangeStage.SENT if connection else ExchangeStage.CONNECTING
+    arrived = ArrivedInput()
     try:
-        async with time_limit(timeout_ms) as limit:
+        async with time_limit(
+            timeout_ms, before_end=arrived.extension_ms
+        ) as limit:
             if connection is None:
                 connection = await pool.connect(timeout_ms)
                 stage = ExchangeStage.SENT
+            arrived.channel = connection.channel
             await connection.send(head, body)
             response = await connection.read_head()
             observe = None
