Accept connections in a loop of our own that bears a shortage of descriptors

What callers saw (trial on: a router whose limit of descriptors falls to 90, 200 callers with two calls each): 8 calls were served, configuration and reload came into force only 8.8 s later, when the callers had gone.

Cause: when accept() fails with EMFILE, the loop of asyncio (3.11) goes on to the next of 1,024 places of the backlog, writes a traceback for each, and starts 1,024 timers. In 10 s the router wrote 386,961 lines (26 MB) and used 5.4 s of processor time.

--- a/lagoonflow/http1/listening.py
+++ b/lagoonflow/http1/listening.py
@@ -10,6 +10,7 @@
 import structlog
 
 from lagoonflow.clock import MS_PER_S
+from lagoonflow.http1.accepting import Acceptor
 
 # The first requests of the last connections to be accepted are still in transit
 # for this long, in ms.
@@ -31,7 +32,7 @@
 
 
 async def stop_listening(
-    server: asyncio.Server,
+    server: asyncio.Server | Acceptor,
     listener: socket.socket,
     protocol_factory: Callable[[], asyncio.BaseProtocol],
     tls: ssl.SSLContext | None = None,
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -9,6 +9,7 @@
 import structlog
 
 from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.http1.accepting import Acceptor
 from lagoonflow.http1.channel import (
     Channel,
     ConnectionClosedError,
@@ -257,7 +258,7 @@
         self._handler = handler
         self._refuse = refuse
         self._limits = limits
-        self._server: asyncio.Server | None = None
+        self._server: Acceptor | None = None
         self._listener: socket.socket | None = None
         self._connections: set[_CallerConnection] = set()
 
@@ -269,10 +270,9 @@
         host, _, port = address.rpartition(':')
         self._listener = socket.create_server((host, int(port)))
         self._listener.setblocking(False)
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._accept, sock=self._listener, backlog=LISTEN_BACKLOG
-        )
+        self._listener.listen(LISTEN_BACKLOG)
+        self._server = Acceptor(self._listener, self._admit, lambda: None)
+        self._server.start()
 
     async def stop_accepting(self) -> None:
         """Close the listening socket and all idle connections.
@@ -333,6 +333,9 @@
             silent_ms=int(boottime_ms() - channel.received_at_ms),
         )
 
+    def _admit(self, _accepted: socket.socket) -> Channel:
+        return self._accept()
+
     def _accept(self) -> Channel:
         connection = _CallerConnection(self, self._limits)
         self._connections.add(connection)
