--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -10,6 +10,7 @@
 import structlog
 
 from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.http1.accepting import Acceptor
 from lagoonflow.http1.channel import (
     Channel,
     ConnectionClosedError,
@@ -266,7 +267,7 @@
         self._handler = handler
         self._refuse = refuse
         self._limits = limits
-        self._server: asyncio.Server | None = None
+        self._server: Acceptor | None = None
         self._listener: socket.socket | None = None
         self._connections: set[_CallerConnection] = set()
 
@@ -278,10 +279,9 @@
         host, _, port = address.rpartition(':')
         self._listener = socket.create_server((host, int(port)))
         self._listener.setblocking(False)
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._accept, sock=self._listener, backlog=LISTEN_BACKLOG
-        )
+        self._listener.listen(LISTEN_BACKLOG)
+        self._server = Acceptor(self._listener, self._admit, lambda: None)
+        self._server.start()
 
     async def stop_accepting(self) -> None:
         """Close the listening socket and all idle connections.
@@ -348,6 +348,9 @@
             silent_ms=int(boottime_ms() - channel.received_at_ms),
         )
 
+    def _admit(self, _accepted: socket.socket) -> Channel:
+        return self._accept()
+
     def _accept(self) -> Channel:
         connection = _CallerConnection(self, self._limits)
         self._connections.add(connection)
