Leave stalls out of the waits for agents and routers

A router that stood still for 1 s refused a call with 503 though its agent's first state came 200 ms of running time after the call; it also left a runner whose agent hadn't planned a load "in time", without having been able to hear it. An agent that stood still for 0.7 s dropped the load requests of its routers, and for 2.5 s their addresses, so they got no states until they sent again.

Placer and Demand are passed the time of stalls, as HostLiveness is, and count silence without it. The call's deadline still ends each wait, so a process that is always late holds no call longer. MAX_REPORT_AGE_MS is left as it is: it bounds the age of what a report says of the runner's memory, which goes on changing while the agent stands still.

--- a/lagoonflow/relay/placing.py
+++ b/lagoonflow/relay/placing.py
@@ -24,6 +24,7 @@
 from lagoonflow.relay.load_requests import LoadRequests
 from lagoonflow.relay.replacement import NotAtHand
 from lagoonflow.results import Refusal, Result
+from lagoonflow.stalls import stalled_ms
 from lagoonflow.waking.return_times import spread_return_ms
 
 RefuseLate = Callable[[AdmittedCall], Refusal | None]
@@ -50,7 +51,8 @@
     """The load that was requested for a call.
 
     :ivar instance: runner that was asked; empty before the first request.
-    :ivar give_up_at_ms: boot time by which its agent must plan the load.
+    :ivar give_up_at_ms: boot time by which its agent must plan the load, less
+        the time in which this process stood still until then.
     """
 
     instance: str = ''
@@ -81,6 +83,7 @@
         cold: ColdServers | None = None,
         held_bytes: HeldBytes | None = None,
         refuse_late: RefuseLate | None = None,
+        stalled_ms: Callable[[], float] = stalled_ms,
     ) -> None:
         """Place calls by the choices of a chooser.
 
@@ -91,7 +94,10 @@
             their server on.
         :param refuse_late: refuses calls that can't be answered in time,
             before their first send.
+        :param stalled_ms: returns for how long this process stood still so
+            far: agents are not heard meanwhile.
         """
+        self._stalled_ms = stalled_ms
         self._refuse_late = refuse_late or _never_late
         self._cold = cold or ColdServers()
         self._clock = clock
@@ -118,17 +124,15 @@
             await asyncio.sleep(0)
             return attempts.take_replacement()
         requested = RequestedLoad()
-        began_ms = self._clock()
-        agents_until_ms = began_ms + min(
-            FIRST_AGENTS_MS, _time_left_ms(admitted, began_ms)
-        )
+        agents_until_ms = self._clock() - self._stalled_ms() + FIRST_AGENTS_MS
         try:
             while True:
                 now_ms = self._clock()
                 attempts.admit_opened()
                 choice = self._choose(admitted, attempts, requested, now_ms)
+                agents_left_ms = agents_until_ms - (now_ms - self._stalled_ms())
                 pause_ms = _pause_ms(
-                    choice, admitted, attempts, now_ms, agents_until_ms
+                    choice, admitted, attempts, now_ms, agents_left_ms
                 )
                 if pause_ms:
                     await self.fleet_changed.wait(pause_ms, admitted.arrived_ms)
@@ -312,12 +316,15 @@
     ) -> None:
         """Request a load for a call; exclude a runner that does not plan it."""
         instance = wake.server.instance
+        heard_ms = now_ms - self._stalled_ms()
         attempts.rejecting.discard(instance)
         if requested.instance != instance:
             record.note_choice(wake, now_ms)
             requested.instance = instance
-            requested.give_up_at_ms = now_ms + wake.ready_in_ms + WAKE_SLACK_MS
-        elif now_ms > requested.give_up_at_ms and not wake.is_load_pending:
+            requested.give_up_at_ms = (
+                heard_ms + wake.ready_in_ms + WAKE_SLACK_MS
+            )
+        elif heard_ms > requested.give_up_at_ms and not wake.is_load_pending:
             attempts.excluded.add(instance)
         if self.load_requests.put(admitted, instance):
             self.load_requests_changed.set()
@@ -336,16 +343,16 @@
     admitted: AdmittedCall,
     attempts: Attempts,
     now_ms: float,
-    agents_until_ms: float,
+    agents_left_ms: float,
 ) -> float:
     """Return after how many ms to choose again; 0 to decide on the choice.
 
-    :param agents_until_ms: boot time until which to wait for agents that have
-        not sent their state yet.
+    :param agents_left_ms: how long to wait still for agents that have not sent
+        their state yet.
     """
     left_ms = _time_left_ms(admitted, now_ms)
     match choice:
-        case NoServer(may_change=True) if now_ms < agents_until_ms:
+        case NoServer(may_change=True) if min(left_ms, agents_left_ms) > 0:
             return RECHECK_MS
         case NoServer() if attempts.openings and left_ms > 0:
             return OPENING_RECHECK_MS
--- a/lagoonflow/waking/controller.py
+++ b/lagoonflow/waking/controller.py
@@ -1,5 +1,7 @@
 """Chooses the orders for one runner and describes its state to routers."""
 
+from collections.abc import Callable
+
 from lagoonflow.backends.messages import RunnerReport
 from lagoonflow.clock import MS_PER_S
 from lagoonflow.gossip.messages import AgentState, HeldModelState
@@ -22,11 +24,14 @@
     """Controls which models and adapters one runner loads and unloads.
 
     :param agent: name of this agent.
+    :param stalled_ms: returns for how long this process stood still so far.
     """
 
-    def __init__(self, agent: str) -> None:
+    def __init__(
+        self, agent: str, stalled_ms: Callable[[], float] = float
+    ) -> None:
         """Start without a report; no order is sent before the first."""
-        self.runner_view = RunnerView()
+        self.runner_view = RunnerView(stalled_ms)
         self._agent = agent
         self._planner = Planner(self.runner_view)
 
--- a/lagoonflow/waking/demand.py
+++ b/lagoonflow/waking/demand.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Callable
 
 from lagoonflow.clock import MS_PER_S
 from lagoonflow.gossip.messages import LoadRequest, RouterState
@@ -17,6 +18,12 @@
 
 @dataclasses.dataclass(slots=True)
 class _ReceivedState:
+    """A router's state.
+
+    :ivar received_at_ms: when it was received, less the time in which this
+        process had stood still until then.
+    """
+
     state: RouterState
     received_at_ms: float
 
@@ -50,10 +57,17 @@
 
 
 class Demand:
-    """Stores the newest state of each router and sums their demand."""
+    """Stores the newest state of each router and sums their demand.
+
+    Routers aren't silent while this process stands still: their messages are
+    read afterwards.
 
-    def __init__(self) -> None:
+    :param stalled_ms: returns for how long this process stood still so far.
+    """
+
+    def __init__(self, stalled_ms: Callable[[], float] = float) -> None:
         """Start without any router's state."""
+        self._stalled_ms = stalled_ms
         self._routers: dict[str, _ReceivedState] = {}
         self._waiting_since_ms: dict[tuple[str, str], float] = {}
 
@@ -62,7 +76,9 @@
         if state.is_leaving:
             self._routers.pop(state.router, None)
             return
-        self._routers[state.router] = _ReceivedState(state, now_ms)
+        self._routers[state.router] = _ReceivedState(
+            state, now_ms - self._stalled_ms()
+        )
 
     def router_addresses(self, now_ms: float) -> list[str]:
         """Return the addresses of the routers with a recent state."""
@@ -75,8 +91,9 @@
         since_ms = self._waiting_since_ms
         self._waiting_since_ms = {}
         found: dict[tuple[str, str], RequestedLoad] = {}
+        horizon_ms = now_ms - self._stalled_ms() - LOAD_REQUEST_TTL_MS
         for received in self._recent_states(now_ms):
-            if now_ms - received.received_at_ms > LOAD_REQUEST_TTL_MS:
+            if received.received_at_ms < horizon_ms:
                 continue
             for request in received.state.load_requests:
                 key = (request.model, request.adapter)
@@ -161,7 +178,7 @@
         )
 
     def _recent_states(self, now_ms: float) -> list[_ReceivedState]:
-        horizon_ms = now_ms - ROUTER_STATE_TTL_MS
+        horizon_ms = now_ms - self._stalled_ms() - ROUTER_STATE_TTL_MS
         for name, received in list(self._routers.items()):
             if received.received_at_ms < horizon_ms:
                 self._routers.pop(name)
--- a/lagoonflow/waking/runner_view.py
+++ b/lagoonflow/waking/runner_view.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Callable
 
 from lagoonflow.backends.messages import HeldModel, RunnerReport
 from lagoonflow.backends.names import model_of
@@ -82,6 +83,7 @@
 class RunnerView:
     """Holds the newest report, the demand and the order of one runner.
 
+    :param stalled_ms: returns for how long this process stood still so far.
     :ivar spec: capacity of the runner and its models; ``None`` while the
         service is not declared.
     :ivar in_progress: the model load or unload that the runner carries out.
@@ -91,9 +93,9 @@
     :ivar store_load_at_ms: when the last load from the weight store began.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, stalled_ms: Callable[[], float] = float) -> None:
         """Start without a report, demand or orders."""
-        self.demand = Demand()
+        self.demand = Demand(stalled_ms)
         self.memory = RunnerMemory()
         self.spec: EngineSpec | None = None
         self.report: RunnerReport | None = None
--- a/lagoonflow/wiring/platform_agent.py
+++ b/lagoonflow/wiring/platform_agent.py
@@ -22,6 +22,7 @@
     SERVERS_TOPIC,
     StoreClient,
 )
+from lagoonflow.stalls import stalled_ms
 from lagoonflow.waking.controller import RunnerController
 from lagoonflow.waking.messages import OrderOutcome, RunnerOrder
 from lagoonflow.wiring.platform_admin import AdminServer
@@ -73,7 +74,7 @@
             registry=self._registry,
         )
         self._view = DeclaredView()
-        self._controller = RunnerController(settings.node)
+        self._controller = RunnerController(settings.node, stalled_ms)
         self._gossip = GossipSocket(self._receive)
         self._store = StoreClient(settings.store_address)
         self._runner = RunnerClient(settings.runner_address, settings.node)
--- a/loopback/waking_model.py
+++ b/loopback/waking_model.py
@@ -242,6 +242,7 @@
             _NoBlame(),
             self.fleet.limits,
             clock,
+            stalled_ms=float,
         )
         settings = types.SimpleNamespace(
             node=self.name, ip_address='10.1.0.1', peer_port=number
