Free the bodies of ended calls without a garbage collection

Callers saw nothing yet, but a router's memory climbed with each burst of large requests, up to its limit. The wait for an answer and its time limit referred to each other (`before_end`), so the call with its body stayed in memory until the next full garbage collection, while `RequestBodies` counted it as released. A limit now drops the callback when its block ends.

--- a/lagoonflow/time_limits.py
+++ b/lagoonflow/time_limits.py
@@ -77,6 +77,9 @@
             self._handle.cancel()
             self._handle = None
         self._meter.end_use()
+        # It may refer to this limit: the cycle would keep what it uses, such as
+        # the body of a request, until the next full garbage collection.
+        self._before_end = None
         if not self._is_expired:
             return
         is_only_cancellation = self._task.uncancel() <= self._cancellations
