Bound bodies of requests by the memory that the process has

Callers saw: on a host of 300 MB, 5 of 30 requests with 4 MB each, sent at once, were refused though there was room; a router of 200 MB could take as much as one of 300 MB, and be killed for it. The fixed bound of 96 MB was taken for bodies only, and a body was copied when it had been read, when it was written, and in the write buffer of its server's connection.

Now a body is kept in parts of 64 KB, and each is written once the write buffer has room. Buffers that grow side by side left gaps on the heap, which equal parts don't. The bound is what 160 MB leave of `limits.memory_mb`, 140 MB of 300 and 40 MB of 200, which is assumed where no limit is stated. Requests beyond it get a 503 before they have run, as before. Progress of a large request is measured by the bytes that have arrived, since what waits in the buffer no longer shrinks steadily.

Not counted is input that isn't parsed yet, up to 0.5 MB for each caller that sends at that moment.

--- a/lagoonflow/crashes/fingerprints.py
+++ b/lagoonflow/crashes/fingerprints.py
@@ -4,6 +4,7 @@
 import hashlib
 from collections.abc import Iterable
 
+from lagoonflow.http1.body_parts import Body, parts_of
 from lagoonflow.http1.messages import RequestHead
 
 DIGEST_BYTES = 8
@@ -13,7 +14,7 @@
 
 def fingerprint(
     head: RequestHead,
-    body: bytes,
+    body: Body,
     host: str,
     organisation: str,
     prompt: Iterable[str] = (),
@@ -33,7 +34,7 @@
         host.encode('latin-1'),
         head.target,
         organisation.encode(),
-        body,
+        *parts_of(body),
     )
     parts = [part_id.encode('latin-1') for part_id in prompt]
     if not parts:
--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -11,9 +11,11 @@
 
 from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.http1.body_memory import MEMORY, reserve_part
+from lagoonflow.http1.body_parts import Body, LongBody
 from lagoonflow.http1.channel import (
     Channel,
     ConnectionClosedError,
+    is_writable,
     limit_kernel_buffers,
 )
 from lagoonflow.http1.messages import (
@@ -114,7 +116,7 @@
         """Whether more than one request was sent on the connection."""
         return self._sent_requests > 1
 
-    async def send(self, head: RequestHead, body: bytes) -> None:
+    async def send(self, head: RequestHead, body: Body) -> None:
         """Send a whole request.
 
         :raises ExchangeError: at stage ``SENT``, because a part of the
@@ -217,14 +219,27 @@
         """Close the connection with a TCP reset."""
         self.channel.reset()
 
-    async def _send_events(self, request: h11.Request, body: bytes) -> None:
+    async def _send_events(self, request: h11.Request, body: Body) -> None:
         self._is_exchange_complete = False
         self._sent_request = [request]
+        if isinstance(body, LongBody):
+            await self._send_long(request, body)
+            return
         events: list[h11.Event] = [request]
         if body:
             events.append(h11.Data(data=body))
         await self.channel.send(*events, h11.EndOfMessage())
 
+    async def _send_long(self, request: h11.Request, body: LongBody) -> None:
+        """Write each part once there is room: a write buffer copies it."""
+        self.channel.write(request)
+        for part in body:
+            if not is_writable(self.channel):
+                return  # The server may have answered before it closed.
+            await self.channel.send(h11.Data(data=part))
+        if is_writable(self.channel):
+            self.channel.write(h11.EndOfMessage())
+
     async def _next_head(self) -> ResponseHead:
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self.channel.next_event()
--- a/lagoonflow/http1/connection_memory.py
+++ b/lagoonflow/http1/connection_memory.py
@@ -7,6 +7,7 @@
 import structlog
 
 from lagoonflow.clock import MS_PER_S, Clock, boottime_ms
+from lagoonflow.http1.body_parts import PART_BYTES
 from lagoonflow.http1.channel import Channel, unsent_bytes
 from lagoonflow.http1.memory_budget import (
     Direction,
@@ -23,9 +24,9 @@
 # Longer intervals between two sweeps mean that this process did not run, so
 # that no caller could take anything.
 MAX_SWEEP_MS = 300
-# A request's body is held twice: for further sends, and in the write buffer of
-# the connection to the server.
-BODY_COPIES = 2
+# Besides the body that is kept for further sends, the write buffer of the
+# connection to the server holds at most two parts of it.
+SEND_BUFFER_BYTES = 2 * PART_BYTES
 # A call whose request body finds no room within this time is refused, in ms:
 # well below the time within which most callers expect an answer.
 BODY_ROOM_TIMEOUT_MS = 400
@@ -123,7 +124,7 @@
         :raises NoMemoryError: when there is no room in time.
         """
         holding = self._holdings[Direction.REQUESTS]
-        holding.update(body_bytes * BODY_COPIES)
+        holding.update(body_bytes + min(body_bytes, SEND_BUFFER_BYTES))
         if holding.may_grow(is_whole=True):
             return
         self._memory.note_pause(Direction.REQUESTS)
--- a/lagoonflow/http1/request_bodies.py
+++ b/lagoonflow/http1/request_bodies.py
@@ -5,9 +5,14 @@
 have not run and their callers can use another router.
 """
 
-# Bytes of all bodies that a process holds. With what their sending takes it
-# stays well below the 300 MB of a usual host.
-TOTAL_BYTES = 100_663_296
+# Memory limit of the smallest hosts; assumed where none is stated.
+SMALLEST_MEMORY_BYTES = 200_000_000
+# Memory for everything else: 50 MB for the program and a large configuration,
+# 40 MB for answers that wait for their callers, 35 MB for input that 60 callers
+# have sent and that isn't parsed yet, the rest for objects of calls.
+RESERVED_BYTES = 160_000_000
+# A process may hold a few of the largest bodies however little memory it has.
+MIN_TOTAL_BYTES = 16_777_216
 # So much of each body doesn't count, so that usual requests are served also
 # while large ones use all memory.
 FREE_BYTES = 4096
@@ -17,13 +22,22 @@
     """The bodies of all requests together use too much memory."""
 
 
+def bodies_bound(memory_bytes: int) -> int:
+    """Return how many bytes the bodies of all requests may have together.
+
+    :param memory_bytes: memory limit of the process; 0 when it isn't known.
+    """
+    rest_bytes = (memory_bytes or SMALLEST_MEMORY_BYTES) - RESERVED_BYTES
+    return max(rest_bytes, MIN_TOTAL_BYTES)
+
+
 class RequestBodies:
     """Counts the bytes of the bodies of requests that have not ended.
 
     :param total_bytes: bytes that all bodies may have beyond their free ones.
     """
 
-    def __init__(self, total_bytes: int = TOTAL_BYTES) -> None:
+    def __init__(self, total_bytes: int) -> None:
         """Start with no bodies."""
         self._left_bytes = total_bytes
 
--- a/lagoonflow/http1/request_reader.py
+++ b/lagoonflow/http1/request_reader.py
@@ -7,6 +7,7 @@
 import h11
 
 from lagoonflow.clock import boottime_ms
+from lagoonflow.http1.body_parts import Body, LongBody, shortened
 from lagoonflow.http1.channel import (
     Channel,
     ConnectionClosedError,
@@ -54,7 +55,7 @@
     """A complete request of a caller."""
 
     head: RequestHead
-    body: bytes
+    body: Body
 
 
 class BadRequestError(Exception):
@@ -207,21 +208,21 @@
             http.receive_data(b'')
         self._channel.http = http
 
-    async def _read_body(self) -> bytes:
-        pieces = bytearray()
+    async def _read_body(self) -> Body:
+        body = LongBody()
         while True:
             try:
                 event = await self._next_event(self._limits.idle_timeout_ms)
             except TimeoutError as error:
                 raise self._timeout_error('body') from error
             if not isinstance(event, h11.Data):
-                return bytes(pieces)
-            pieces += event.data
-            if len(pieces) > self._limits.body_bytes:
+                return shortened(body)
+            body.append(event.data)
+            if len(body) > self._limits.body_bytes:
                 raise BadRequestError(
                     TOO_LARGE_STATUS, 'request body is too large'
                 )
-            await self._hold_body(len(pieces))
+            await self._hold_body(len(body))
 
     def _timeout_error(self, part: str) -> BadRequestError:
         if self._is_stopped:
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -31,7 +31,7 @@
     find_header,
     remove_headers,
 )
-from lagoonflow.http1.request_bodies import RequestBodies
+from lagoonflow.http1.request_bodies import RequestBodies, bodies_bound
 from lagoonflow.http1.request_reader import (
     BadRequestError,
     CallerRequest,
@@ -234,8 +234,8 @@
     :param limits: returns the limits in force.
     :param memory: bounds the bytes that are held for callers; without it
         answers are read at the pace of their callers.
-    :param bodies: bounds the bodies of requests; with the default bound if
-        left out.
+    :param bodies: bounds the bodies of requests; if left out, as for the
+        smallest hosts.
     :ivar unanswered_closes: number of connections that were closed with a
         request that had arrived, at least in part, and got no answer.
     """
@@ -250,7 +250,7 @@
     ) -> None:
         """Create the server; ``listen`` binds it to an address."""
         self.memory = memory
-        self.bodies = bodies or RequestBodies()
+        self.bodies = bodies or RequestBodies(bodies_bound(0))
         self.is_stopping = False
         self.is_accepting = True
         self.unanswered_closes = 0
--- a/lagoonflow/platform/headers.py
+++ b/lagoonflow/platform/headers.py
@@ -5,6 +5,7 @@
 import structlog
 
 from lagoonflow.clock import MS_PER_S
+from lagoonflow.http1.body_parts import Body
 from lagoonflow.http1.messages import (
     Headers,
     RequestHead,
@@ -75,7 +76,7 @@
 )
 
 
-def decode_call(head: RequestHead, body: bytes) -> Call:
+def decode_call(head: RequestHead, body: Body) -> Call:
     """Decode a caller's request.
 
     A header with a malformed value is treated as absent.
--- a/lagoonflow/platform/settings.py
+++ b/lagoonflow/platform/settings.py
@@ -6,6 +6,7 @@
 
 SETTINGS_VARIABLE = 'LAGOONFLOW_BOOT'
 COMMENT = '#'
+BYTES_PER_MB = 1_000_000
 # Contract of deployments whose servers share machines and memory with others.
 CONTENTION_CONTRACT = 'pressure'
 
@@ -44,6 +45,8 @@
     :param cold_overage: factor of a cold server's rate that it tolerates in any
         second.
     :param cold_slack: requests that it tolerates in addition.
+    :param memory_bytes: memory above which the process is killed; 0 when it is
+        not stated.
     :param is_contended: servers compete for machines and memory, so their
         speed varies and memory is short.
     """
@@ -68,6 +71,7 @@
     evacuate_ms: int = 0
     cold_overage: float = 1.5
     cold_slack: float = 5
+    memory_bytes: int = 0
     is_contended: bool = False
 
 
@@ -110,6 +114,7 @@
         evacuate_ms=fields.integer('bounds.evacuate_ms', 0),
         cold_overage=fields.number('bounds.cold_overage', 1.5),
         cold_slack=fields.number('bounds.cold_slack', 5),
+        memory_bytes=fields.integer('limits.memory_mb', 0) * BYTES_PER_MB,
         is_contended=CONTENTION_CONTRACT in fields.names('contracts'),
     )
 
--- a/lagoonflow/relay/messages.py
+++ b/lagoonflow/relay/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from lagoonflow.http1.body_parts import Body
 from lagoonflow.http1.messages import RequestHead, ResponseHead
 
 
@@ -41,7 +42,7 @@
     host: str
     path: str
     head: RequestHead
-    body: bytes
+    body: Body
     key: str = ''
     deadline_ms: float | None = None
     model: str = ''
--- a/lagoonflow/relay/ports.py
+++ b/lagoonflow/relay/ports.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from lagoonflow.http1.body_parts import Body
 from lagoonflow.http1.messages import Headers, RequestHead, ResponseHead
 from lagoonflow.relay.messages import Answer, Call, Target
 
@@ -9,7 +10,7 @@
 class CallCodec(Protocol):
     """Translates between the relay's messages and HTTP heads."""
 
-    def decode_call(self, head: RequestHead, body: bytes) -> Call:
+    def decode_call(self, head: RequestHead, body: Body) -> Call:
         """Decode a caller's request."""
 
     def encode_call(self, call: Call, target: Target) -> RequestHead:
--- a/lagoonflow/relay/transfers.py
+++ b/lagoonflow/relay/transfers.py
@@ -36,7 +36,8 @@
     if request_bytes < LARGE_REQUEST_BYTES:
         yield
         return
-    extension = asyncio.create_task(_extend(channel, timer, left_ms))
+    end_bytes = channel.written_bytes + request_bytes
+    extension = asyncio.create_task(_extend(channel, end_bytes, timer, left_ms))
     try:
         yield
     finally:
@@ -44,12 +45,21 @@
 
 
 async def _extend(
-    channel: Channel, timer: TimeLimit, left_ms: Callable[[], float]
+    channel: Channel,
+    end_bytes: int,
+    timer: TimeLimit,
+    left_ms: Callable[[], float],
 ) -> None:
+    """Restart a timeout at each progress, until so many bytes have arrived."""
     loop = asyncio.get_running_loop()
-    left_bytes = undelivered_bytes(channel)
-    while left_bytes:
+    arrived_bytes = _arrived_bytes(channel)
+    while channel.is_open and arrived_bytes < end_bytes:
         await asyncio.sleep(PROGRESS_CHECK_MS / MS_PER_S)
-        before_bytes, left_bytes = left_bytes, undelivered_bytes(channel)
-        if left_bytes < before_bytes:
+        before_bytes, arrived_bytes = arrived_bytes, _arrived_bytes(channel)
+        if arrived_bytes > before_bytes:
             move_timeout(timer, loop.time() + left_ms() / MS_PER_S)
+
+
+def _arrived_bytes(channel: Channel) -> int:
+    """Return how many written bytes the peer's kernel has confirmed."""
+    return channel.written_bytes - undelivered_bytes(channel)
--- a/lagoonflow/wiring/platform_admin.py
+++ b/lagoonflow/wiring/platform_admin.py
@@ -4,6 +4,7 @@
 
 import prometheus_client as prometheus
 
+from lagoonflow.http1.request_bodies import RequestBodies
 from lagoonflow.http1.request_reader import CallerRequest, ServerLimits
 from lagoonflow.http1.server import HttpServer, ResponseWriter
 
@@ -11,6 +12,8 @@
 METRICS_PATH = b'/metrics'
 # Longest body of a request; none needs one.
 MAX_BODY_BYTES = 65_536
+# Bytes of the bodies of all requests together.
+MAX_BODIES_BYTES = 1_048_576
 _TEXT = ((b'Content-Type', b'text/plain; charset=utf-8'),)
 
 
@@ -28,7 +31,12 @@
     ) -> None:
         """Create the server; ``http.listen`` binds its address."""
         limits = ServerLimits(body_bytes=MAX_BODY_BYTES)
-        self.http = HttpServer(self._handle, self._refuse, lambda: limits)
+        self.http = HttpServer(
+            self._handle,
+            self._refuse,
+            lambda: limits,
+            bodies=RequestBodies(MAX_BODIES_BYTES),
+        )
         self._registry = registry
         self._is_ready = is_ready
 
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -22,6 +22,7 @@
 )
 from lagoonflow.gossip.topic_messages import TopicAnswer, TopicQuery
 from lagoonflow.gossip.transport import GossipSocket
+from lagoonflow.http1.request_bodies import RequestBodies, bodies_bound
 from lagoonflow.http1.request_reader import ServerLimits
 from lagoonflow.http1.server import HttpServer
 from lagoonflow.platform import headers as codec
@@ -152,6 +153,7 @@
             self._calls.refuse_unreadable,
             self._limits,
             self._memory,
+            RequestBodies(bodies_bound(settings.memory_bytes)),
         )
         self._admin = AdminServer(self._registry, self._is_ready)
         self._store = StoreClient(settings.store_address)
--- a/tests/http1/test_request_bodies.py
+++ b/tests/http1/test_request_bodies.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from lagoonflow.http1.request_bodies import FREE_BYTES, RequestBodies
+from lagoonflow.http1.request_bodies import (
+    FREE_BYTES,
+    RequestBodies,
+    bodies_bound,
+)
 from lagoonflow.http1.request_reader import ServerLimits
 from lagoonflow.http1.server import HttpServer
 
@@ -82,6 +86,14 @@
     assert harness.most_bytes <= TOTAL_BYTES + CALLERS * FREE_BYTES
 
 
+def test_the_bound_follows_from_the_memory_of_the_process():
+    """The smallest host needs most of its memory for everything else."""
+    assert bodies_bound(300_000_000) >= 30 * 4_194_304
+    assert bodies_bound(200_000_000) <= 50_000_000
+    assert bodies_bound(0) == bodies_bound(200_000_000)
+    assert 0 < bodies_bound(1) < bodies_bound(200_000_000)
+
+
 async def test_memory_of_a_body_is_given_back_however_its_request_ends():
     harness = Harness()
     await harness.listen()
