--- a/lagoonflow/platform/settings.py
+++ b/lagoonflow/platform/settings.py
@@ -47,6 +47,8 @@
     :param cold_slack: requests that it tolerates in addition.
     :param memory_bytes: memory above which the process is killed; 0 when it is
         not stated.
+    :param max_descriptors: descriptors that the process may have; 0 if the
+        platform states no number.
     :param is_contended: servers compete for machines and memory, so their
         speed varies and memory is short.
     """
@@ -72,6 +74,7 @@
     cold_overage: float = 1.5
     cold_slack: float = 5
     memory_bytes: int = 0
+    max_descriptors: int = 0
     is_contended: bool = False
 
 
@@ -115,6 +118,7 @@
         cold_overage=fields.number('bounds.cold_overage', 1.5),
         cold_slack=fields.number('bounds.cold_slack', 5),
         memory_bytes=fields.integer('limits.memory_mb', 0) * BYTES_PER_MB,
+        max_descriptors=fields.integer('limits.max_fds', 0),
         is_contended=CONTENTION_CONTRACT in fields.names('contracts'),
     )
 
--- a/lagoonflow/relay/outcomes.py
+++ b/lagoonflow/relay/outcomes.py
@@ -25,10 +25,12 @@
     """Nothing of the request was sent to the server.
 
     :param opening: the attempt to connect, if it goes on.
+    :param is_servers_fault: whether this counts against the server.
     """
 
     reason: str
     opening: Opening | None = None
+    is_servers_fault: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lagoonflow/relay/pools.py
+++ b/lagoonflow/relay/pools.py
@@ -8,6 +8,7 @@
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.clock import boottime_ms
 from lagoonflow.http1.client import ClientConnection, ConnectionPool
+from lagoonflow.http1.descriptors import Descriptors, NoDescriptorError
 from lagoonflow.http1.messages import ExchangeError
 from lagoonflow.relay.openings import (
     CONNECT_TIMEOUT_MS,
@@ -26,6 +27,7 @@
 
     :param is_memory_bounded: keep the kernel's buffers of the connections
         small.
+    :param descriptors: tells when connections are too many.
     :ivar connections: how many connections this router may have to a server.
     """
 
@@ -33,12 +35,14 @@
         self,
         fleet: Fleet,
         *,
-        is_memory_bounded: bool,
+        is_memory_bounded: bool = False,
+        descriptors: Descriptors | None = None,
     ) -> None:
         """Start without pools."""
         self.connections = ConnectionShares()
         self._fleet = fleet
         self._is_memory_bounded = is_memory_bounded
+        self._descriptors = descriptors
         self._pools: dict[str, ConnectionPool] = {}
         self._opening: dict[str, asyncio.Task[None]] = {}
         self._refused_ms: dict[str, float] = {}
@@ -52,10 +56,24 @@
                 server.address,
                 functools.partial(self.connections.share, server.service),
                 is_bounded=self._is_memory_bounded,
+                descriptors=self._descriptors,
             )
             self._pools[server.instance] = pool
         return pool
 
+    async def connect(
+        self, server: BackendServer, request_id: str, timeout_ms: float
+    ) -> ClientConnection | NotSent:
+        """Return an idle connection to a server, or open one.
+
+        :param timeout_ms: time that is left for the call, in ms.
+        """
+        pool = self.pool(server)
+        connection = pool.take_idle(request_id)
+        if connection is not None:
+            return connection
+        return await self._open_in_time(server, timeout_ms)
+
     def forget(self, instances: list[str]) -> None:
         """Close the idle connections to servers that were removed."""
         for instance in instances:
@@ -65,25 +83,6 @@
             if pool is not None:
                 pool.close()
 
-    async def open(
-        self, server: BackendServer, timeout_ms: float
-    ) -> ClientConnection | NotSent:
-        """Open a connection for a call.
-
-        :param timeout_ms: time that is left for the call, in ms.
-        """
-        try:
-            opened = await open_in_time(self.pool(server), timeout_ms)
-        except ExchangeError as error:
-            return NotSent(str(error))
-        if not isinstance(opened, Opening):
-            self._late.note_open(server.instance)
-            return opened
-        if not self._late.note_late(server.instance, boottime_ms()):
-            opened.close()
-            return NotSent('the server accepts no connection')
-        return NotSent('connection not established in time', opened)
-
     def prepare(self, server: BackendServer, request_id: str) -> bool:
         """Return whether a server is connected; open a connection if not.
 
@@ -104,6 +103,8 @@
     async def _open(self, instance: str, pool: ConnectionPool) -> None:
         try:
             await pool.open_idle(CONNECT_TIMEOUT_MS)
+        except NoDescriptorError:
+            self._refused_ms[instance] = boottime_ms()
         except ExchangeError:
             now_ms = boottime_ms()
             self._refused_ms[instance] = now_ms
@@ -112,3 +113,20 @@
             self._opening.pop(instance, None)
             if self._pools.get(instance) is not pool:
                 pool.close()
+
+    async def _open_in_time(
+        self, server: BackendServer, timeout_ms: float
+    ) -> ClientConnection | NotSent:
+        try:
+            opened = await open_in_time(self.pool(server), timeout_ms)
+        except NoDescriptorError as error:
+            return NotSent(str(error), is_servers_fault=False)
+        except ExchangeError as error:
+            return NotSent(str(error))
+        if not isinstance(opened, Opening):
+            self._late.note_open(server.instance)
+            return opened
+        if not self._late.note_late(server.instance, boottime_ms()):
+            opened.close()
+            return NotSent('the server accepts no connection')
+        return NotSent('connection not established in time', opened)
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import functools
 from collections.abc import Iterator
 
 import prometheus_client as prometheus
@@ -23,10 +22,8 @@
 )
 from lagoonflow.gossip.topic_messages import TopicAnswer, TopicQuery
 from lagoonflow.gossip.transport import GossipSocket
-from lagoonflow.http1.connection_ends import ConnectionEnd
-from lagoonflow.http1.request_bodies import RequestBodies, bodies_bound
+from lagoonflow.http1.descriptors import process_descriptors
 from lagoonflow.http1.request_reader import ServerLimits
-from lagoonflow.http1.server import HttpServer
 from lagoonflow.platform import headers as codec
 from lagoonflow.platform.settings import PlatformSettings
 from lagoonflow.platform.store import (
@@ -39,6 +36,7 @@
 from lagoonflow.relay.admission import Admission
 from lagoonflow.relay.call_log import CallLog
 from lagoonflow.relay.crash_monitor import CrashMonitor
+from lagoonflow.relay.pools import ServerPools
 from lagoonflow.relay.sending import Sender
 from lagoonflow.relay.serving import CallService
 from lagoonflow.resumption.decision import VersionRule
@@ -58,6 +56,10 @@
     build_configuration_feed,
 )
 from lagoonflow.wiring.platform_fleet import build_chooser, build_fleet
+from lagoonflow.wiring.platform_http import (
+    build_http_server,
+    export_unanswered_closes,
+)
 from lagoonflow.wiring.platform_limits import LimitPublisher
 from lagoonflow.wiring.platform_loads import InflightPublisher
 from lagoonflow.wiring.platform_members import RegistrationRemover
@@ -121,13 +123,18 @@
         self._origin_publisher = OriginPublisher(
             settings, self._members, origins, self._gossip
         )
+        descriptors = process_descriptors(settings.max_descriptors)
         self._sender = Sender(
             self._fleet,
             self._admission,
             codec,
             self._origin_publisher.announce,
             self._crash_monitor,
-            is_memory_bounded=settings.is_contended,
+            ServerPools(
+                self._fleet,
+                is_memory_bounded=settings.is_contended,
+                descriptors=descriptors,
+            ),
         )
         self._budgets = RetryBudgets(
             settings.retry_ratio,
@@ -150,12 +157,8 @@
             self._memory = build_memory(
                 self._view, self._fleet.held_bytes, self._registry
             )
-        self._http = HttpServer(
-            self._calls.handle,
-            self._calls.refuse_unreadable,
-            self._limits,
-            self._memory,
-            RequestBodies(bodies_bound(settings.memory_bytes)),
+        self._http = build_http_server(
+            settings, self._calls, self._limits, self._memory, descriptors
         )
         self._admin = AdminServer(self._registry, self._is_ready)
         self._store = StoreClient(settings.store_address)
@@ -205,7 +208,7 @@
         settings = self._settings
         platform_process.install_signal_handlers(self._stop)
         platform_process.measure_stalls(self._registry)
-        self._export_unanswered_closes()
+        export_unanswered_closes(self._http, self._registry)
         await self._listen()
         self._log.info('started', node=settings.node, zone=settings.zone)
         tasks = [
@@ -219,18 +222,6 @@
         await platform_process.remove_own_registration(self._store, settings)
         self._log.info('stopped')
 
-    def _export_unanswered_closes(self) -> None:
-        closes = prometheus.Gauge(
-            'lagoonflow_unanswered_closes',
-            'Connections that were closed with a request that got no answer.',
-            ['reason'],
-            registry=self._registry,
-        )
-        for end in ConnectionEnd:
-            closes.labels(end.value).set_function(
-                functools.partial(self._http.unanswered_by_end.get, end, 0)
-            )
-
     async def _listen(self) -> None:
         settings = self._settings
         port = settings.peer_port
