Send a server no more calls at once than the connections that it accepts

Callers saw: calls beyond `max_conns` of their server were sent, reset by it and answered 502, as they may have run. Connections in use were counted, but nobody asked for the count before a call was sent.

Now a server at which this router has as many calls as its service declares connections costs 50 ms, like one whose bounds are reached: another server is chosen, else the call waits within its target latency, else it is refused with 503 and has not run. No call is turned away that the server would have taken, as it resets connections beyond that number whoever opens them.

--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from lagoonflow.backends.candidates import pause_left_ms, usable_servers
+from lagoonflow.backends.connections import connection_wait_ms
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.backends.server_costs import (
@@ -323,9 +324,12 @@
         )
         body_bytes = len(requirements.call.body)
         room_wait_ms = self._fleet.held_bytes.wait_ms(
-            server.instance, body_bytes, now_ms
+            instance, body_bytes, now_ms
         )
-        return max(limit_wait_ms, room_wait_ms)
+        connection_wait = connection_wait_ms(
+            requirements.service, self._fleet.held_bytes.call_count(instance)
+        )
+        return max(limit_wait_ms, room_wait_ms, connection_wait)
 
     def _choose_runner(
         self,
--- a/lagoonflow/backends/connections.py
+++ b/lagoonflow/backends/connections.py
@@ -12,6 +12,19 @@
 
 # The agent's connection, and those that check whether a server has crashed.
 RESERVED_CONNECTIONS = 3
+# A server whose connections are all in use is looked at again after this, in ms.
+FULL_WAIT_MS = 50
+
+
+def connection_wait_ms(service: Service, calls: int) -> float:
+    """Return the time until a server may have a free connection, in ms.
+
+    Shares don't count here: other routers may leave theirs unused.
+
+    :param calls: calls of this router at the server, a connection each.
+    """
+    is_full = 0 < service.max_connections <= calls
+    return FULL_WAIT_MS if is_full else 0
 
 
 class ConnectionShares:
--- a/lagoonflow/backends/held_bytes.py
+++ b/lagoonflow/backends/held_bytes.py
@@ -112,6 +112,11 @@
             default=0,
         )
 
+    def call_count(self, instance: str) -> int:
+        """Return how many calls a server has, each from its choice on."""
+        requests = self._servers.get(instance)
+        return 0 if requests is None else len(requests.held)
+
     def wait_ms(self, instance: str, body_bytes: int, now_ms: float) -> float:
         """Return the time until a server has room for a request, in ms.
 
--- a/lagoonflow/relay/placing.py
+++ b/lagoonflow/relay/placing.py
@@ -339,14 +339,14 @@
 def _wait_for_room(
     admitted: AdmittedCall, attempts: Attempts, send: Send, now_ms: float
 ) -> _Wait | Refusal:
-    """Wait until a server holds fewer bytes of requests, or refuse."""
+    """Wait until a server has fewer requests of this router, or refuse."""
     left_ms = min(
         _target_left_ms(admitted, now_ms), _time_left_ms(admitted, now_ms)
     )
     if send.wait_ms > left_ms:
         return attempts.refuse(
             Result.NO_RUNNER,
-            'the servers hold as many bytes of requests as they may',
+            'the servers have as many requests, or bytes of them, as they may',
             math.ceil(send.wait_ms),
         )
     return _Wait(min(send.wait_ms, RECHECK_MS))
--- /dev/null
+++ b/tests/relay/test_connection_limits.py
@@ -0,0 +1,61 @@
+"""Servers get no more calls at once than connections that they accept."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from lagoonflow.declared.messages import Service
+from tests.relay.harness import (
+    SERVICE,
+    RelayHarness,
+    answer_with,
+    encode_request,
+    read_answer,
+    state,
+)
+
+LIMIT = 3
+
+
+class BoundedServer:
+    """Resets the connections beyond those that it accepts."""
+
+    def __init__(self, work_s: float) -> None:
+        self.active = 0
+        self._work_s = work_s
+
+    async def answer(self, writer, received):
+        if self.active == LIMIT:
+            writer.transport.abort()
+            return False
+        self.active += 1
+        await asyncio.sleep(self._work_s)
+        self.active -= 1
+        return await answer_with('200 OK', 'fine')(writer, received)
+
+
+@pytest.mark.parametrize(
+    ('servers', 'work_s', 'calls', 'refused'),
+    [(1, 0.03, 2 * LIMIT, 0), (2, 0.6, 2 * LIMIT, 0), (1, 0.6, LIMIT + 2, 2)],
+)
+async def test_calls_beyond_the_connections_of_a_server_do_not_break(
+    servers, work_s, calls, refused
+):
+    """They go to another server, or wait, or are refused without a send."""
+    harness = RelayHarness()
+    limited = {SERVICE: Service(SERVICE, LIMIT)}
+    harness.view.apply(state(2, services=limited))
+    backends = await harness.add_backends(
+        *(BoundedServer(work_s).answer for _ in range(servers))
+    )
+    await harness.http.listen('127.0.0.1:0')
+    opened = [await harness.open_connection() for _ in range(calls)]
+    for _, writer in opened:
+        writer.write(encode_request('/book/x'))
+    answers = await asyncio.gather(*(read_answer(one) for one, _ in opened))
+    statuses = Counter(status for status, _, _ in answers)
+    assert statuses == Counter({200: calls - refused, 503: refused})
+    assert sum(len(one.requests) for one in backends) == calls - refused
+    for _, writer in opened:
+        writer.close()
