--- a/lagoonflow/wiring/platform_http.py
+++ b/lagoonflow/wiring/platform_http.py
@@ -21,14 +21,15 @@
     limits: Callable[[], ServerLimits],
     memory: ProcessMemory | None,
     descriptors: Descriptors,
+    registry: prometheus.CollectorRegistry,
 ) -> HttpServer:
-    """Return the server that reads callers' requests.
+    """Return the server that reads callers' requests; export its metrics.
 
     :param limits: returns the limits on requests that are in force.
     :param memory: bounds the bytes that are held for callers; ``None`` for no
         bound.
     """
-    return HttpServer(
+    server = HttpServer(
         calls.handle,
         calls.refuse_unreadable,
         limits,
@@ -36,12 +37,13 @@
         RequestBodies(bodies_bound(settings.memory_bytes)),
         descriptors,
     )
+    _export_unanswered_closes(server, registry)
+    return server
 
 
-def export_unanswered_closes(
+def _export_unanswered_closes(
     server: HttpServer, registry: prometheus.CollectorRegistry
 ) -> None:
-    """Export how many connections were closed with an unanswered request."""
     closes = prometheus.Gauge(
         'lagoonflow_unanswered_closes',
         'Connections that were closed with a request that got no answer.',
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -56,10 +56,7 @@
     build_configuration_feed,
 )
 from lagoonflow.wiring.platform_fleet import build_chooser, build_fleet
-from lagoonflow.wiring.platform_http import (
-    build_http_server,
-    export_unanswered_closes,
-)
+from lagoonflow.wiring.platform_http import build_http_server
 from lagoonflow.wiring.platform_limits import LimitPublisher
 from lagoonflow.wiring.platform_loads import InflightPublisher
 from lagoonflow.wiring.platform_members import RegistrationRemover
@@ -158,7 +155,12 @@
                 self._view, self._fleet.held_bytes, self._registry
             )
         self._http = build_http_server(
-            settings, self._calls, self._limits, self._memory, descriptors
+            settings,
+            self._calls,
+            self._limits,
+            self._memory,
+            descriptors,
+            self._registry,
         )
         self._admin = AdminServer(self._registry, self._is_ready)
         self._store = StoreClient(settings.store_address)
@@ -208,7 +210,6 @@
         settings = self._settings
         platform_process.install_signal_handlers(self._stop)
         platform_process.measure_stalls(self._registry)
-        export_unanswered_closes(self._http, self._registry)
         await self._listen()
         self._log.info('started', node=settings.node, zone=settings.zone)
         tasks = [
