Answer calls whose wait is ended from inside

Cause: the HTTP server and the call service took each CancelledError and each ConnectionClosedError for the end of the caller's connection.

Now only the caller's own connection and the stop of the process end a call without an answer. A cancellation is the call's own if its task was cancelled (Task.cancelling; time limits take theirs back), and ConnectionClosedError names its channel. All else is logged with its traceback and answered: 502, or 500 while the request is read, without a claim that the call has not run; a cancelled attempt to connect counts as not sent, like a refused one, and gives 503. An answer that still waits for its caller is delivered, and an idle connection gets no bytes.

The expected status of a cancelled attempt to connect is 503 instead of 502, as nothing can have been sent.

--- a/lagoonflow/http1/channel.py
+++ b/lagoonflow/http1/channel.py
@@ -27,7 +27,15 @@
 
 
 class ConnectionClosedError(Exception):
-    """The connection was closed or reset, or the peer violated HTTP/1.1."""
+    """The connection was closed or reset, or the peer violated HTTP/1.1.
+
+    :ivar channel: the connection; ``None`` where it isn't known.
+    """
+
+    def __init__(self, reason: str, channel: 'Channel | None' = None) -> None:
+        """Create an error of a connection."""
+        super().__init__(reason)
+        self.channel = channel
 
 
 class Channel(asyncio.Protocol):
@@ -138,14 +146,16 @@
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError as error:
-                raise ConnectionClosedError(str(error)) from error
+                raise ConnectionClosedError(str(error), self) from error
             if event is not h11.NEED_DATA:
                 self._events_in_row += 1
                 if self._events_in_row % MAX_EVENTS_IN_ROW == 0:
                     await asyncio.sleep(0)
                 return event
             if self.has_peer_closed:
-                raise ConnectionClosedError('connection closed by the peer')
+                raise ConnectionClosedError(
+                    'connection closed by the peer', self
+                )
             await self.wait_for_bytes()
 
     async def wait_for_request(self) -> None:
@@ -155,7 +165,9 @@
         """
         while not self.http.trailing_data[0]:
             if self.has_peer_closed:
-                raise ConnectionClosedError('connection closed by the peer')
+                raise ConnectionClosedError(
+                    'connection closed by the peer', self
+                )
             await self.wait_for_bytes()
 
     async def send(self, *events: h11.Event) -> None:
@@ -173,7 +185,7 @@
         :raises ConnectionClosedError: when the connection is closed.
         """
         if not is_writable(self):
-            raise ConnectionClosedError('connection is closed')
+            raise ConnectionClosedError('connection is closed', self)
         parts = [self.http.send(event) or b'' for event in events]
         write_raw(self, b''.join(parts))
 
@@ -227,7 +239,7 @@
     :raises ConnectionClosedError: when the connection is closed.
     """
     if not is_writable(channel):
-        raise ConnectionClosedError('connection is closed')
+        raise ConnectionClosedError('connection is closed', channel)
     channel.written_bytes += len(payload)
     channel.transport.write(payload)
 
--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -16,6 +16,7 @@
     ConnectionClosedError,
     limit_kernel_buffers,
 )
+from lagoonflow.http1.connection_ends import is_cancelled
 from lagoonflow.http1.messages import (
     ExchangeError,
     ExchangeStage,
@@ -54,6 +55,9 @@
 # Longer numbers are cut off: Python refuses to convert very long ones.
 KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})')
 
+# Hosts and ports that can't be connected to raise the second and the third.
+_CONNECT_ERRORS = (OSError, ValueError, OverflowError, ConnectionClosedError)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WholeResponse:
@@ -353,8 +357,12 @@
         except TimeoutError as error:
             reason = 'connection not established in time'
             raise ExchangeError(ExchangeStage.CONNECTING, reason) from error
-        except (OSError, ValueError, OverflowError) as error:
-            # Hosts and ports that can't be connected to raise the latter two.
+        except asyncio.CancelledError as error:
+            if is_cancelled():
+                raise
+            reason = 'the attempt to connect was cancelled'
+            raise ExchangeError(ExchangeStage.CONNECTING, reason) from error
+        except _CONNECT_ERRORS as error:
             raise ExchangeError(ExchangeStage.CONNECTING, str(error)) from error
         _set_tcp_options(transport)
         if self._is_bounded:
--- a/lagoonflow/http1/connection_ends.py
+++ b/lagoonflow/http1/connection_ends.py
@@ -3,7 +3,7 @@
 import asyncio
 import enum
 
-from lagoonflow.http1.channel import Channel, is_writable
+from lagoonflow.http1.channel import Channel, ConnectionClosedError
 
 
 class ConnectionEnd(enum.StrEnum):
@@ -18,12 +18,20 @@
     OTHER_CONNECTION = 'another connection was closed'
     ERROR = 'an unexpected error'
 
+    @property
+    def is_from_inside(self) -> bool:
+        """Whether neither the caller nor the stop of the process is the cause."""
+        return self in {
+            ConnectionEnd.CANCELLED_INSIDE,
+            ConnectionEnd.OTHER_CONNECTION,
+        }
+
 
 def is_cancelled() -> bool:
     """Return whether the current task itself was cancelled.
 
     Otherwise a ``CancelledError`` is that of something that the task awaited.
-    Use it outside of time limits, which cancel the task as well.
+    Within a time limit that has ended it was cancelled, too.
     """
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
@@ -34,20 +42,20 @@
 
     :param is_idle: the task was cancelled to close an idle connection.
     """
-    if channel.has_peer_closed:
-        return ConnectionEnd.CALLER_CLOSED
     if not is_cancelled():
         return ConnectionEnd.CANCELLED_INSIDE
+    if channel.has_peer_closed:
+        return ConnectionEnd.CALLER_CLOSED
     return ConnectionEnd.IDLE if is_idle else ConnectionEnd.PROCESS_STOP
 
 
-def closed_end(channel: Channel, *, is_cut: bool) -> ConnectionEnd:
+def closed_end(
+    error: ConnectionClosedError, channel: Channel, *, is_cut: bool
+) -> ConnectionEnd:
     """Return why the task of a connection got a ``ConnectionClosedError``.
 
     :param is_cut: the caller was disconnected for taking nothing.
     """
-    if is_cut:
-        return ConnectionEnd.CALLER_CUT
-    if channel.has_peer_closed or not is_writable(channel):
-        return ConnectionEnd.CALLER_CLOSED
-    return ConnectionEnd.OTHER_CONNECTION
+    if error.channel is not channel:
+        return ConnectionEnd.OTHER_CONNECTION
+    return ConnectionEnd.CALLER_CUT if is_cut else ConnectionEnd.CALLER_CLOSED
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -23,6 +23,7 @@
     ConnectionEnd,
     cancellation_end,
     closed_end,
+    is_cancelled,
 )
 from lagoonflow.http1.connection_memory import (
     ConnectionMemory,
@@ -107,6 +108,17 @@
         """Whether sending the response has begun."""
         return self.started_at_ms is not None
 
+    def is_ended_by(
+        self, error: ConnectionClosedError | asyncio.CancelledError
+    ) -> bool:
+        """Return whether an error ends the caller's connection.
+
+        Otherwise it belongs to something that the call has waited for.
+        """
+        if isinstance(error, asyncio.CancelledError):
+            return is_cancelled()
+        return error.channel is self._channel
+
     @property
     def is_caller_cut(self) -> bool:
         """Whether the caller was disconnected for taking nothing."""
@@ -400,7 +412,10 @@
             self._end = ConnectionEnd.FINISHED
         except (ConnectionClosedError, asyncio.CancelledError) as error:
             self._end = self._end_by(error)
-            self._break_off()
+            if self._end.is_from_inside:
+                _LOG.exception('connection failed')
+            if not (self._end.is_from_inside and _is_complete(self._reply)):
+                self._break_off()
         finally:
             self._close()
 
@@ -425,7 +440,7 @@
 
     async def _linger(self) -> None:
         """Let the caller read an answer while it still sends."""
-        if self._reply is None or not self._reply.is_complete:
+        if not _is_complete(self._reply):
             return
         self._is_lingering = True
         with contextlib.suppress(TimeoutError):
@@ -482,14 +497,19 @@
             stalled_ms = 0 if has_taken else stalled_ms + TAKEN_CHECK_MS
             if stalled_ms >= self._get_limits().idle_timeout_ms:
                 self._has_stalled = True
-                raise ConnectionClosedError('the caller takes nothing')
+                raise ConnectionClosedError(
+                    'the caller takes nothing', self.channel
+                )
 
     async def _answer_next(self, reply: ResponseWriter) -> bool:
         """Answer the next request; return whether there was one."""
         try:
             return await self._read_and_answer(reply)
-        except ConnectionClosedError:
-            raise
+        except (ConnectionClosedError, asyncio.CancelledError) as error:
+            if not self._end_by(error).is_from_inside:
+                raise
+            _LOG.exception('request failed')
+            return self.is_busy or has_input(self.channel)
         except Exception:
             _LOG.exception('request failed')
             return True
@@ -515,14 +535,17 @@
         if self._memory is not None:
             self._memory.release()
 
-    def _end_by(self, error: BaseException) -> ConnectionEnd:
+    def _end_by(
+        self, error: ConnectionClosedError | asyncio.CancelledError
+    ) -> ConnectionEnd:
         """Return why the connection ends with an error."""
         if isinstance(error, asyncio.CancelledError):
             return cancellation_end(
                 self.channel, is_idle=self._is_closed_as_idle
             )
         is_cut = self._reply is not None and self._reply.is_caller_cut
-        return closed_end(self.channel, is_cut=is_cut or self._has_stalled)
+        is_cut = is_cut or self._has_stalled
+        return closed_end(error, self.channel, is_cut=is_cut)
 
     def _break_off(self) -> None:
         """Close the connection so that an unfinished response shows."""
@@ -532,6 +555,10 @@
             self.channel.abort()
 
 
+def _is_complete(reply: ResponseWriter | None) -> bool:
+    return reply is not None and reply.is_complete
+
+
 def _is_unanswered(channel: Channel, is_being_answered: bool) -> bool:
     """Return whether a connection ends with a request, while its caller waits.
 
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -100,14 +100,18 @@
         record = CallRecord(call, boottime_ms())
         try:
             await self._serve(record, reply)
-        except asyncio.CancelledError:
-            record.finish(_departure(reply))
-            raise
-        except ConnectionClosedError:
-            record.finish(_departure(reply))
+        except asyncio.CancelledError as error:
+            if reply.is_ended_by(error):
+                record.finish(_departure(reply))
+                raise
+            await self._fail(record, reply)
+        except ConnectionClosedError as error:
+            if reply.is_ended_by(error):
+                record.finish(_departure(reply))
+            else:
+                await self._fail(record, reply)
         except Exception:
-            self._log.exception('call failed', request=call.request_id)
-            await self._refuse(record, reply, _INTERNAL)
+            await self._fail(record, reply)
         finally:
             record.answer_at_ms = reply.started_at_ms
             self._call_log.write(record, boottime_ms(), self._view)
@@ -345,6 +349,11 @@
         )
         return None
 
+    async def _fail(self, record: CallRecord, reply: ResponseWriter) -> None:
+        """Answer a call that an unexpected error has ended."""
+        self._log.exception('call failed', request=record.call.request_id)
+        await self._refuse(record, reply, _INTERNAL)
+
     async def _refuse(
         self, record: CallRecord, reply: ResponseWriter, refusal: Refusal
     ) -> None:
--- a/tests/http1/test_connection_ends.py
+++ b/tests/http1/test_connection_ends.py
@@ -1,13 +1,12 @@
 """Reasons that are logged for connections that end without an answer."""
 
 import asyncio
-import types
 
 import h11
 import pytest
 import structlog.testing
 
-from lagoonflow.http1.channel import Channel
+from lagoonflow.http1.channel import Channel, ConnectionClosedError
 from lagoonflow.http1.connection_ends import (
     ConnectionEnd,
     cancellation_end,
@@ -34,20 +33,21 @@
 
 
 @pytest.mark.parametrize(
-    ('has_peer_closed', 'is_open', 'is_cut', 'by_cancellation', 'by_close'),
+    ('is_own', 'is_cut', 'end'),
     [
-        (False, True, False, 'CANCELLED_INSIDE', 'OTHER_CONNECTION'),
-        (True, True, False, 'CALLER_CLOSED', 'CALLER_CLOSED'),
-        (False, False, False, 'CANCELLED_INSIDE', 'CALLER_CLOSED'),
-        (False, False, True, 'CANCELLED_INSIDE', 'CALLER_CUT'),
+        (True, False, ConnectionEnd.CALLER_CLOSED),
+        (True, True, ConnectionEnd.CALLER_CUT),
+        (False, False, ConnectionEnd.OTHER_CONNECTION),
+        (False, True, ConnectionEnd.OTHER_CONNECTION),
     ],
 )
+@pytest.mark.parametrize('has_peer_closed', [False, True])
 async def test_ends_from_inside_are_told_from_those_of_the_caller(
-    has_peer_closed, is_open, is_cut, by_cancellation, by_close
+    has_peer_closed, is_own, is_cut, end
 ):
     channel = Channel(h11.SERVER, 100)
-    channel.transport = types.SimpleNamespace(is_closing=lambda: False)
-    channel.has_peer_closed, channel.is_open = has_peer_closed, is_open
-    end = cancellation_end(channel, is_idle=False)
-    assert end is ConnectionEnd[by_cancellation]
-    assert closed_end(channel, is_cut=is_cut) is ConnectionEnd[by_close]
+    channel.has_peer_closed = has_peer_closed
+    error = ConnectionClosedError('closed', channel if is_own else None)
+    assert closed_end(error, channel, is_cut=is_cut) is end
+    cancelled = cancellation_end(channel, is_idle=False)
+    assert cancelled is ConnectionEnd.CANCELLED_INSIDE
--- a/tests/relay/test_cancelled_waits.py
+++ b/tests/relay/test_cancelled_waits.py
@@ -79,7 +79,7 @@
     ),
     Wait('Admitter.admit', '/resume/x', headers=RESUME, is_sent=False),
     Wait('Placer.place', '/hot/x', headers=('Model: m1',), is_sent=False),
-    Wait('ConnectionPool.connect', is_sent=False),
+    Wait('ConnectionPool.connect', status=503, is_sent=False),
     Wait('ClientConnection.send', script=None, body=LARGE, memory=TOTAL_BYTES),
     Wait('ClientConnection.read_head'),
     Wait('ClientConnection.read_head', '/read/x'),
