Start a background task again whose wait was cancelled

A background task of a router or an agent (a reader of the store, the publishing of its state) that got a CancelledError from something that it awaited ended for good and without a log line, while the process went on with what it knew by then; other failures are logged and the task is started again. The task now ends only if it was cancelled itself. The test failed before: no second start within 2 s. It also cancels the task, which ends. is_cancelled moves to a module of its own.

--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from lagoonflow.cancellations import is_cancelled
 from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.http1.body_memory import MEMORY, reserve_part
 from lagoonflow.http1.channel import (
@@ -16,7 +17,6 @@
     ConnectionClosedError,
     limit_kernel_buffers,
 )
-from lagoonflow.http1.connection_ends import is_cancelled
 from lagoonflow.http1.messages import (
     ExchangeError,
     ExchangeStage,
--- a/lagoonflow/http1/connection_ends.py
+++ b/lagoonflow/http1/connection_ends.py
@@ -1,8 +1,8 @@
 """Why the connections of callers end."""
 
-import asyncio
 import enum
 
+from lagoonflow.cancellations import is_cancelled
 from lagoonflow.http1.channel import Channel, ConnectionClosedError
 
 
@@ -27,16 +27,6 @@
         }
 
 
-def is_cancelled() -> bool:
-    """Return whether the current task itself was cancelled.
-
-    Otherwise a ``CancelledError`` is that of something that the task awaited.
-    Within a time limit that has ended it was cancelled, too.
-    """
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 def cancellation_end(channel: Channel, *, is_idle: bool) -> ConnectionEnd:
     """Return why the task of a connection got a ``CancelledError``.
 
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -9,6 +9,7 @@
 import h11
 import structlog
 
+from lagoonflow.cancellations import is_cancelled
 from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.http1.channel import (
     Channel,
@@ -23,7 +24,6 @@
     ConnectionEnd,
     cancellation_end,
     closed_end,
-    is_cancelled,
 )
 from lagoonflow.http1.connection_memory import (
     ConnectionMemory,
--- a/lagoonflow/wiring/platform_process.py
+++ b/lagoonflow/wiring/platform_process.py
@@ -10,6 +10,7 @@
 import prometheus_client as prometheus
 import structlog
 
+from lagoonflow.cancellations import is_cancelled
 from lagoonflow.clock import MS_PER_S
 from lagoonflow.declared.records import StoreFailure
 from lagoonflow.platform.settings import PlatformSettings
@@ -85,7 +86,7 @@
 def supervise(start: StartTask) -> asyncio.Task[None]:
     """Run a coroutine as a task that is started again when it fails.
 
-    The other tasks go on meanwhile: a process that ends cuts all its callers
+    It also fails when something that it waits for is cancelled. The other tasks go on meanwhile: a process that ends cuts all its callers
     off.
 
     :param start: returns the coroutine; called for each start.
@@ -98,11 +99,13 @@
     while True:
         try:
             await start()
-        except Exception:
+        except (Exception, asyncio.CancelledError):
+            if is_cancelled():
+                raise
             log.exception('task failed', task=getattr(start, '__name__', ''))
-            await asyncio.sleep(RESTART_DELAY_MS / MS_PER_S)
         else:
             return
+        await asyncio.sleep(RESTART_DELAY_MS / MS_PER_S)
 
 
 def install_signal_handlers(stop: asyncio.Event) -> None:
--- a/tests/wiring/test_platform_feeds.py
+++ b/tests/wiring/test_platform_feeds.py
@@ -93,3 +93,24 @@
     async with asyncio.timeout(2):
         await platform_process.supervise(run)
     assert len(starts) == 3
+
+
+async def test_a_task_whose_wait_was_cancelled_from_inside_is_started_again(
+    monkeypatch,
+):
+    monkeypatch.setattr(platform_process, 'RESTART_DELAY_MS', 1)
+    waits = []
+
+    async def run():
+        waits.append(asyncio.get_running_loop().create_future())
+        await waits[-1]
+
+    task = platform_process.supervise(run)
+    async with asyncio.timeout(2):
+        while len(waits) < 3:
+            await asyncio.sleep(0)
+            for wait in waits:
+                wait.cancel()
+        task.cancel()
+        await asyncio.wait([task])
+    assert task.cancelled()
