Go on with a stop when the opening of a connection was cancelled

A router that stops accepts the connections that the kernel still holds. If the opening of one of them had been cancelled, looking at its exception raised CancelledError out of the stop: the process would have ended at once, with all calls in flight unanswered. It is now logged like an opening that failed. The test failed with CancelledError before.

--- a/lagoonflow/http1/listening.py
+++ b/lagoonflow/http1/listening.py
@@ -82,7 +82,9 @@
     for opening in late:
         opening.cancel()
     for opening in done:
-        if opening.exception() is not None:
+        if opening.cancelled():
+            _LOG.warning('connection not opened', why='cancelled')
+        elif opening.exception() is not None:
             _LOG.warning('connection not opened', why=repr(opening.exception()))
 
 
--- a/tests/http1/test_listening.py
+++ b/tests/http1/test_listening.py
@@ -39,6 +39,20 @@
     assert not server.is_serving()
 
 
+async def test_a_cancelled_opening_of_a_connection_does_not_fail_the_stop(
+    monkeypatch,
+):
+    async def cancelled(*_args, **_options):
+        raise asyncio.CancelledError
+
+    server, listener = await open_listener(asyncio.Protocol)
+    loop = asyncio.get_running_loop()
+    monkeypatch.setattr(loop, 'connect_accepted_socket', cancelled)
+    with socket.create_connection(listener.getsockname()):
+        await listening.stop_listening(server, listener, asyncio.Protocol)
+    assert not server.is_serving()
+
+
 def connect(address, outcomes):
     try:
         with socket.create_connection(address, timeout=5) as client:
