--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from lagoonflow.cancellations import is_cancelled
 from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.http1.arrived_input import ArrivedInput
 from lagoonflow.http1.body_memory import MEMORY, reserve_part
@@ -62,6 +63,9 @@
 # Longer numbers are cut off: Python refuses to convert very long ones.
 KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})')
 
+# Hosts and ports that can't be connected to raise the second and the third.
+_CONNECT_ERRORS = (OSError, ValueError, OverflowError, ConnectionClosedError)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WholeResponse:
@@ -375,6 +379,11 @@
         except TimeoutError as error:
             reason = 'connection not established in time'
             raise ExchangeError(ExchangeStage.CONNECTING, reason) from error
+        except asyncio.CancelledError as error:
+            if is_cancelled():
+                raise
+            reason = 'the attempt to connect was cancelled'
+            raise ExchangeError(ExchangeStage.CONNECTING, reason) from error
         _set_tcp_options(transport)
         if self._is_bounded:
             limit_kernel_buffers(transport)
@@ -448,8 +457,7 @@
             return await loop.create_connection(
                 _client_channel, host, int(port)
             )
-        except (OSError, ValueError, OverflowError) as error:
-            # Hosts and ports that can't be connected to raise the latter two.
+        except _CONNECT_ERRORS as error:
             if getattr(error, 'errno', None) in NO_DESCRIPTOR:
                 raise NoDescriptorError from error
             raise ExchangeError(ExchangeStage.CONNECTING, str(error)) from error
