--- a/lagoonflow/wiring/platform_process.py
+++ b/lagoonflow/wiring/platform_process.py
@@ -99,8 +99,8 @@
     while True:
         try:
             await start()
-        except (Exception, asyncio.CancelledError):
-            if is_cancelled():
+        except (Exception, asyncio.CancelledError) as error:
+            if isinstance(error, asyncio.CancelledError) and is_cancelled():
                 raise
             log.exception('task failed', task=getattr(start, '__name__', ''))
         else:
