Log background tasks whose wait was cancelled

The background tasks of the programs that follow streams ended without a log line when something that they waited for was cancelled; other failures are logged. A task that is stopped leaves none. grpclib cancels the task that waits on a closed stream without taking it back, so after that such an end still leaves no line.

--- a/lagoonflow/wiring/background.py
+++ b/lagoonflow/wiring/background.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Coroutine
 
+from lagoonflow.cancellations import is_cancelled
 from lagoonflow.telemetry.logs import get_logger
 
 
@@ -16,6 +17,8 @@
     def start(self, name: str, coroutine: Coroutine[None, None, None]) -> None:
         """Run a coroutine as a task; an exception of it is logged.
 
+        So is the cancellation of something that it waits for.
+
         :param name: name of the task in the log.
         """
         self._tasks.append(asyncio.create_task(_log_failure(name, coroutine)))
@@ -33,7 +36,9 @@
 ) -> None:
     try:
         await coroutine
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
+        if isinstance(error, asyncio.CancelledError) and is_cancelled():
+            raise
         get_logger('program').error(
             'Background task failed.',
             task=name,
