Search idle connections rarely while descriptors are short

A connection counts as resting from the end of its last answer, not from the arrival of the request.

--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import operator
 import socket
 from collections.abc import Awaitable, Callable
 from math import inf
@@ -26,6 +25,7 @@
     ProcessMemory,
 )
 from lagoonflow.http1.descriptors import Descriptors
+from lagoonflow.http1.idle_connections import IdleConnections
 from lagoonflow.http1.listening import LAST_REQUESTS_MS, stop_listening
 from lagoonflow.http1.messages import (
     LENGTH_HEADER,
@@ -52,9 +52,6 @@
 # A connection that is closed after an answer stays open as long as its caller goes
 # on sending with pauses shorter than this, in ms.
 LINGER_MS = 500
-# A connection that has rested for less time is kept also when descriptors are
-# short, as its next request may be on its way, in ms.
-MIN_REST_MS = 300
 CLOSE_HEADER = ((b'connection', b'close'),)
 NO_CONTENT_STATUS = 204
 PLAIN_ERROR = (
@@ -271,8 +268,9 @@
         self._server: Acceptor | None = None
         self._listener: socket.socket | None = None
         self._connections: set[_CallerConnection] = set()
+        self._idle = IdleConnections(self._connections)
         self._descriptors = descriptors or Descriptors()
-        self._descriptors.close_idle = self.close_longest_idle
+        self._descriptors.close_idle = self._idle.close_one
 
     async def listen(self, address: str) -> None:
         """Bind an ``IP:port``.
@@ -286,7 +284,7 @@
         self._server = Acceptor(
             self._listener,
             self._admit,
-            self.close_longest_idle,
+            self._idle.close_one,
             self._descriptors.must_pause_accepting,
         )
         self._server.start()
@@ -350,20 +348,9 @@
             silent_ms=int(boottime_ms() - channel.received_at_ms),
         )
 
-    def close_longest_idle(self) -> bool:
-        """Close the connection whose caller rests longest, if any rests."""
-        rests = [(one.rests_since_ms(), one) for one in self._connections]
-        since_ms, oldest = min(
-            rests, key=operator.itemgetter(0), default=(inf, None)
-        )
-        if oldest is None or since_ms > boottime_ms() - MIN_REST_MS:
-            return False
-        oldest.close_if_idle()
-        return True
-
     def _admit(self, accepted: socket.socket) -> Channel:
         is_short = self._descriptors.is_beyond_callers(accepted.fileno())
-        is_surplus = is_short and not self.close_longest_idle()
+        is_surplus = is_short and not self._idle.close_one()
         return self._accept(is_surplus=is_surplus)
 
     def _accept(self, *, is_surplus: bool = False) -> Channel:
@@ -387,7 +374,8 @@
         *,
         is_surplus: bool,
     ) -> None:
-        self._opened_at_ms = boottime_ms()
+        # When it was opened, or the last answer ended.
+        self._unused_since_ms = boottime_ms()
         # Its request is refused, as it is one too many.
         self._is_surplus = is_surplus
         self._is_closing = False
@@ -428,16 +416,18 @@
             self._close()
 
     def rests_since_ms(self) -> float:
-        """Return the boot time since which it is idle; infinite if it isn't."""
-        is_in_use = self.is_busy or self._is_lingering or self._is_closing
-        if is_in_use or has_input(self.channel):
+        """Return the boot time since which it rests; infinite if it doesn't."""
+        if self.is_busy or self._is_lingering or self._is_closing:
             return inf
-        return max(self._opened_at_ms, self.channel.received_at_ms)
+        return self._unused_since_ms
 
-    def close_if_idle(self) -> None:
-        if self.rests_since_ms() < inf:
-            self._is_closing = True
-            self.cancel()
+    def close_if_idle(self) -> bool:
+        """Close it unless its caller has sent something; return whether."""
+        if self.rests_since_ms() == inf or has_input(self.channel):
+            return False
+        self._is_closing = True
+        self.cancel()
+        return True
 
     def stop_reading(self) -> None:
         """Refuse a request that is still being read."""
@@ -451,6 +441,7 @@
     async def _serve_requests(self) -> None:
         while await self._serve_one():
             self.channel.http.start_next_cycle()
+            self._unused_since_ms = boottime_ms()
 
     async def _linger(self) -> None:
         """Let the caller read an answer while it still sends."""
