Count descriptors by their numbers only where numbers are used again

A guard, not a fault that was seen: where a new descriptor isn't the lowest free one, callers would be refused for good once numbers are high. The process checks this at its start and else relies on failed accepts.

--- a/lagoonflow/http1/descriptors.py
+++ b/lagoonflow/http1/descriptors.py
@@ -5,8 +5,11 @@
 from collections.abc import Callable
 from math import inf
 
+import structlog
+
 from lagoonflow.http1.messages import ExchangeError, ExchangeStage
 
+_LOG = structlog.get_logger(part='http')
 # Descriptors that are left to the metadata store, to checks and to files at most.
 MAX_RESERVE = 300
 # Share of the descriptors that is left to them where there are few.
@@ -80,10 +83,18 @@
 
 
 def process_descriptors(stated: int = 0) -> Descriptors:
-    """Return the descriptors of this process.
+    """Return the descriptors of this process, which has hardly begun.
+
+    They are unbounded where numbers don't tell how many are in use; accepting
+    then pauses when the kernel has none left.
 
     :param stated: limit that the settings state; 0 if they don't.
     """
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     limit = inf if soft == resource.RLIM_INFINITY else soft
-    return Descriptors(min(limit, stated) if stated else limit)
+    descriptors = Descriptors(min(limit, stated) if stated else limit)
+    number = lowest_free()
+    if number == lowest_free() and not descriptors.is_beyond_callers(number):
+        return descriptors
+    _LOG.warning('descriptors not counted', number=number, limit=limit)
+    return Descriptors()
