Answer callers that have closed only their sending side

What callers saw: a caller that sent whole requests and then closed its sending side got neither an answer nor a refusal: not a 404 or 401 that is known at once, no answer to requests that it had sent ahead, and only the start of an answer that was complete but still being delivered.

Cause: the server took the end of the received bytes for the end of the caller, cancelled the task of the connection and aborted it, dropping what the caller had not taken. A caller that has left looks the same until something is sent to it.

Change: the end of the sending side stops the work as before: a send is cancelled, a wait for a load ends, and nothing more is sent to a server. The connection stays open for what is known. Requests that have arrived are read and answered in order where that takes no wait; others are refused as not run. A call in progress is refused, with 503 and Retry-After only if no send may have run it, else with 502. A complete answer is delivered, within the limits on callers that take nothing. An answer that had begun is still cut so that it doesn't look complete, and a request that isn't whole is still dropped without an answer. The last answer announces that the connection closes. A caller that is gone answers with a reset, which ends the task.

The outcome in logs and metrics stays "caller left"; the log line has the status of the refusal where one was sent. The channel reports the end of the connection also after the end of the sending side, so that no later request of a caller that is gone is served.

--- a/lagoonflow/http1/channel.py
+++ b/lagoonflow/http1/channel.py
@@ -35,7 +35,7 @@
 
     :param role: ``h11.SERVER`` or ``h11.CLIENT``.
     :param max_head_bytes: longest accepted message head, in bytes.
-    :param on_peer_closed: called once, when the peer stops sending or the
+    :param on_peer_closed: called when the peer stops sending, and when the
         connection has ended, even if this side closed it.
     :param is_bounded: keep the kernel's buffers of the connection small, and
         treat it as full while any written byte is left.
@@ -102,7 +102,9 @@
 
     def eof_received(self) -> bool:
         """Record that the peer sends no more; the transport stays open."""
-        if not self.is_discarding:
+        # Responses may end with the connection; a request that isn't whole by
+        # then is cut, not malformed.
+        if self.http.our_role is h11.CLIENT and not self.is_discarding:
             self.http.receive_data(b'')
         self._mark_peer_closed()
         return True
@@ -208,8 +210,6 @@
             self._bytes_arrived = None
 
     def _mark_peer_closed(self) -> None:
-        if self.has_peer_closed:
-            return
         self.has_peer_closed = True
         _resolve(self._bytes_arrived)
         if self.on_peer_closed is not None:
@@ -240,7 +240,7 @@
 
     :param max_pause_ms: return when nothing arrives for so long, in ms.
     """
-    if not is_writable(channel):
+    if channel.has_peer_closed or not is_writable(channel):
         return
     channel.is_discarding = True
     channel.on_peer_closed = None
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -15,6 +16,7 @@
     arrives_in_time,
     discard_until_closed,
     has_input,
+    is_writable,
     unsent_bytes,
     write_raw,
 )
@@ -22,6 +24,7 @@
     ConnectionMemory,
     ProcessMemory,
 )
+from lagoonflow.http1.handler_run import HandlerRun
 from lagoonflow.http1.listening import LAST_REQUESTS_MS, stop_listening
 from lagoonflow.http1.messages import (
     LENGTH_HEADER,
@@ -56,6 +59,15 @@
 )
 
 
+class CallerState(enum.Enum):
+    """What is known of a caller's side of its connection."""
+
+    CONNECTED = 'sends and reads'
+    # Looks the same for a caller that still reads and for one that has left.
+    HALF_CLOSED = 'sends no more'
+    GONE = 'the connection has ended'
+
+
 class ResponseWriter:
     """Writes the response to one request.
 
@@ -101,6 +113,15 @@
         """Whether sending the response has begun."""
         return self.started_at_ms is not None
 
+    @property
+    def caller_state(self) -> CallerState:
+        """What is known of the caller's side of the connection."""
+        if not is_writable(self._channel):
+            return CallerState.GONE
+        if self._channel.has_peer_closed:
+            return CallerState.HALF_CLOSED
+        return CallerState.CONNECTED
+
     @property
     def is_caller_cut(self) -> bool:
         """Whether the caller was disconnected for taking nothing."""
@@ -228,8 +249,9 @@
 class HttpServer:
     """Accepts connections and runs a handler for each request.
 
-    :param handler: answers a request; cancelled when the caller closes the
-        connection.
+    :param handler: answers a request; cancelled when the caller sends no more,
+        as that is all that shows of one that has left. It may then still send
+        a whole response, for a caller that has closed only its sending side.
     :param refuse: answers a request that is malformed or breaks a limit.
     :param limits: returns the limits in force.
     :param memory: bounds the bytes that are held for callers; without it
@@ -353,12 +375,13 @@
         # The connection ends after a request that could not be read.
         self._is_refused = False
         self._reply: ResponseWriter | None = None
+        self._handler_run = HandlerRun()
         self._server = server
         self._get_limits = get_limits
         self.channel = Channel(
             h11.SERVER,
             get_limits().head_bytes,
-            self.cancel,
+            self._note_peer_closed,
             is_bounded=server.memory is not None,
         )
         self._memory: ConnectionMemory | None = None
@@ -398,6 +421,17 @@
         if self.task is not None:
             self.task.cancel()
 
+    def _note_peer_closed(self) -> None:
+        """Stop the work for a caller that has left or sends no more.
+
+        Requests that have arrived are still read, and an answer that is
+        complete is still delivered.
+        """
+        if self.channel.is_open:
+            self._handler_run.stop()
+        else:
+            self.cancel()
+
     async def _serve_requests(self) -> None:
         while await self._serve_one():
             self.channel.http.start_next_cycle()
@@ -437,7 +471,11 @@
     def _new_reply(self) -> ResponseWriter:
         self._reply = ResponseWriter(
             self.channel,
-            closes=lambda: self._is_refused or self._server.is_stopping,
+            closes=lambda: (
+                self._is_refused
+                or self._server.is_stopping
+                or _is_last_request(self.channel)
+            ),
             method=lambda: self._reader.method,
             memory=self._memory,
         )
@@ -481,7 +519,11 @@
             return True
         if request is None:
             return False
-        await self._server.handle(request, reply)
+        await self._handler_run.run(
+            self._server.handle(request, reply),
+            lambda: reply.is_complete,
+            may_wait=not self.channel.has_peer_closed,
+        )
         return True
 
     def _close(self) -> None:
@@ -501,6 +543,11 @@
             self.channel.abort()
 
 
+def _is_last_request(channel: Channel) -> bool:
+    """Return whether no more follows the request that was read."""
+    return channel.has_peer_closed and not channel.http.trailing_data[0]
+
+
 def _is_unanswered(channel: Channel, is_being_answered: bool) -> bool:
     """Return whether a connection ends with a request, while its caller waits.
 
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -11,7 +11,11 @@
 from lagoonflow.clock import boottime_ms
 from lagoonflow.declared.view import DeclaredView
 from lagoonflow.http1.channel import ConnectionClosedError
-from lagoonflow.http1.server import CallerRequest, ResponseWriter
+from lagoonflow.http1.server import (
+    CallerRequest,
+    CallerState,
+    ResponseWriter,
+)
 from lagoonflow.relay.admission import Admission, AdmittedCall
 from lagoonflow.relay.admitting import Admitter
 from lagoonflow.relay.attempts import BUSY_RETRY_MS, Attempts
@@ -98,10 +102,11 @@
         """Serve one request of a caller and log its outcome."""
         call = self._codec.decode_call(request.head, request.body)
         record = CallRecord(call, boottime_ms())
+        attempts = Attempts()
         try:
-            await self._serve(record, reply)
+            await self._serve(record, attempts, reply)
         except asyncio.CancelledError:
-            record.finish(_departure(reply))
+            await self._end_departed(record, attempts, reply)
             raise
         except ConnectionClosedError:
             record.finish(_departure(reply))
@@ -141,19 +146,25 @@
         self._deadlines.finish_by(stop_at_ms)
         self.placer.fleet_changed.notify()
 
-    async def _serve(self, record: CallRecord, reply: ResponseWriter) -> None:
+    async def _serve(
+        self, record: CallRecord, attempts: Attempts, reply: ResponseWriter
+    ) -> None:
         now_ms = boottime_ms()
         admitted = await self._admitter.admit(record.call, now_ms)
         if isinstance(admitted, Refusal):
             await self._refuse(record, reply, admitted)
             return
         record.admitted = admitted
+        if reply.caller_state is not CallerState.CONNECTED:
+            self._admission.refund(admitted)
+            await self._end_departed(record, attempts, reply)
+            return
         record.software_version = admitted.software_version
         self._deadlines.bound(admitted)
         self._budgets.budget_for(admitted.service.name).count_request(now_ms)
         if admitted.call.model:
             self._fleet.demand.count(admitted.call, now_ms)
-        attempts = Attempts(software_version=admitted.software_version)
+        attempts.software_version = admitted.software_version
         try:
             refusal = await self._serve_before_deadline(
                 record, admitted, attempts, reply
@@ -345,6 +356,23 @@
         )
         return None
 
+    async def _end_departed(
+        self, record: CallRecord, attempts: Attempts, reply: ResponseWriter
+    ) -> None:
+        """End a call whose caller has left, or has closed its sending side.
+
+        The two look the same until something is sent, so the call is refused.
+        """
+        may_read = reply.caller_state is CallerState.HALF_CLOSED
+        if may_read and not reply.has_started:
+            refusal = attempts.refuse(
+                Result.CALLER_GONE,
+                'the caller closed its sending side before the answer',
+                BUSY_RETRY_MS,
+            )
+            await self._refuse(record, reply, refusal)
+        record.finish(_departure(reply))
+
     async def _refuse(
         self, record: CallRecord, reply: ResponseWriter, refusal: Refusal
     ) -> None:
--- a/lagoonflow/results_text.py
+++ b/lagoonflow/results_text.py
@@ -150,8 +150,9 @@
         'Send the request again.',
     ),
     Result.CALLER_GONE: Explanation(
-        'The caller closed its connection before the answer ended.',
-        'Nothing, unless callers give up too early.',
+        'The caller closed its connection or its sending side before the answer'
+        ' ended.',
+        'Keep both sides of the connection open until the answer has ended.',
     ),
     Result.INTERNAL: Explanation(
         'An internal error occurred.',
