--- a/lagoonflow/http1/connection_ends.py
+++ b/lagoonflow/http1/connection_ends.py
@@ -1,9 +1,17 @@
 """Why the connections of callers end."""
 
+import asyncio
 import enum
 
 from lagoonflow.cancellations import is_cancelled
-from lagoonflow.http1.channel import Channel, ConnectionClosedError
+from lagoonflow.http1.channel import (
+    Channel,
+    ConnectionClosedError,
+    is_writable,
+)
+
+# Errors that end what a call waits for: its own connection, or something else.
+WAIT_ENDED_ERRORS = (asyncio.CancelledError, ConnectionClosedError)
 
 
 class ConnectionEnd(enum.StrEnum):
@@ -27,6 +35,24 @@
         }
 
 
+class CallerState(enum.Enum):
+    """What is known of a caller's side of its connection."""
+
+    CONNECTED = 'sends and reads'
+    # Looks the same for a caller that still reads and for one that has left.
+    HALF_CLOSED = 'sends no more'
+    GONE = 'the connection has ended'
+
+
+def caller_state(channel: Channel) -> CallerState:
+    """Return what is known of the caller's side of a connection."""
+    if not is_writable(channel):
+        return CallerState.GONE
+    if channel.has_peer_closed:
+        return CallerState.HALF_CLOSED
+    return CallerState.CONNECTED
+
+
 def cancellation_end(channel: Channel, *, is_idle: bool) -> ConnectionEnd:
     """Return why the task of a connection got a ``CancelledError``.
 
@@ -49,3 +75,15 @@
     if error.channel is not channel:
         return ConnectionEnd.OTHER_CONNECTION
     return ConnectionEnd.CALLER_CUT if is_cut else ConnectionEnd.CALLER_CLOSED
+
+
+def ends_connection(
+    error: ConnectionClosedError | asyncio.CancelledError, channel: Channel
+) -> bool:
+    """Return whether an error in a call ends its caller's connection.
+
+    Otherwise it belongs to something that the call has waited for.
+    """
+    if isinstance(error, asyncio.CancelledError):
+        return is_cancelled()
+    return error.channel is channel
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -10,7 +10,6 @@
 import h11
 import structlog
 
-from lagoonflow.cancellations import is_cancelled
 from lagoonflow.clock import MS_PER_S, boottime_ms
 from lagoonflow.http1.accepting import Acceptor
 from lagoonflow.http1.channel import (
@@ -32,6 +31,7 @@
     ProcessMemory,
 )
 from lagoonflow.http1.descriptors import Descriptors
+from lagoonflow.http1.handler_run import HandlerRun, HandlerStoppedError
 from lagoonflow.http1.idle_connections import IdleConnections
 from lagoonflow.http1.listening import LAST_REQUESTS_MS, stop_listening
 from lagoonflow.http1.messages import (
@@ -74,6 +74,7 @@
     Methods raise ``ConnectionClosedError`` after the connection is closed.
     Bodies are left out of responses that have none by the protocol.
 
+    :ivar channel: connection of the caller.
     :ivar started_at_ms: boot time at which a part of it was first sent.
     :ivar announces_close: whether the head says that the connection is closed
         after the response.
@@ -103,7 +104,7 @@
         self.is_complete = False
         self.ends_with_connection = False
         self.announces_close = False
-        self._channel = channel
+        self.channel = channel
         self._closes = closes
         self._method = method
         self._omits_body = False
@@ -113,17 +114,6 @@
         """Whether sending the response has begun."""
         return self.started_at_ms is not None
 
-    def is_ended_by(
-        self, error: ConnectionClosedError | asyncio.CancelledError
-    ) -> bool:
-        """Return whether an error ends the caller's connection.
-
-        Otherwise it belongs to something that the call has waited for.
-        """
-        if isinstance(error, asyncio.CancelledError):
-            return is_cancelled()
-        return error.channel is self._channel
-
     @property
     def is_caller_cut(self) -> bool:
         """Whether the caller was disconnected for taking nothing."""
@@ -203,7 +193,7 @@
         It replaces a response that can't be encoded, before any part of one
         was sent; the connection must be closed after it.
         """
-        write_raw(self._channel, PLAIN_ERROR)
+        write_raw(self.channel, PLAIN_ERROR)
         self.started_at_ms = boottime_ms()
         self.is_complete = True
 
@@ -211,10 +201,10 @@
         self._write(*events)
         if self._memory is None:
             # Waits for room in the write buffer.
-            await self._channel.send()
+            await self.channel.send()
 
     def _write(self, *events: h11.Event) -> None:
-        self._channel.write(*events)
+        self.channel.write(*events)
         if self.started_at_ms is None:
             self.started_at_ms = boottime_ms()
         if self._memory is not None:
@@ -222,7 +212,7 @@
 
     def _omit_framing(self) -> None:
         # h11 leaves out the framing only for callers that speak HTTP/1.0.
-        self._channel.http.their_http_version = b'1.0'
+        self.channel.http.their_http_version = b'1.0'
 
     def _leaves_out_body(self, status: int) -> bool:
         return self._method() == b'HEAD' or status in STATUSES_WITHOUT_BODY
@@ -235,7 +225,7 @@
             headers = tuple(remove_headers(headers, LENGTH_HEADER))
         has_length = find_header(headers, b'content-length') is not None
         is_end_marked = has_length or self._omits_body
-        version = self._channel.http.their_http_version or b''
+        version = self.channel.http.their_http_version or b''
         self.ends_with_connection = not is_end_marked and version < b'1.1'
         self.announces_close = self._closes()
         extra = CLOSE_HEADER if self.announces_close else ()
@@ -251,8 +241,9 @@
 class HttpServer:
     """Accepts connections and runs a handler for each request.
 
-    :param handler: answers a request; cancelled when the caller closes the
-        connection.
+    :param handler: answers a request; cancelled when the caller sends no more,
+        as that is all that shows of one that has left. It may then still send
+        a whole response, for a caller that has closed only its sending side.
     :param refuse: answers a request that is malformed or breaks a limit.
     :param limits: returns the limits in force.
     :param memory: bounds the bytes that are held for callers; without it
@@ -413,12 +404,13 @@
         # The connection ends after a request that could not be read.
         self._is_refused = False
         self._reply: ResponseWriter | None = None
+        self._handler_run = HandlerRun()
         self._server = server
         self._get_limits = get_limits
         self.channel = Channel(
             h11.SERVER,
             get_limits().head_bytes,
-            self.cancel,
+            self._note_peer_closed,
             is_bounded=server.memory is not None,
         )
         self._memory: ConnectionMemory | None = None
@@ -447,7 +439,7 @@
             if self._end.is_from_inside:
                 _LOG.exception('connection failed')
             if not (self._end.is_from_inside and _is_complete(self._reply)):
-                self._break_off()
+                _break_off(self.channel, self._reply)
         finally:
             self._close()
 
@@ -474,6 +466,17 @@
         if self.task is not None:
             self.task.cancel()
 
+    def _note_peer_closed(self) -> None:
+        """Stop the work for a caller that has left or sends no more.
+
+        Requests that have arrived are still read, and an answer that is
+        complete is still delivered.
+        """
+        if self.channel.is_open:
+            self._handler_run.stop()
+        else:
+            self.cancel()
+
     async def _linger(self) -> None:
         """Let the caller read an answer while it still sends."""
         if not _is_complete(self._reply):
@@ -493,7 +496,7 @@
         self._reader.held_body.release()
         await self._wait_until_taken()
         if not reply.is_complete:
-            self._break_off()
+            _break_off(self.channel, self._reply)
             return False
         self._reader.is_busy = False
         http = self.channel.http
@@ -509,7 +512,11 @@
     def _new_reply(self) -> ResponseWriter:
         self._reply = ResponseWriter(
             self.channel,
-            closes=lambda: self._is_refused or self._server.is_stopping,
+            closes=lambda: (
+                self._is_refused
+                or self._server.is_stopping
+                or _is_last_request(self.channel)
+            ),
             method=lambda: self._reader.method,
             memory=self._memory,
         )
@@ -564,7 +571,15 @@
             reason = 'the router has no descriptors left'
             await self._server.refuse(reply, UNAVAILABLE_STATUS, reason)
             return True
-        await self._server.handle(request, reply)
+        try:
+            await self._handler_run.run(
+                self._server.handle(request, reply),
+                lambda: reply.is_complete,
+                may_wait=not self.channel.has_peer_closed,
+            )
+        except HandlerStoppedError as error:
+            reason = 'the caller sends no more'
+            raise ConnectionClosedError(reason, self.channel) from error
         return True
 
     def _close(self) -> None:
@@ -588,18 +603,24 @@
         is_cut = is_cut or self._has_stalled
         return closed_end(error, self.channel, is_cut=is_cut)
 
-    def _break_off(self) -> None:
-        """Close the connection so that an unfinished response shows."""
-        if self._reply is not None and self._reply.ends_with_connection:
-            self.channel.reset()
-        else:
-            self.channel.abort()
+
+def _break_off(channel: Channel, reply: ResponseWriter | None) -> None:
+    """Close a connection so that an unfinished response shows."""
+    if reply is not None and reply.ends_with_connection:
+        channel.reset()
+    else:
+        channel.abort()
 
 
 def _is_complete(reply: ResponseWriter | None) -> bool:
     return reply is not None and reply.is_complete
 
 
+def _is_last_request(channel: Channel) -> bool:
+    """Return whether no more follows the request that was read."""
+    return channel.has_peer_closed and not channel.http.trailing_data[0]
+
+
 def _is_unanswered(channel: Channel, is_being_answered: bool) -> bool:
     """Return whether a connection ends with a request, while its caller waits.
 
--- a/lagoonflow/relay/openings.py
+++ b/lagoonflow/relay/openings.py
@@ -4,8 +4,10 @@
 
 import structlog
 
+from lagoonflow.cancellations import is_cancelled
 from lagoonflow.http1.client import ClientConnection, ConnectionPool
-from lagoonflow.http1.messages import ExchangeError
+from lagoonflow.http1.connection_ends import WAIT_ENDED_ERRORS
+from lagoonflow.http1.messages import ExchangeError, ExchangeStage
 from lagoonflow.time_limits import time_limit
 
 # A connection must open within this time; a host on the same network accepts
@@ -89,6 +91,9 @@
             return await asyncio.shield(task)
     except TimeoutError:
         return Opening(pool, task)
-    except asyncio.CancelledError:
+    except WAIT_ENDED_ERRORS as error:
         Opening(pool, task).close()
-        raise
+        if is_cancelled():
+            raise
+        reason = 'the attempt to connect was cancelled'
+        raise ExchangeError(ExchangeStage.CONNECTING, reason) from error
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -10,7 +10,12 @@
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.clock import boottime_ms
 from lagoonflow.declared.view import DeclaredView
-from lagoonflow.http1.channel import ConnectionClosedError
+from lagoonflow.http1.connection_ends import (
+    WAIT_ENDED_ERRORS,
+    CallerState,
+    caller_state,
+    ends_connection,
+)
 from lagoonflow.http1.server import CallerRequest, ResponseWriter
 from lagoonflow.relay.admission import Admission, AdmittedCall
 from lagoonflow.relay.admitting import Admitter
@@ -98,15 +103,15 @@
         """Serve one request of a caller and log its outcome."""
         call = self._codec.decode_call(request.head, request.body)
         record = CallRecord(call, boottime_ms())
+        attempts = Attempts()
         try:
-            await self._serve(record, reply)
-        except asyncio.CancelledError as error:
-            if reply.is_ended_by(error):
-                record.finish(_departure(reply))
+            await self._serve(record, attempts, reply)
+        except WAIT_ENDED_ERRORS as error:
+            is_over = ends_connection(error, reply.channel)
+            if is_over and isinstance(error, asyncio.CancelledError):
+                await self._end_departed(record, attempts, reply)
                 raise
-            await self._fail(record, reply)
-        except ConnectionClosedError as error:
-            if reply.is_ended_by(error):
+            if is_over:
                 record.finish(_departure(reply))
             else:
                 await self._fail(record, reply)
@@ -145,19 +150,25 @@
         self._deadlines.finish_by(stop_at_ms)
         self.placer.fleet_changed.notify()
 
-    async def _serve(self, record: CallRecord, reply: ResponseWriter) -> None:
+    async def _serve(
+        self, record: CallRecord, attempts: Attempts, reply: ResponseWriter
+    ) -> None:
         now_ms = boottime_ms()
         admitted = await self._admitter.admit(record.call, now_ms)
         if isinstance(admitted, Refusal):
             await self._refuse(record, reply, admitted)
             return
         record.admitted = admitted
+        if caller_state(reply.channel) is not CallerState.CONNECTED:
+            self._admission.refund(admitted)
+            await self._end_departed(record, attempts, reply)
+            return
         record.software_version = admitted.software_version
         self._deadlines.bound(admitted)
         self._budgets.budget_for(admitted.service.name).count_request(now_ms)
         if admitted.call.model:
             self._fleet.demand.count(admitted.call, now_ms)
-        attempts = Attempts(software_version=admitted.software_version)
+        attempts.software_version = admitted.software_version
         try:
             refusal = await self._serve_before_deadline(
                 record, admitted, attempts, reply
@@ -356,6 +367,23 @@
         self._log.exception('call failed', request=record.call.request_id)
         await self._refuse(record, reply, _INTERNAL)
 
+    async def _end_departed(
+        self, record: CallRecord, attempts: Attempts, reply: ResponseWriter
+    ) -> None:
+        """End a call whose caller has left, or has closed its sending side.
+
+        The two look the same until something is sent, so the call is refused.
+        """
+        may_read = caller_state(reply.channel) is CallerState.HALF_CLOSED
+        if may_read and not reply.has_started:
+            refusal = attempts.refuse(
+                Result.CALLER_GONE,
+                'the caller closed its sending side before the answer',
+                BUSY_RETRY_MS,
+            )
+            await self._refuse(record, reply, refusal)
+        record.finish(_departure(reply))
+
     async def _refuse(
         self, record: CallRecord, reply: ResponseWriter, refusal: Refusal
     ) -> None:
--- a/tests/relay/test_cancelled_waits.py
+++ b/tests/relay/test_cancelled_waits.py
@@ -80,6 +80,7 @@
     Wait('Admitter.admit', '/resume/x', headers=RESUME, is_sent=False),
     Wait('Placer.place', '/hot/x', headers=('Model: m1',), is_sent=False),
     Wait('ConnectionPool.connect', status=503, is_sent=False),
+    Wait('open_in_time', status=503, is_sent=False),
     Wait('ClientConnection.send', script=None, body=LARGE, memory=TOTAL_BYTES),
     Wait('ClientConnection.read_head'),
     Wait('ClientConnection.read_head', '/read/x'),
@@ -121,14 +122,14 @@
     return harness
 
 
-async def reach(harness: RelayHarness, function: str) -> asyncio.Task:
-    """Return the task of the only connection once it waits in a function."""
+async def reach(function: str) -> asyncio.Task:
+    """Return the task of the only call that waits in a function."""
     async with asyncio.timeout(3):
         while True:
             await asyncio.sleep(0.01)
-            for connection in harness.http._connections:
-                if function in _suspended_in(connection.task.get_coro()):
-                    return connection.task
+            for task in asyncio.all_tasks():
+                if function in _suspended_in(task.get_coro()):
+                    return task
 
 
 def _suspended_in(coroutine) -> list[str]:
@@ -167,14 +168,14 @@
             )
             harness.fleet.roster.put(server, boottime_ms())
         reader, writer = await harness.connect()
-        if wait.function == 'ConnectionPool.connect':
+        if wait.function in {'ConnectionPool.connect', 'open_in_time'}:
             loop = asyncio.get_running_loop()
             monkeypatch.setattr(
                 loop, 'create_connection', lambda *_: loop.create_future()
             )
         content = encode_request(wait.path, *wait.headers, body=wait.body)
         writer.write(content[: len(content) - wait.unsent])
-        task = await reach(harness, wait.function)
+        task = await reach(wait.function)
         end(task._fut_waiter)
         answer = await read_framed_answer(reader)
     assert answer.status == wait.status
@@ -191,7 +192,7 @@
     reader, writer = await harness.connect()
     writer.transport.pause_reading()
     writer.write(encode_request('/read/x'))
-    task = await reach(harness, 'ConnectionMemory.wait_until_taken')
+    task = await reach('ConnectionMemory.wait_until_taken')
     task._fut_waiter.cancel()
     await asyncio.sleep(0.05)
     writer.transport.resume_reading()
@@ -201,7 +202,7 @@
 async def test_an_idle_connection_gets_no_answer_when_its_wait_is_cancelled():
     harness = await start(Wait(''))
     reader, _ = await harness.connect()
-    task = await reach(harness, 'RequestReader._wait_for_request')
+    task = await reach('RequestReader._wait_for_request')
     task._fut_waiter.cancel()
     assert await reader.read() == b''
 
@@ -210,7 +211,7 @@
     harness = await start(Wait(''))
     reader, writer = await harness.connect()
     writer.write(encode_request('/read/x'))
-    task = await reach(harness, 'ClientConnection.read_head')
+    task = await reach('ClientConnection.read_head')
     task._fut_waiter.cancel()
     task.cancel()
     assert await reader.read() == b''
@@ -224,7 +225,7 @@
     harness = await start(Wait(''))
     reader, writer = await harness.connect()
     writer.write(encode_request('/read/x'))
-    task = await reach(harness, 'ClientConnection.read_head')
+    task = await reach('ClientConnection.read_head')
     waiter = task._fut_waiter
     ((_, timer),) = harness.calls._deadlines._timers.values()
     ends = [timer._expire, waiter.cancel]
