End a connection quietly whose caller's reset wasn't seen yet

What operators saw: "Task exception was never retrieved" with OSError 107 for a caller that had closed its connection while the event loop was held up.

Cause: the answer to such a caller meets a reset at once. The server then closes its sending side, which fails on a reset socket, and asyncio reports the reset only in the next round of the event loop. The error ended the task of the connection.

Change: the error ends the wait for the rest of what the caller sends.

The tests of callers that are gone now look at the result of the task itself, as asyncio reports it only once the task is freed.

--- a/lagoonflow/http1/channel.py
+++ b/lagoonflow/http1/channel.py
@@ -244,7 +244,11 @@
         return
     channel.is_discarding = True
     channel.on_peer_closed = None
-    channel.transport.write_eof()
+    try:
+        channel.transport.write_eof()
+    except OSError:
+        # The peer has reset the connection, which asyncio has not seen yet.
+        return
     with contextlib.suppress(TimeoutError):
         while not channel.has_peer_closed:
             async with time_limit(max_pause_ms):
--- a/tests/http1/test_half_closed_callers.py
+++ b/tests/http1/test_half_closed_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import threading
 import time
 
 import pytest
@@ -50,7 +51,9 @@
         return await asyncio.wait_for(self.reader.read(), 3)
 
     async def expect_closed(self) -> None:
+        tasks = [one.task for one in self.server._connections]
         await self.server.wait_until_closed(1000)
+        assert [task.exception() for task in tasks] == [None] * len(tasks)
         assert self.server.open_connection_count == 0
         assert not self.errors
 
@@ -169,3 +172,15 @@
         )
     harness.writer.transport.abort()
     await harness.expect_closed()
+
+
+async def test_a_reset_that_was_not_seen_yet_does_not_end_the_task_with_an_error():
+    harness = Harness()
+    await harness.connect()
+    caller = socket.create_connection(harness.writer.get_extra_info('peername'))
+    caller.send(get('block').replace(b'Host', b'Connection: close\r\nHost'))
+    # While the handler holds up the event loop; the answer meets a reset.
+    threading.Timer(0.05, caller.close).start()
+    await harness.has_begun.wait()
+    harness.writer.close()
+    await harness.expect_closed()
