Leave the task of a caller that has left cancelled

The end of a caller's sending side cancels the handler, and the count of cancellations was taken back also where the connection ends with it. Code that asks the task whether it was cancelled then takes the departure of the caller for the end of something that the handler has waited for.

The count is taken back only where the connection goes on, as the handler has sent a whole answer.

--- a/lagoonflow/http1/handler_run.py
+++ b/lagoonflow/http1/handler_run.py
@@ -32,7 +32,8 @@
         :param may_wait: whether the handler may wait; else it is stopped when
             it does.
         :raises asyncio.CancelledError: when the handler was stopped before it
-            had sent a whole response, or when the task was cancelled.
+            had sent a whole response, or when the task was cancelled; the task
+            then ends.
         """
         self._task = asyncio.current_task()
         if not may_wait:
@@ -42,6 +43,9 @@
         except asyncio.CancelledError:
             is_only_reason = self._is_stopped and self._task.cancelling() == 1
             if not (is_only_reason and is_answered()):
+                # The task stays cancelled, which tells its end from that of
+                # something that the handler has waited for.
+                self._is_stopped = False
                 raise
         finally:
             self._end()
