--- a/lagoonflow/http1/handler_run.py
+++ b/lagoonflow/http1/handler_run.py
@@ -4,10 +4,6 @@
 from collections.abc import Awaitable, Callable
 
 
-class HandlerStoppedError(Exception):
-    """A handler was stopped before it had sent a whole response."""
-
-
 class HandlerRun:
     """Runs one handler after the other in the task of a connection."""
 
@@ -35,20 +31,22 @@
             response.
         :param may_wait: whether the handler may wait; else it is stopped when
             it does.
-        :raises HandlerStoppedError: when the handler was stopped before it had
-            sent a whole response.
-        :raises asyncio.CancelledError: when the task was cancelled.
+        :raises asyncio.CancelledError: when the handler was stopped before it
+            had sent a whole response, or when the task was cancelled; the task
+            then ends.
         """
         self._task = asyncio.current_task()
         if not may_wait:
             asyncio.get_running_loop().call_soon(self.stop)
         try:
             await handler
-        except asyncio.CancelledError as error:
-            if not self._is_stopped or self._task.cancelling() > 1:
+        except asyncio.CancelledError:
+            is_only_reason = self._is_stopped and self._task.cancelling() == 1
+            if not (is_only_reason and is_answered()):
+                # The task stays cancelled, which tells its end from that of
+                # something that the handler has waited for.
+                self._is_stopped = False
                 raise
-            if not is_answered():
-                raise HandlerStoppedError from error
         finally:
             self._end()
 
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -31,7 +31,7 @@
     ProcessMemory,
 )
 from lagoonflow.http1.descriptors import Descriptors
-from lagoonflow.http1.handler_run import HandlerRun, HandlerStoppedError
+from lagoonflow.http1.handler_run import HandlerRun
 from lagoonflow.http1.idle_connections import IdleConnections
 from lagoonflow.http1.listening import LAST_REQUESTS_MS, stop_listening
 from lagoonflow.http1.messages import (
@@ -571,15 +571,11 @@
             reason = 'the router has no descriptors left'
             await self._server.refuse(reply, UNAVAILABLE_STATUS, reason)
             return True
-        try:
-            await self._handler_run.run(
-                self._server.handle(request, reply),
-                lambda: reply.is_complete,
-                may_wait=not self.channel.has_peer_closed,
-            )
-        except HandlerStoppedError as error:
-            reason = 'the caller sends no more'
-            raise ConnectionClosedError(reason, self.channel) from error
+        await self._handler_run.run(
+            self._server.handle(request, reply),
+            lambda: reply.is_complete,
+            may_wait=not self.channel.has_peer_closed,
+        )
         return True
 
     def _close(self) -> None:
