Bound what is kept of servers that are gone

Nobody saw it yet: health records, and what late answers and agents that outlive their server's entry say, stayed in a router's memory for good, a few records for each server that ever was. A connection that failed after its server was forgotten left one, too.

Now records of 256 gone servers are kept, for those that return; servers that are listed or have requests don't count. A failed connection is noted only while its pool is in use.

--- a/lagoonflow/backends/fleet.py
+++ b/lagoonflow/backends/fleet.py
@@ -2,7 +2,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from lagoonflow.backends.availability import Availability
 from lagoonflow.backends.cold import ColdServers
@@ -25,6 +25,8 @@
 
 # An agent's state is used for this long after it arrived.
 AGENT_FRESH_MS = 2500
+# Servers that are no longer listed, and of which something is still known.
+MAX_GONE_SERVERS = 256
 # An agent sends its first state within this time after its runner was listed;
 # the router does not wait longer for it.
 AGENT_ARRIVAL_MS = 2000
@@ -194,8 +196,15 @@
     def forget(self, instances: list[str]) -> None:
         """Drop the reports and sends of servers that were removed.
 
-        Health records and the counts of prompt tokens to prefill are kept.
+        Health records and the counts of prompt tokens to prefill are kept for
+        servers that return, and so are reports that still arrive, of a bounded
+        number of servers.
         """
+        long_gone = _long_gone(self.roster, self._health, self._agents)
+        instances = [*instances, *long_gone]
+        for instance in long_gone:
+            self._health.pop(instance, None)
+            self._prefill_tokens.pop(instance, None)
         for instance in instances:
             for table in (
                 self._agents,
@@ -344,3 +353,22 @@
         state.is_down,
         state.is_leaving,
     ]
+
+
+def _long_gone(
+    roster: BackendRoster,
+    health: Mapping[str, ServerHealth],
+    heard: Iterable[str],
+) -> list[str]:
+    """Return the unlisted servers without requests, except the newest.
+
+    :param health: records of servers that were sent requests.
+    :param heard: servers whose agents were heard.
+    """
+    gone = [
+        instance
+        for instance in dict.fromkeys((*health, *heard))
+        if roster.get(instance) is None
+        and not (instance in health and health[instance].inflight)
+    ]
+    return gone[:-MAX_GONE_SERVERS]
--- a/lagoonflow/relay/pools.py
+++ b/lagoonflow/relay/pools.py
@@ -81,7 +81,8 @@
             await pool.open_idle(CONNECT_TIMEOUT_MS)
         except ExchangeError:
             now_ms = boottime_ms()
-            self._refused_ms[instance] = now_ms
+            if self._pools.get(instance) is pool:
+                self._refused_ms[instance] = now_ms
             self._fleet.health(instance).note_no_answer(now_ms)
         finally:
             self._opening.pop(instance, None)
--- a/tests/relay/test_connection_limits.py
+++ b/tests/relay/test_connection_limits.py
@@ -1,10 +1,12 @@
 """Servers get no more calls at once than connections that they accept."""
 
 import asyncio
+import socket
 from collections import Counter
 
 import pytest
 
+from lagoonflow.backends.messages import BackendServer
 from lagoonflow.declared.messages import Service
 from tests.relay.harness import (
     SERVICE,
@@ -59,3 +61,17 @@
     assert sum(len(one.requests) for one in backends) == calls - refused
     for _, writer in opened:
         writer.close()
+
+
+async def test_a_failed_connection_leaves_nothing_of_a_server_that_is_gone():
+    harness = RelayHarness()
+    pools = harness.sender.pools
+    unused = socket.create_server(('127.0.0.1', 0))
+    port = unused.getsockname()[1]
+    unused.close()
+    gone = BackendServer('i-0', 'app', f'127.0.0.1:{port}', 'z', 8)
+    assert not pools.prepare(gone, 'a1')
+    pools.forget([gone.instance])
+    await asyncio.sleep(0.1)
+    assert not pools._opening
+    assert not pools._refused_ms
