Remove a setting that was read and never used

`apply_deadline_ms` was parsed from the settings and used nowhere, so a reader could take the time within which configurations are applied for adjustable. docs/design/limits-in-force.md says what it is.

--- a/lagoonflow/platform/settings.py
+++ b/lagoonflow/platform/settings.py
@@ -30,8 +30,6 @@
     :param store_address: address of the metadata store.
     :param runner_address: address of the runner on this host; empty if none.
     :param service: service of that runner.
-    :param apply_deadline_ms: time within which a new configuration must be
-        applied.
     :param withdrawal_ms: time after which a withdrawn key must be refused;
         0 when there is no such limit.
     :param stop_grace_ms: time from SIGTERM to SIGKILL.
@@ -60,7 +58,6 @@
     store_address: str
     runner_address: str
     service: str
-    apply_deadline_ms: int
     withdrawal_ms: int
     stop_grace_ms: int
     drain_ms: int
@@ -103,7 +100,6 @@
         store_address=fields.text('platform.address'),
         runner_address=fields.text('app', ''),
         service=fields.text('service', ''),
-        apply_deadline_ms=fields.integer('bounds.config_apply_ms', 2000),
         withdrawal_ms=_withdrawal_ms(fields),
         stop_grace_ms=fields.integer('bounds.grace_s', 8) * 1000,
         drain_ms=fields.integer('bounds.drain_ms', 2000),
