--- a/lagoonflow/relay/pools.py
+++ b/lagoonflow/relay/pools.py
@@ -107,7 +107,8 @@
             self._refused_ms[instance] = boottime_ms()
         except ExchangeError:
             now_ms = boottime_ms()
-            self._refused_ms[instance] = now_ms
+            if self._pools.get(instance) is pool:
+                self._refused_ms[instance] = now_ms
             self._fleet.health(instance).note_no_answer(now_ms)
         finally:
             self._opening.pop(instance, None)
