Refuse a request as not run when no memory is left for its body

Cause: a MemoryError while a body is read was a failed request like any other. It is a refusal with 503 now, and the pieces are released. The unit test fails without the change; the test with a real process holds before and after it.

--- a/lagoonflow/http1/request_reader.py
+++ b/lagoonflow/http1/request_reader.py
@@ -209,6 +209,15 @@
 
     async def _read_body(self) -> bytes:
         pieces = bytearray()
+        try:
+            return await self._collect_body(pieces)
+        except MemoryError as error:
+            # The error would keep them.
+            pieces.clear()
+            reason = 'the router has no memory left'
+            raise BadRequestError(UNAVAILABLE_STATUS, reason) from error
+
+    async def _collect_body(self, pieces: bytearray) -> bytes:
         while True:
             try:
                 event = await self._next_event(self._limits.idle_timeout_ms)
--- a/tests/http1/test_request_bodies.py
+++ b/tests/http1/test_request_bodies.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from lagoonflow.http1.request_bodies import FREE_BYTES, RequestBodies
+from lagoonflow.http1.request_bodies import (
+    FREE_BYTES,
+    HeldBody,
+    RequestBodies,
+)
 from lagoonflow.http1.request_reader import ServerLimits
 from lagoonflow.http1.server import HttpServer
 
@@ -99,3 +103,17 @@
         head = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 3)
         assert head.startswith(b'HTTP/1.1 200 ')
     writer.close()
+
+
+async def test_a_body_for_which_no_memory_is_left_is_refused_as_not_run(
+    monkeypatch,
+):
+    def grow(_held, body_bytes):
+        if body_bytes > FREE_BYTES:
+            raise MemoryError
+
+    monkeypatch.setattr(HeldBody, 'grow', grow)
+    harness = Harness()
+    await harness.listen()
+    assert await harness.send(encode(WITH_LENGTH)) == b'503'
+    assert await harness.send(SMALL) == b'200'
--- a/tests/wiring/test_short_descriptors.py
+++ b/tests/wiring/test_short_resources.py
@@ -1,8 +1,10 @@
-"""A router process that runs out of file descriptors."""
+"""A router process that runs out of file descriptors or memory."""
 
 import asyncio
 import os
+import pathlib
 import random
+import re
 import resource
 import signal
 import time
@@ -24,6 +26,9 @@
 FEW_DESCRIPTORS = 90
 WORK_MS = 1500
 IN_FORCE_S = 4
+FREE_MEMORY_MB = 40
+LARGE_BODY = b'x' * 4_000_000
+UNANSWERED = 'connection closed without an answer'
 MAX_LOG_LINES = 50
 
 
@@ -60,14 +65,15 @@
             *self._address
         )
 
-    async def send(self, path='/read/x'):
+    async def send(self, path='/read/x', body=b''):
         """Send a request; return the status, or None for a closed connection."""
         self.request_id = f'{random.getrandbits(64):016x}'
         self._writer.write(
             f'POST {path} HTTP/1.1\r\nHost: desk.example\r\n'
             f'Attempt-Id: {self.request_id}\r\n'
             f'Deadline-Ms: 4000\r\nAuthorization: Token {KEY}\r\n'
-            'Content-Length: 0\r\n\r\n'.encode()
+            f'Content-Length: {len(body)}\r\n\r\n'.encode()
+            + body
         )
         try:
             async with asyncio.timeout(ANSWER_S):
@@ -82,11 +88,11 @@
         self._writer.transport.abort()
 
 
-async def call_once(router, path='/read/x'):
+async def call_once(router, path='/read/x', body=b''):
     caller = Caller(router)
     await caller.open()
     try:
-        return await caller.send(path)
+        return await caller.send(path, body)
     finally:
         caller.close()
 
@@ -151,3 +157,36 @@
     for caller in (asking, *idle, *busy):
         caller.close()
     assert await call_once(router, '/new/x') == 200
+
+
+def limit_memory(router, free_mb):
+    pid = router.program.pid
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    used_kb = int(re.search(r'VmSize:\s+(\d+)', status)[1])
+    limit = (used_kb + free_mb * 1024) * 1024
+    resource.prlimit(pid, resource.RLIMIT_AS, (limit, limit))
+
+
+async def test_calls_for_which_no_memory_is_left_end_alone(fleet):
+    router = fleet.routers[0]
+    limit_memory(router, FREE_MEMORY_MB)
+    paths = ('/read/x', '/book/x')
+    large = [
+        asyncio.create_task(call_once(router, paths[one % 2], LARGE_BODY))
+        for one in range(24)
+    ]
+    await asyncio.sleep(0.3)
+    await asyncio.to_thread(fleet.change_limits, 15_000, 3000)
+    router.program.popen.send_signal(signal.SIGHUP)
+    small = []
+    for _ in range(40):
+        small.append(asyncio.create_task(call_once(router)))
+        await asyncio.sleep(0.03)
+    assert None not in await asyncio.gather(*small)
+    # Bodies that weren't read whole may end with their connections.
+    statuses = set(await asyncio.gather(*large))
+    assert statuses <= {200, 500, 502, 503, None}
+    assert statuses != {200}
+    assert await call_once(router, '/extra-2999/x') == 200
+    assert {await call_once(router) for _ in range(20)} == {200}
+    assert UNANSWERED not in fleet.router_logs()
