--- a/lagoonflow/http1/body_parts.py
+++ b/lagoonflow/http1/body_parts.py
@@ -31,6 +31,11 @@
         """Return a copy of the whole body."""
         return b''.join(self._parts)
 
+    def clear(self) -> None:
+        """Release the parts."""
+        self._parts.clear()
+        self._length_bytes = 0
+
     def append(self, received: bytes | bytearray) -> None:
         """Add bytes to the end."""
         self._length_bytes += len(received)
--- a/lagoonflow/http1/request_reader.py
+++ b/lagoonflow/http1/request_reader.py
@@ -227,6 +227,15 @@
 
     async def _read_body(self) -> Body:
         body = LongBody()
+        try:
+            return await self._collect_body(body)
+        except MemoryError as error:
+            # The error would keep what was read.
+            body.clear()
+            reason = 'the router has no memory left'
+            raise BadRequestError(UNAVAILABLE_STATUS, reason) from error
+
+    async def _collect_body(self, body: LongBody) -> Body:
         while True:
             try:
                 event = await self._next_event(self._limits.idle_timeout_ms)
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -241,7 +241,7 @@
 
     def _keep_alive_header(self) -> Headers:
         """Return for how long the connection stays open, if it does."""
-        http = self._channel.http
+        http = self.channel.http
         is_kept = http.their_state is h11.DONE and http.their_http_version != (
             b'1.0'
         )
