--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
-from signal import SIGTERM
+from signal import SIGHUP, SIGTERM
 from typing import Any
 
 from loopback import http
@@ -26,6 +26,9 @@
 CONFIGURATION_CHANCE = 0.4
 IDLE_TIMES_MS = (150, 400, 2000, 15_000)
 EXTRA_ROUTES = (0, 300, 1500)
+# Chance that a router is stopped between reloads and configurations.
+OVERLAP_CHANCE = 0.1
+OVERLAP_PAUSE_S = 0.1
 
 
 class Faults:
@@ -51,6 +54,7 @@
         self._has_trouble = has_trouble
         self._limit_random = random.Random(seed + 1)
         self._configuration_random = random.Random(seed + 2)
+        self._overlap_random = random.Random(seed + 3)
         self.log: list[str] = []
         self._fleet = fleet
         self._checker = checker
@@ -82,6 +86,7 @@
             self._change_limit()
             self._kill_all_routers()
             self._change_configuration()
+            self._stop_beside_changes()
 
     def heal(self) -> None:
         """Wait for actions in the background, then end all faults."""
@@ -151,8 +156,30 @@
         if host is None or len(self._affected) > 2:
             return
         self._record(f'SIGTERM to the router on {host.ip}')
+        host.program.terminate()
+        self._restart_when_stopped(host)
+
+    def _stop_beside_changes(self) -> None:
+        if self._overlap_random.random() > OVERLAP_CHANCE:
+            return
+        started = [
+            host
+            for host in self._fleet.routers
+            if host.ip not in self._affected
+            and '"event": "started"' in host.program.logs()
+        ]
+        if not started or len(self._affected) > 2:
+            return
+        host = self._overlap_random.choice(started)
+        self._record(f'SIGHUP, SIGTERM and changes to the router on {host.ip}')
+        for number in (SIGHUP, SIGTERM, SIGHUP, SIGHUP):
+            host.program.popen.send_signal(number)
+            self._publish_limits(self._overlap_random)
+            time.sleep(OVERLAP_PAUSE_S)
+        self._restart_when_stopped(host)
+
+    def _restart_when_stopped(self, host: Host) -> None:
         program = host.program
-        program.terminate()
 
         def restart() -> None:
             status = program.wait(STOP_LIMIT_S)
@@ -281,8 +308,11 @@
     def _change_configuration(self) -> None:
         if self._configuration_random.random() > CONFIGURATION_CHANCE:
             return
-        idle_ms = self._configuration_random.choice(IDLE_TIMES_MS)
-        routes = self._configuration_random.choice(EXTRA_ROUTES)
+        self._publish_limits(self._configuration_random)
+
+    def _publish_limits(self, generator: random.Random) -> None:
+        idle_ms = generator.choice(IDLE_TIMES_MS)
+        routes = generator.choice(EXTRA_ROUTES)
         self._record(f'idle time of {idle_ms} ms, {routes} more routes')
         try:
             self._fleet.change_limits(idle_ms, routes)
