Move what is known of a caller out of the HTTP server

The state of the caller's side is asked of a small class of its own, and the callback for the end of its sending side is one expression.

--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import enum
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -10,13 +9,13 @@
 import structlog
 
 from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.http1.callers import Caller
 from lagoonflow.http1.channel import (
     Channel,
     ConnectionClosedError,
     arrives_in_time,
     discard_until_closed,
     has_input,
-    is_writable,
     unsent_bytes,
     write_raw,
 )
@@ -59,21 +58,13 @@
 )
 
 
-class CallerState(enum.Enum):
-    """What is known of a caller's side of its connection."""
-
-    CONNECTED = 'sends and reads'
-    # Looks the same for a caller that still reads and for one that has left.
-    HALF_CLOSED = 'sends no more'
-    GONE = 'the connection has ended'
-
-
 class ResponseWriter:
     """Writes the response to one request.
 
     Methods raise ``ConnectionClosedError`` after the connection is closed.
     Bodies are left out of responses that have none by the protocol.
 
+    :ivar caller: the caller who gets it.
     :ivar started_at_ms: boot time at which a part of it was first sent.
     :ivar announces_close: whether the head says that the connection is closed
         after the response.
@@ -99,6 +90,7 @@
             each method waits until the caller has taken most of it.
         """
         self._memory = memory
+        self.caller = Caller(channel)
         self.started_at_ms: float | None = None
         self.is_complete = False
         self.ends_with_connection = False
@@ -113,15 +105,6 @@
         """Whether sending the response has begun."""
         return self.started_at_ms is not None
 
-    @property
-    def caller_state(self) -> CallerState:
-        """What is known of the caller's side of the connection."""
-        if not is_writable(self._channel):
-            return CallerState.GONE
-        if self._channel.has_peer_closed:
-            return CallerState.HALF_CLOSED
-        return CallerState.CONNECTED
-
     @property
     def is_caller_cut(self) -> bool:
         """Whether the caller was disconnected for taking nothing."""
@@ -381,7 +364,12 @@
         self.channel = Channel(
             h11.SERVER,
             get_limits().head_bytes,
-            self._note_peer_closed,
+            # A caller that only sends no more still gets what is known.
+            lambda: (
+                self._handler_run.stop()
+                if self.channel.is_open
+                else self.cancel()
+            ),
             is_bounded=server.memory is not None,
         )
         self._memory: ConnectionMemory | None = None
@@ -421,17 +409,6 @@
         if self.task is not None:
             self.task.cancel()
 
-    def _note_peer_closed(self) -> None:
-        """Stop the work for a caller that has left or sends no more.
-
-        Requests that have arrived are still read, and an answer that is
-        complete is still delivered.
-        """
-        if self.channel.is_open:
-            self._handler_run.stop()
-        else:
-            self.cancel()
-
     async def _serve_requests(self) -> None:
         while await self._serve_one():
             self.channel.http.start_next_cycle()
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -11,11 +11,7 @@
 from lagoonflow.clock import boottime_ms
 from lagoonflow.declared.view import DeclaredView
 from lagoonflow.http1.channel import ConnectionClosedError
-from lagoonflow.http1.server import (
-    CallerRequest,
-    CallerState,
-    ResponseWriter,
-)
+from lagoonflow.http1.server import CallerRequest, ResponseWriter
 from lagoonflow.relay.admission import Admission, AdmittedCall
 from lagoonflow.relay.admitting import Admitter
 from lagoonflow.relay.attempts import BUSY_RETRY_MS, Attempts
@@ -155,7 +151,7 @@
             await self._refuse(record, reply, admitted)
             return
         record.admitted = admitted
-        if reply.caller_state is not CallerState.CONNECTED:
+        if reply.caller.has_closed:
             self._admission.refund(admitted)
             await self._end_departed(record, attempts, reply)
             return
@@ -363,8 +359,7 @@
 
         The two look the same until something is sent, so the call is refused.
         """
-        may_read = reply.caller_state is CallerState.HALF_CLOSED
-        if may_read and not reply.has_started:
+        if reply.caller.is_half_closed and not reply.has_started:
             refusal = attempts.refuse(
                 Result.CALLER_GONE,
                 'the caller closed its sending side before the answer',
