Count a request sent in the ms of a crash as sent after it

Cause: crashes count as independent if the request of the later one was sent after the earlier one, and both times are whole ms. A request sent in the same ms had to be later, so its crash wasn't counted, and the blame came later or never.

Equal times count as after now.

--- a/lagoonflow/crashes/blame.py
+++ b/lagoonflow/crashes/blame.py
@@ -165,11 +165,15 @@
 def _independent_crashes(
     part: str, under_it: list[CrashEntry]
 ) -> list[CrashEntry]:
-    """Return the crashes whose request was sent after the one before."""
+    """Return the crashes whose request was sent after the one before.
+
+    Times are in whole ms, so a caller that goes on at once sends its next
+    request in the ms of the crash.
+    """
     independent: list[CrashEntry] = []
     for crash in under_it:
         sent_at_ms = crash.at_ms - crash.suspect_ages_ms[part]
-        if not independent or sent_at_ms > independent[-1].at_ms:
+        if not independent or sent_at_ms >= independent[-1].at_ms:
             independent.append(crash)
     return independent
 
--- a/tests/crashes/test_blame.py
+++ b/tests/crashes/test_blame.py
@@ -19,6 +19,14 @@
     assert blamed(crashes) == [['bad']]
 
 
+def test_a_request_sent_in_the_ms_of_the_crash_before_counts_as_sent_after_it():
+    crashes = [crash(n, n * 1000, 'bad', age_ms=1000) for n in range(3)]
+    assert blamed(crashes) == [['bad']]
+    assert (
+        blamed([crash(n, n * 1000, 'bad', age_ms=1001) for n in range(3)]) == []
+    )
+
+
 def test_servers_that_are_killed_together_count_as_one_crash():
     crashes = [crash(n, 1000 + n * 5, 'hot') for n in range(8)]
     assert blamed(crashes) == []
