Look only for the test's own call in the test of freed bodies

Run with all tests of tests/relay in one process, it failed once: other test modules hold calls of their own as constants, which it took for leaks.

--- a/tests/relay/test_ended_calls.py
+++ b/tests/relay/test_ended_calls.py
@@ -13,6 +13,14 @@
     read_answer,
 )
 
+BODY_BYTES = 100_003
+
+
+def living_calls():
+    """Return the calls in memory that have the body of this test."""
+    calls = [one for one in gc.get_objects() if type(one) is Call]
+    return [one for one in calls if len(one.body) == BODY_BYTES]
+
 
 async def test_bodies_of_ended_calls_are_freed_without_garbage_collection():
     harness = RelayHarness()
@@ -22,9 +30,9 @@
     gc.collect()
     gc.disable()
     try:
-        writer.write(encode_request('/read/x', body='x' * 100_000))
+        writer.write(encode_request('/read/x', body='x' * BODY_BYTES))
         assert (await read_answer(reader))[0] == 200
         await asyncio.sleep(0.05)
-        assert not [one for one in gc.get_objects() if type(one) is Call]
+        assert not living_calls()
     finally:
         gc.enable()
