Refuse a body that goes on arriving when a stop ends

Callers that were still sending a body at the end of a router's stop got a closed connection without an answer. The stop ends the limit of the part that is being read, but a part that arrives within the limit's last rounds ends its wait, and the next part began a whole idle time anew. So did a part after a wait for memory.

The test with 1 ms fails without the change.

Once reading was stopped, a request is read on for 20 ms, and after that only as far as it has arrived. Whole requests that follow are still served.

--- a/lagoonflow/http1/channel.py
+++ b/lagoonflow/http1/channel.py
@@ -141,9 +141,10 @@
 
     # Called by the task that uses the connection.
 
-    async def next_event(self) -> h11.Event | type:
+    async def next_event(self, *, may_wait: bool = True) -> h11.Event | type:
         """Return the next ``h11`` event, waiting for bytes as needed.
 
+        :raises TimeoutError: when bytes are needed and it may not wait.
         :raises ConnectionClosedError: when the peer closed the connection
             in the middle of a message, or violated HTTP/1.1.
         """
@@ -157,10 +158,7 @@
                 if self._events_in_row % MAX_EVENTS_IN_ROW == 0:
                     await asyncio.sleep(0)
                 return event
-            if self.has_peer_closed:
-                raise ConnectionClosedError(
-                    'connection closed by the peer', self
-                )
+            _expect_bytes(self, may_wait=may_wait)
             await self.wait_for_bytes()
 
     async def wait_for_request(self) -> None:
@@ -169,10 +167,7 @@
         :raises ConnectionClosedError: when the peer closed the connection.
         """
         while not self.http.trailing_data[0]:
-            if self.has_peer_closed:
-                raise ConnectionClosedError(
-                    'connection closed by the peer', self
-                )
+            _expect_bytes(self)
             await self.wait_for_bytes()
 
     async def send(self, *events: h11.Event) -> None:
@@ -344,6 +339,14 @@
     return count[0]
 
 
+def _expect_bytes(channel: Channel, *, may_wait: bool = True) -> None:
+    """Raise an error if no bytes can be waited for."""
+    if channel.has_peer_closed:
+        raise ConnectionClosedError('connection closed by the peer', channel)
+    if not may_wait:
+        raise TimeoutError
+
+
 def _resolve(waiter: asyncio.Future[None] | None) -> None:
     if waiter is not None and not waiter.done():
         waiter.set_result(None)
--- a/lagoonflow/http1/request_reader.py
+++ b/lagoonflow/http1/request_reader.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
+from math import inf
 
 import h11
 
@@ -30,6 +31,9 @@
 # Callers are told that a connection stays open for this share of the idle time,
 # so that requests they send at its end still arrive before it is closed.
 STATED_IDLE_SHARE = 0.8
+# A request is read on for this long after reading was stopped, in ms: what has
+# arrived by then may complete it.
+STOPPED_READ_MS = 20
 # Bytes of a head beside its method, target, and names and values of headers.
 LINE_OVERHEAD_BYTES = len('  HTTP/1.1\r\n\r\n')
 HEADER_OVERHEAD_BYTES = len(': \r\n')
@@ -105,6 +109,7 @@
         # Limit of the part of a request that is being read.
         self._part_limit: TimeLimit | None = None
         self._is_stopped = False
+        self._read_until_ms = inf
         self._stated_idle_s = 0
 
     def state_idle_s(self) -> int:
@@ -119,6 +124,7 @@
     def stop_reading(self) -> None:
         """Refuse a request that is being read, as there is no time for it."""
         self._is_stopped = True
+        self._read_until_ms = boottime_ms() + STOPPED_READ_MS
         if self._part_limit is not None:
             self._part_limit.reschedule(asyncio.get_running_loop().time())
 
@@ -269,10 +275,12 @@
             raise BadRequestError(UNAVAILABLE_STATUS, reason) from error
 
     async def _next_event(self, timeout_ms: float) -> h11.Event | type:
+        # Each part of a body begins a new limit, also after reading was stopped.
+        left_ms = max(self._read_until_ms - boottime_ms(), 0)
         try:
-            async with time_limit(timeout_ms) as limit:
+            async with time_limit(min(timeout_ms, left_ms)) as limit:
                 self._part_limit = limit
-                return await self._channel.next_event()
+                return await self._channel.next_event(may_wait=left_ms > 0)
         except ConnectionClosedError as error:
             cause = error.__cause__
             if isinstance(cause, h11.RemoteProtocolError):
--- a/tests/http1/test_stops.py
+++ b/tests/http1/test_stops.py
@@ -1,13 +1,17 @@
 """Tests of requests that meet the stop of their server."""
 
 import asyncio
+import contextlib
 import socket
 
+import pytest
+
 from lagoonflow.http1.request_reader import ServerLimits
 from lagoonflow.http1.server import HttpServer
 
 GET = b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n'
 HALF = b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf'
+HALF_BODY = b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n'
 TIMEOUT_S = 3
 
 
@@ -96,3 +100,41 @@
     await harness.server.wait_until_closed(1000)
     answer = await harness.read_until(b'missing')
     assert answer.startswith(b'HTTP/1.1 503')
+
+
+@pytest.mark.parametrize('pause_ms', [1, 10, 30])
+async def test_a_body_that_goes_on_arriving_is_refused_at_the_end_of_a_stop(
+    pause_ms,
+):
+    """Each part began a new limit, so the process ended without an answer."""
+    harness = Harness()
+    await harness.connect()
+    harness.caller.send(HALF_BODY)
+    feeding = asyncio.create_task(_feed(harness.caller, pause_ms))
+    await asyncio.sleep(0.1)
+    harness.server.is_stopping = True
+    harness.server.refuse_unread()
+    answer = await asyncio.wait_for(harness.read_until(b'missing'), 0.3)
+    assert answer.startswith(b'HTTP/1.1 503')
+    feeding.cancel()
+
+
+async def _feed(caller: socket.socket, pause_ms: float) -> None:
+    with contextlib.suppress(OSError):
+        while True:
+            caller.send(b'x')
+            await asyncio.sleep(pause_ms / 1000)
+
+
+async def test_whole_requests_are_served_that_follow_the_end_of_a_stop():
+    harness = Harness()
+    await harness.connect()
+    harness.caller.send(GET)
+    await harness.has_begun.wait()
+    await harness.server.stop_accepting()
+    harness.may_end.set()
+    await harness.read_until(b'0\r\n\r\n')
+    harness.server.refuse_unread()
+    await asyncio.sleep(0.05)
+    harness.caller.send(GET)
+    assert b'fine' in await harness.read_until(b'0\r\n\r\n')
