Wait for a server again that was late once and has accepted since

A call whose only server paused was refused after 400 ms, with seconds left, if the server had been late some time before. A connection that opens late, or is opened ahead, was not noted as accepted, so the server counted as one that had accepted nothing since: after 3.5 s, as one that is down. Calls that use the late connection open no other, so nothing corrected it.

Evidence: on the second of two pauses of 0.7 s, more than the longest attempt apart, ends in a 503; the new test fails without the change.

Each connection that opens now ends the record of the server's lateness.

--- a/lagoonflow/relay/openings.py
+++ b/lagoonflow/relay/openings.py
@@ -1,6 +1,7 @@
 """Connections that go on being opened for a call that looks elsewhere."""
 
 import asyncio
+from collections.abc import Callable
 
 import structlog
 
@@ -27,11 +28,18 @@
     """
 
     def __init__(
-        self, pool: ConnectionPool, task: asyncio.Task[ClientConnection]
+        self,
+        pool: ConnectionPool,
+        task: asyncio.Task[ClientConnection],
+        on_open: Callable[[], None],
     ) -> None:
-        """Keep the connection in its pool once it has opened."""
+        """Keep the connection in its pool once it has opened.
+
+        :param on_open: called then.
+        """
         self.is_open = False
         self.has_failed = False
+        self._on_open = on_open
         self._pool = pool
         self._task = task
         task.add_done_callback(self._finish)
@@ -49,6 +57,7 @@
             return
         self._pool.keep_unused(task.result())
         self.is_open = True
+        self._on_open()
 
 
 class LateServers:
@@ -77,11 +86,12 @@
 
 
 async def open_in_time(
-    pool: ConnectionPool, timeout_ms: float
+    pool: ConnectionPool, timeout_ms: float, on_late_open: Callable[[], None]
 ) -> ClientConnection | Opening:
     """Open a connection, or return the attempt if it takes longer than usual.
 
     :param timeout_ms: time that is left for the call, in ms.
+    :param on_late_open: called when an attempt that took longer has succeeded.
     :raises ExchangeError: when the server can't be connected to.
     """
     longest_ms = min(LONGEST_OPENING_MS, timeout_ms)
@@ -90,9 +100,9 @@
         async with time_limit(min(CONNECT_TIMEOUT_MS, timeout_ms)):
             return await asyncio.shield(task)
     except TimeoutError:
-        return Opening(pool, task)
+        return Opening(pool, task, on_late_open)
     except WAIT_ENDED_ERRORS as error:
-        Opening(pool, task).close()
+        Opening(pool, task, on_late_open).close()
         if is_cancelled():
             raise
         reason = 'the attempt to connect was cancelled'
--- a/lagoonflow/relay/pools.py
+++ b/lagoonflow/relay/pools.py
@@ -103,6 +103,7 @@
     async def _open(self, instance: str, pool: ConnectionPool) -> None:
         try:
             await pool.open_idle(CONNECT_TIMEOUT_MS)
+            self._late.note_open(instance)
         except NoDescriptorError:
             self._refused_ms[instance] = boottime_ms()
         except ExchangeError:
@@ -119,7 +120,11 @@
         self, server: BackendServer, timeout_ms: float
     ) -> ClientConnection | NotSent:
         try:
-            opened = await open_in_time(self.pool(server), timeout_ms)
+            opened = await open_in_time(
+                self.pool(server),
+                timeout_ms,
+                functools.partial(self._late.note_open, server.instance),
+            )
         except NoDescriptorError as error:
             return NotSent(str(error), is_servers_fault=False)
         except ExchangeError as error:
--- a/tests/relay/test_late_connections.py
+++ b/tests/relay/test_late_connections.py
@@ -129,3 +129,19 @@
     await asyncio.sleep(0.1)
     assert not connecting_count()
     late.close()
+
+
+async def test_a_server_that_was_late_once_is_waited_for_again(monkeypatch):
+    """It counted as down once its late connection was LONGEST_OPENING_MS old."""
+    monkeypatch.setattr(openings, 'LONGEST_OPENING_MS', 1500)
+    harness = late_harness()
+    reader, writer = await harness.connect()
+    for _ in range(2):
+        late = LateServer(harness)
+        asyncio.get_running_loop().call_later(
+            0.7, lambda one=late: asyncio.ensure_future(one.accept())
+        )
+        writer.write(encode_request('/x/1'))
+        status, _, body = await read_answer(reader)
+        assert (status, body) == (200, b'fine')
+        await asyncio.sleep(1)
