Close connections that open after their server is gone

A server that was removed, or got another address, while an attempt to connect to it went on left a connection open for good: it was kept as idle in a pool that nothing used any more. The idle connections of a pool whose server had got another address stayed open, too. Each holds a descriptor until the server closes it, which a host that is gone never does.

A pool that was closed now keeps no connection, and a pool that is replaced is closed.

--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -348,6 +348,7 @@
         self.address = address
         self._max_connections = max_connections
         self._in_use: set[ClientConnection] = set()
+        self._is_closed = False
         self._idle: collections.deque[ClientConnection] = collections.deque()
 
     def take_idle(self, request_id: str = '') -> ClientConnection | None:
@@ -414,6 +415,9 @@
     def keep_unused(self, connection: ClientConnection) -> None:
         """Keep a new connection, which the next request uses."""
         self._in_use.discard(connection)
+        if self._is_closed:
+            connection.close()
+            return
         connection.idle_until_ms = boottime_ms() + UNUSED_IDLE_LIMIT_MS
         connection.channel.is_idle = True
         self._idle.append(connection)
@@ -422,7 +426,8 @@
         """Keep a reusable connection if there is room, else close it."""
         self._in_use.discard(connection)
         is_kept = (
-            connection.is_reusable
+            not self._is_closed
+            and connection.is_reusable
             and len(connection.refused_ids) <= MAX_REFUSED_IDS
         )
         if is_kept:
@@ -433,7 +438,8 @@
         self._close_surplus()
 
     def close(self) -> None:
-        """Close all idle connections."""
+        """Close all idle connections, and keep none from now on."""
+        self._is_closed = True
         while self._idle:
             self._idle.pop().close()
 
--- a/lagoonflow/relay/pools.py
+++ b/lagoonflow/relay/pools.py
@@ -52,6 +52,8 @@
         """Return the pool of a server at its present address."""
         pool = self._pools.get(server.instance)
         if pool is None or pool.address != server.address:
+            if pool is not None:
+                pool.close()
             pool = ConnectionPool(
                 server.address,
                 functools.partial(self.connections.share, server.service),
--- a/tests/relay/test_late_connections.py
+++ b/tests/relay/test_late_connections.py
@@ -145,3 +145,17 @@
         status, _, body = await read_answer(reader)
         assert (status, body) == (200, b'fine')
         await asyncio.sleep(1)
+
+
+async def test_a_connection_that_opens_after_its_server_is_gone_is_closed():
+    """It stayed open in a pool that nothing used any more."""
+    harness = late_harness()
+    late = LateServer(harness)
+    server = harness.fleet.roster.get('i-0')
+    pool = harness.sender.pools.pool(server)
+    sent = await harness.sender.pools.connect(server, 'a1', 5000)
+    harness.sender.forget(['i-0'])
+    await late.accept()
+    await asyncio.wait_for(late.backend.closed_by_peer.wait(), 3)
+    assert sent.opening.is_open
+    assert pool.connection_count == 0
