Close the connection of a call that ends after its server is gone

A call that was in flight when its server was removed, as each release and drain does, left its connection open for good: releasing it created a new pool for a server that nobody lists, which kept it as idle. Where the server had got another address, the new pool was replaced by one of the old address as well. Each such connection holds a descriptor, also once the server has closed its side.

What follows a send now uses the pool in use, or else a closed one.

--- a/lagoonflow/relay/pools.py
+++ b/lagoonflow/relay/pools.py
@@ -54,15 +54,22 @@
         if pool is None or pool.address != server.address:
             if pool is not None:
                 pool.close()
-            pool = ConnectionPool(
-                server.address,
-                functools.partial(self.connections.share, server.service),
-                is_bounded=self._is_memory_bounded,
-                descriptors=self._descriptors,
-            )
+            pool = self._create(server)
             self._pools[server.instance] = pool
         return pool
 
+    def pool_after_send(self, server: BackendServer) -> ConnectionPool:
+        """Return the pool of a server that a request was sent to.
+
+        If the server is gone by then, or has another address, it is a closed
+        one, which keeps no connection.
+        """
+        pool = self._pools.get(server.instance)
+        if pool is None or pool.address != server.address:
+            pool = self._create(server)
+            pool.close()
+        return pool
+
     async def connect(
         self, server: BackendServer, request_id: str, timeout_ms: float
     ) -> ClientConnection | NotSent:
@@ -102,6 +109,14 @@
             )
         return False
 
+    def _create(self, server: BackendServer) -> ConnectionPool:
+        return ConnectionPool(
+            server.address,
+            functools.partial(self.connections.share, server.service),
+            is_bounded=self._is_memory_bounded,
+            descriptors=self._descriptors,
+        )
+
     async def _open(self, instance: str, pool: ConnectionPool) -> None:
         try:
             await pool.open_idle(CONNECT_TIMEOUT_MS)
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -256,7 +256,9 @@
             reading.first_part_at_ms,
             admitted.fingerprint,
         )
-        self._crash_monitor.note_broken(broken, self.pools.pool(server))
+        self._crash_monitor.note_broken(
+            broken, self.pools.pool_after_send(server)
+        )
 
     def _finish_send(
         self,
@@ -266,7 +268,7 @@
         reading: _Reading,
         outcome: Outcome | None,
     ) -> None:
-        pool = self.pools.pool(choice.server)
+        pool = self.pools.pool_after_send(choice.server)
         self._note_end(admitted, reading, outcome)
         if isinstance(outcome, Delivered | Failed):
             answered = _answered(admitted, choice.server, reading, outcome)
@@ -298,7 +300,7 @@
     ) -> None:
         if connection.channel.is_open:
             self._crash_monitor.note_idle_closed(
-                server, self.pools.pool(server)
+                server, self.pools.pool_after_send(server)
             )
 
     async def _exchange(
--- a/tests/relay/test_connection_limits.py
+++ b/tests/relay/test_connection_limits.py
@@ -1,6 +1,7 @@
 """Servers get no more calls at once than connections that they accept."""
 
 import asyncio
+import dataclasses
 import socket
 from collections import Counter
 
@@ -75,3 +76,24 @@
     await asyncio.sleep(0.1)
     assert not pools._opening
     assert not pools._refused_ms
+
+
+@pytest.mark.parametrize('address', ['', '127.0.0.1:1'])
+async def test_the_connection_of_a_call_is_closed_whose_server_is_gone(address):
+    """It stayed open for good, in a pool of a server that nobody lists."""
+    harness = RelayHarness()
+    pools = harness.sender.pools
+
+    async def answer_late(writer, received):
+        server = harness.fleet.roster.get('i-0')
+        pools.forget([server.instance])
+        if address:
+            pools.pool(dataclasses.replace(server, address=address))
+        await answer_with('200 OK', 'fine')(writer, received)
+
+    (backend,) = await harness.add_backends(answer_late)
+    status, _, body = await harness.send_request('/read/x')
+    assert (status, body) == (200, b'fine')
+    await asyncio.wait_for(backend.closed_by_peer.wait(), 1)
+    known = [pool.address for pool in pools._pools.values()]
+    assert known == ([address] if address else [])
