Accept the last connections of a stop also while descriptors are short

Callers whose connections waited in the kernel's queue got a reset, though their requests were whole, when a router that was short of descriptors was stopped: the stop tried once to accept the queue, then closed the socket.

The new test fails without the change.

The stop now goes on accepting for 1 s at most while descriptors are short; connections end meanwhile, as each closes after its answer.

--- a/lagoonflow/http1/accepting.py
+++ b/lagoonflow/http1/accepting.py
@@ -62,6 +62,19 @@
         loop = asyncio.get_running_loop()
         loop.add_reader(self._listener.fileno(), self._accept_waiting)
 
+    async def accept_queue(self, timeout_ms: float) -> None:
+        """Accept the connections that wait, also while descriptors are short.
+
+        :param timeout_ms: longest wait for descriptors, in ms.
+        """
+        until_ms = boottime_ms() + timeout_ms
+        while self.sockets and boottime_ms() < until_ms:
+            if self._retry is None:
+                self._accept_waiting()
+            if self._retry is None:
+                return
+            await asyncio.sleep(RETRY_MS / MS_PER_S)
+
     def close(self) -> None:
         """Accept no more, and close the socket; may be called repeatedly."""
         if not self.sockets:
--- a/lagoonflow/http1/listening.py
+++ b/lagoonflow/http1/listening.py
@@ -17,6 +17,9 @@
 LAST_REQUESTS_MS = 100
 # Longest time for the TLS handshakes of the last connections, in ms.
 HANDSHAKES_MS = 1000
+# Longest time for the last connections while descriptors are short, in ms. Most
+# are refused and closed again within some hundred ms.
+SHORTAGE_MS = 1000
 # Socket option of Linux that the standard library doesn't name.
 SO_ATTACH_FILTER = 26
 # Classic BPF program that drops the segments that open a connection (SYN without
@@ -48,6 +51,8 @@
     :param tls: context of the server; None for plain TCP.
     """
     _drop_openings(listener)
+    if isinstance(server, Acceptor):
+        await server.accept_queue(SHORTAGE_MS)
     pending = list(_accept_pending(listener))
     server.close()
     loop = asyncio.get_running_loop()
--- a/tests/http1/test_listening.py
+++ b/tests/http1/test_listening.py
@@ -1,12 +1,16 @@
 """Closing a listening socket whose queue holds connections."""
 
 import asyncio
+import contextlib
+import errno
+import math
 import socket
 import ssl
 import threading
 import time
 
 from lagoonflow.http1 import listening
+from lagoonflow.http1.accepting import Acceptor
 
 
 async def open_listener(protocol_factory):
@@ -81,3 +85,40 @@
     await listening.stop_listening(server, listener, asyncio.Protocol)
     await asyncio.to_thread(client.join)
     assert outcomes == [ConnectionRefusedError]
+
+
+class ShortListener(socket.socket):
+    """Accepts nothing for a time, as the process has no descriptors left."""
+
+    short_until_s = 0.0
+
+    def accept(self):
+        if time.monotonic() < self.short_until_s:
+            raise OSError(errno.EMFILE, 'Too many open files')
+        return super().accept()
+
+
+async def test_connections_that_wait_for_descriptors_are_not_reset_by_a_stop():
+    """Their callers had sent whole requests, and got a reset."""
+    listener = ShortListener()
+    listener.bind(('127.0.0.1', 0))
+    listener.listen(10)
+    listener.setblocking(False)
+    opened = []
+
+    def open_channel(*_):
+        opened.append(asyncio.Protocol())
+        return opened[-1]
+
+    acceptor = Acceptor(listener, open_channel, bool, math.isinf)
+    acceptor.start()
+    listener.short_until_s = time.monotonic() + 0.2
+    with contextlib.ExitStack() as callers:
+        for _ in range(3):
+            caller = socket.create_connection(listener.getsockname())
+            callers.enter_context(caller)
+        await asyncio.sleep(0.05)
+        assert not opened
+        await listening.stop_listening(acceptor, listener, open_channel)
+    assert len(opened) == 3
+    await listening.stop_listening(acceptor, listener, open_channel)
