--- a/lagoonflow/relay/pools.py
+++ b/lagoonflow/relay/pools.py
@@ -52,15 +52,24 @@
         """Return the pool of a server at its present address."""
         pool = self._pools.get(server.instance)
         if pool is None or pool.address != server.address:
-            pool = ConnectionPool(
-                server.address,
-                functools.partial(self.connections.share, server.service),
-                is_bounded=self._is_memory_bounded,
-                descriptors=self._descriptors,
-            )
+            if pool is not None:
+                pool.close()
+            pool = self._create(server)
             self._pools[server.instance] = pool
         return pool
 
+    def pool_after_send(self, server: BackendServer) -> ConnectionPool:
+        """Return the pool of a server that a request was sent to.
+
+        If the server is gone by then, or has another address, it is a closed
+        one, which keeps no connection.
+        """
+        pool = self._pools.get(server.instance)
+        if pool is None or pool.address != server.address:
+            pool = self._create(server)
+            pool.close()
+        return pool
+
     async def connect(
         self, server: BackendServer, request_id: str, timeout_ms: float
     ) -> ClientConnection | NotSent:
@@ -100,9 +109,18 @@
             )
         return False
 
+    def _create(self, server: BackendServer) -> ConnectionPool:
+        return ConnectionPool(
+            server.address,
+            functools.partial(self.connections.share, server.service),
+            is_bounded=self._is_memory_bounded,
+            descriptors=self._descriptors,
+        )
+
     async def _open(self, instance: str, pool: ConnectionPool) -> None:
         try:
             await pool.open_idle(CONNECT_TIMEOUT_MS)
+            self._late.note_open(instance)
         except NoDescriptorError:
             self._refused_ms[instance] = boottime_ms()
         except ExchangeError:
@@ -119,7 +137,11 @@
         self, server: BackendServer, timeout_ms: float
     ) -> ClientConnection | NotSent:
         try:
-            opened = await open_in_time(self.pool(server), timeout_ms)
+            opened = await open_in_time(
+                self.pool(server),
+                timeout_ms,
+                functools.partial(self._late.note_open, server.instance),
+            )
         except NoDescriptorError as error:
             return NotSent(str(error), is_servers_fault=False)
         except ExchangeError as error:
