Count a call as possibly run only once its connection is open

A caller that closed its sending side while its call connected to a server, or whose deadline passed then, got a 502 or 504 that doesn't say that the call has not run, so that it couldn't safely be sent again; its charge wasn't refunded.

Cause: the run was counted before the connection was open. Nothing can have been sent until then.

The new test fails before.

--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -190,27 +190,37 @@
         """Close the idle connections to servers that were removed."""
         self.pools.forget(instances)
 
+    async def connect(
+        self, admitted: AdmittedCall, choice: Send
+    ) -> ClientConnection | NotSent:
+        """Return a connection for a call; nothing of the call is sent.
+
+        :param choice: server that the call is sent to.
+        """
+        return await self.pools.connect(
+            choice.server,
+            admitted.call.request_id,
+            admitted.time_left_ms(boottime_ms()),
+        )
+
     async def send(
         self,
         admitted: AdmittedCall,
         choice: Send,
+        connection: ClientConnection | NotSent,
         progress: Progress,
         answer_timeout: AnswerTimeout,
     ) -> Outcome:
         """Send a call to a server and relay the answer to the caller.
 
         :param choice: server that the call is sent to.
+        :param connection: what :meth:`connect` returned for it.
         :param progress: what the caller has received so far.
         :param answer_timeout: how long to wait for the answer to begin.
         """
-        server = choice.server
-        connection = await self.pools.connect(
-            server,
-            admitted.call.request_id,
-            admitted.time_left_ms(boottime_ms()),
-        )
         if isinstance(connection, NotSent):
             return connection
+        server = choice.server
         name = full_name(admitted.call.model, admitted.call.adapter)
         prefill = _Reading(self._fleet, choice, admitted)
         self._fleet.begin_request(
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -226,15 +226,17 @@
             server = choice.server
             sent_ms = boottime_ms()
             sent = RunningSend(record, admitted, attempts, progress, server)
-            search = self._replacements.search(sent)
-            time_limit = answer_timeout(admitted, attempts, search)
-            # Counted before the send, as a cancelled send may have run, too.
-            attempts.possible_runs += 1
+            time_limit = answer_timeout(
+                admitted, attempts, self._replacements.search(sent)
+            )
             with self._fleet.held_bytes.sending(
                 server.instance, id(admitted.call), boottime_ms
             ):
+                connection = await self._sender.connect(admitted, choice)
+                # Counted before the send, as a cancelled one may have run, too.
+                attempts.possible_runs += 1
                 outcome = await self._sender.send(
-                    admitted, choice, progress, time_limit
+                    admitted, choice, connection, progress, time_limit
                 )
             record.note_send(server.instance, outcome, boottime_ms())
             record.note_progress(progress)
--- a/tests/relay/test_half_closed_callers.py
+++ b/tests/relay/test_half_closed_callers.py
@@ -18,6 +18,7 @@
     read_framed_answer,
     runner_harness,
 )
+from tests.relay.test_late_connections import LateServer, late_harness
 
 MAX_WORK_S = 0.5
 STREAM_HEAD = (
@@ -82,6 +83,19 @@
     assert not backend.requests
 
 
+async def test_a_request_whose_server_accepts_late_is_refused_as_not_run():
+    """A run was counted before the connection was open."""
+    harness = late_harness()
+    late = LateServer(harness)
+    late.backend.has_request.set()
+    ((status, headers, _),) = await close_sending_side(
+        harness, late.backend, encode_request('/x/1')
+    )
+    assert status == 503
+    assert 'retry-after' in headers
+    late.close()
+
+
 async def test_later_requests_are_not_sent_but_answered_in_order():
     """What is known at once is answered; the rest has certainly not run."""
     harness = RelayHarness()
