--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -21,7 +21,7 @@
     RequestHead,
     ResponseHead,
 )
-from lagoonflow.http1.server import ResponseWriter
+from lagoonflow.http1.response_writer import ResponseWriter
 from lagoonflow.relay.admission import Admission, AdmittedCall
 from lagoonflow.relay.answer_matching import AnswerMatcher
 from lagoonflow.relay.crash_monitor import AnsweredSend, CrashMonitor
--- a/lagoonflow/relay/streaming.py
+++ b/lagoonflow/relay/streaming.py
@@ -16,7 +16,7 @@
     ResponseHead,
     remove_headers,
 )
-from lagoonflow.http1.server import ResponseWriter
+from lagoonflow.http1.response_writer import ResponseWriter
 from lagoonflow.relay.events import EventBoundary, EventSplitter
 from lagoonflow.relay.replacement import ReplacementSearch
 from lagoonflow.time_limits import time_limit
--- a/lagoonflow/wiring/platform_process.py
+++ b/lagoonflow/wiring/platform_process.py
@@ -86,8 +86,8 @@
 def supervise(start: StartTask) -> asyncio.Task[None]:
     """Run a coroutine as a task that is started again when it fails.
 
-    It also fails when something that it waits for is cancelled. The other tasks go on meanwhile: a process that ends cuts all its callers
-    off.
+    It also fails when something that it waits for is cancelled. The other tasks
+    go on meanwhile: a process that ends cuts all its callers off.
 
     :param start: returns the coroutine; called for each start.
     """
