--- a/tests/backends/test_evacuations.py
+++ b/tests/backends/test_evacuations.py
@@ -189,15 +189,15 @@
         zoned = dataclasses.replace(server, zone=server.instance)
         harness.fleet.roster.put(zoned, boottime_ms())
     feed = feed_for(harness.fleet)
-    connect = harness.sender._connect
+    connect = harness.sender.pools.connect
 
-    async def connect_and_evacuate(server, admitted):
-        connection = await connect(server, admitted)
+    async def connect_and_evacuate(server, *details):
+        connection = await connect(server, *details)
         if not harness.fleet.evacuations.zones:
             apply(feed, *records(server.zone))
         return connection
 
-    harness.sender._connect = connect_and_evacuate
+    harness.sender.pools.connect = connect_and_evacuate
     status, _, _ = await harness.send_request('/book/x')
     (evacuated,) = harness.fleet.evacuations.zones
     assert status == 200
