--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,94 +1,82 @@
-"""Agents are stopped and started in turn, and the store comes back from a copy."""
+"""Another writer's entry, with fields missing, bears the key of a runner."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 from stand_ins_2 import (  # noqa: E402
     HAS_TROUBLE,
-    CannotRunError,
     configuration,
+    new_attempt,
+    route,
     run_case,
 )
 
-AWAY_S = 1.0
-STABLE_WINDOW_S = 3
-MODEL = {'Token-Usage': '900,100', 'Deadline-Ms': '5000'}
+CLIENTS = 12
+PLAY_S = 4
+# What an entry of a runner has and this one lacks.
+MISSING = ('version',)
 
 
-async def restart(deployment, agent):
-    """Stop an agent with SIGTERM, and start it again when it has ended."""
-    deployment.record(f'SIGTERM to {agent.name}')
-    agent.signal(signal.SIGTERM)
-    await asyncio.to_thread(agent.process.wait, 8)
-    agent.start()
-
-
-async def ask_until_ordered(deployment, model):
-    """Ask for a model that is not loaded until its runner got an order."""
-    runner = deployment.runners[1]
-    before = len(runner.orders)
-    for _ in range(40):
-        await deployment.call(
-            deployment.routers[0], '/digest/1', {**MODEL, 'Model': model}
-        )
-        if len(runner.orders) > before and model in runner.models:
-            return
-        await asyncio.sleep(0.1)
-    raise CannotRunError(f'no order for {model}')
+async def book(deployment, number, until, answers):
+    """Send confirmations, one after the other."""
+    router = deployment.routers[number % 2]
+    while not until.is_set():
+        attempt = new_attempt()
+        headers = {'Attempt-Id': attempt, 'Deadline-Ms': '1000'}
+        answer = await deployment.call(router, '/confirm/1', headers)
+        answers.append((attempt, answer))
+        await asyncio.sleep(0.02)
 
 
 async def play(deployment):
-    store = deployment.store
     body = configuration()
-    llm = body['services'][0]
-    body['services'].append({**llm, 'name': 'other'})
+    body['services'].append({**body['services'][1], 'name': 'portal'})
+    body['routes'].append(
+        route('portal', 'idempotent', 'portal', timeout_ms=1000, attempts=2)
+    )
     await deployment.start_store(body)
-    # Requests go to the second runner only.
-    for service in ('other', 'llm'):
-        await deployment.add_runner(
-            service,
-            models=['m1'],
-            on_disk=['m1', 'm2', 'm3'],
-            events=4,
-            pause_s=0.05,
-        )
-    deployment.add_router()
-    await deployment.wait_served('/digest/0', {**MODEL, 'Model': 'm1'})
+    for service in ('desk', 'desk', 'portal'):
+        await deployment.add_runner(service)
+    for _ in range(2):
+        deployment.add_router()
+    await deployment.wait_served('/confirm/0', {'Deadline-Ms': '1000'})
+    await deployment.wait_served('/portal/0', {'Deadline-Ms': '1000'})
     await asyncio.sleep(3.5)
-    copied = store.copy()
-    deployment.record('the store is copied')
-    for agent in deployment.agents:
-        await restart(deployment, agent)
-        await asyncio.sleep(0.8)
-    await ask_until_ordered(deployment, 'm2')
+    until, answers = asyncio.Event(), []
+    clients = [
+        asyncio.create_task(book(deployment, number, until, answers))
+        for number in range(CLIENTS)
+    ]
+    await asyncio.sleep(1)
+    portal = deployment.runners[2]
     if HAS_TROUBLE:
-        deployment.record('the store is away')
-        await store.close()
-        await asyncio.sleep(AWAY_S)
-        store.restore(copied)
-        deployment.publish_again()
-        for runner in deployment.runners:
-            runner.register()
-        ip, port = deployment.store_address.split(':')
-        await store.listen(ip, int(port))
-        deployment.record('the store is back from the copy')
-    await asyncio.sleep(STABLE_WINDOW_S + 1)
-    await restart(deployment, deployment.agents[1])
-    await asyncio.sleep(0.8)
-    await ask_until_ordered(deployment, 'm3')
-    found, highest = [], -1
-    for order in deployment.runners[1].orders:
-        token = order['fencing_token']
-        if token < highest:
-            found.append(
-                f'ONE: an order to {order["operation"]} {order["model"]} has'
-                f' the fencing token {token} after one with {highest}'
-            )
-        highest = max(highest, token)
+        entry = {**portal.description(), 'service': 'desk'}
+        for name in (*MISSING, 'models', 'available'):
+            entry.pop(name)
+        deployment.store.put('keyed.servers', f'servers/{portal.id}', entry)
+        deployment.record(f'another writer wrote servers/{portal.id}: {entry}')
+    await asyncio.sleep(PLAY_S)
+    until.set()
+    await asyncio.gather(*clients)
+    ran = {attempt for _, attempt, _ in portal.runs}
+    answered = [
+        attempt
+        for attempt, answer in answers
+        if attempt in ran and answer.status == 200
+    ]
+    wrong = [attempt for attempt, _ in answers if attempt in ran]
+    found = []
+    if wrong:
+        found.append(
+            f'ROUTE: {len(wrong)} of {len(answers)} requests for desk ran at a'
+            f' runner of portal; {len(answered)} of them got its success'
+        )
+    if not HAS_TROUBLE:
+        failed = sum(answer.status != 200 for _, answer in answers)
+        found += [f'{failed} not served without trouble'] if failed else []
     deployment.record('; '.join(found) or 'the rule held')
     return found
 
