--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -845,10 +845,10 @@
 class Deployment:
     """Store, runners, agents and routers of a small deployment."""
 
-    def __init__(self, case):
+    def __init__(self, case, record_name):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
-        self._record_path = pathlib.Path(case).resolve().parent / 'record.txt'
-        self._record = self._record_path.open('w')
+        path = pathlib.Path(case).resolve().parent / record_name
+        self._record = path.open('w')
         self._began_s = time.monotonic()
         self._net = _free_network()
         self._last = 1
@@ -981,15 +981,16 @@
     raise CannotRunError('no free loopback network')
 
 
-def run_case(case, play):
+def run_case(case, record_name, play):
     """Run a case and exit: 1 if the rule was broken, 0 if not, 2 if not run.
 
+    :param record_name: file beside the case that gets what was sent and answered.
     :param play: coroutine function that gets the deployment, and returns a list
         of what broke the rule.
     """
 
     async def run():
-        deployment = Deployment(case)
+        deployment = Deployment(case, record_name)
         try:
             async with asyncio.timeout(110):
                 return await play(deployment)
