--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,82 +1,121 @@
-"""Another writer's entry, with fields missing, bears the key of a runner."""
+"""A router is stopped while clients go on using their open connections."""
 
 import asyncio
+import itertools
 import pathlib
+import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 from stand_ins_2 import (  # noqa: E402
     HAS_TROUBLE,
-    configuration,
+    KEY,
+    KeptConnection,
     new_attempt,
-    route,
     run_case,
 )
 
-CLIENTS = 12
-PLAY_S = 4
-# What an entry of a runner has and this one lacks.
-MISSING = ('version',)
+CLIENTS = 120
+# Events of the streams of one route, and of the other, of which each eleventh is
+# long. The sheets have 13 events on average, 52 at most.
+DIGEST, SHORT, LONG, EACH = 17, 4, 24, 11
+PAUSE_S = 0.3
+GRACE_S = 8
+SENT_EARLY_S = 3
+MODEL = {'Model': 'm1', 'Token-Usage': '900,100', 'Deadline-Ms': '15000'}
 
 
-async def book(deployment, number, until, answers):
-    """Send confirmations, one after the other."""
-    router = deployment.routers[number % 2]
+def events_of(path, number):
+    if path.startswith('/digest/'):
+        return DIGEST
+    return SHORT if number % EACH else LONG
+
+
+async def use_connection(deployment, router, until, answers, delay_s):
+    """Send one stream after the other on an open connection, of two kinds."""
+    paths = itertools.cycle(('/digest/1', '/urgent/1'))
+    connection = KeptConnection(router.ip)
+    await asyncio.sleep(delay_s)
     while not until.is_set():
         attempt = new_attempt()
-        headers = {'Attempt-Id': attempt, 'Deadline-Ms': '1000'}
-        answer = await deployment.call(router, '/confirm/1', headers)
+        headers = {
+            **MODEL,
+            'Attempt-Id': attempt,
+            'Authorization': f'Token {KEY}',
+        }
+        path = next(paths)
+        deployment.record(f'sent {attempt} to {router.name}: {path}')
+        answer = await connection.ask(path, headers)
+        deployment.record(
+            f'answer to {attempt}: {answer.status},'
+            f' {answer.last_event()} events, {answer.end}'
+        )
         answers.append((attempt, answer))
-        await asyncio.sleep(0.02)
+        if not answer.status:
+            return
+    connection.close()
+
+
+def broken_by(deployment, answers, stopped_s):
+    """Return what breaks LOST: see the claim for the excuses."""
+    runs = {attempt for one in deployment.runners for _, attempt, _ in one.runs}
+    ends = {}
+    for runner in deployment.runners:
+        ends.update(runner.ends)
+    found = []
+    for attempt, answer in answers:
+        if answer.is_complete or attempt not in runs:
+            continue
+        is_in_window = stopped_s < answer.ended_s <= stopped_s + GRACE_S + 1
+        is_runners = ends[attempt] in {'done', 'stopped at its deadline'}
+        was_early = answer.sent_s <= stopped_s + SENT_EARLY_S
+        is_late = answer.ended_s >= stopped_s + GRACE_S * 5 / 6
+        if not is_in_window or is_runners or (was_early and is_late):
+            continue
+        found.append(
+            f'LOST: a request sent {answer.sent_s - stopped_s:.2f} s after'
+            f' SIGTERM was cut at {answer.ended_s - stopped_s:.2f} s with'
+            f' {answer.last_event()} events; runner: {ends[attempt]}'
+        )
+    return found
 
 
 async def play(deployment):
-    body = configuration()
-    body['services'].append({**body['services'][1], 'name': 'portal'})
-    body['routes'].append(
-        route('portal', 'idempotent', 'portal', timeout_ms=1000, attempts=2)
-    )
-    await deployment.start_store(body)
-    for service in ('desk', 'desk', 'portal'):
-        await deployment.add_runner(service)
+    await deployment.start_store()
+    for _ in range(2):
+        await deployment.add_runner(
+            'llm',
+            models=['m1'],
+            pause_s=PAUSE_S,
+            events_of=events_of,
+        )
     for _ in range(2):
         deployment.add_router()
-    await deployment.wait_served('/confirm/0', {'Deadline-Ms': '1000'})
-    await deployment.wait_served('/portal/0', {'Deadline-Ms': '1000'})
+    await deployment.wait_served('/digest/0', MODEL, timeout_s=30)
     await asyncio.sleep(3.5)
+    router = deployment.routers[0]
     until, answers = asyncio.Event(), []
     clients = [
-        asyncio.create_task(book(deployment, number, until, answers))
+        asyncio.create_task(
+            use_connection(deployment, router, until, answers, number * 0.03)
+        )
         for number in range(CLIENTS)
     ]
-    await asyncio.sleep(1)
-    portal = deployment.runners[2]
+    await asyncio.sleep(16)
+    stopped_s = time.monotonic()
     if HAS_TROUBLE:
-        entry = {**portal.description(), 'service': 'desk'}
-        for name in (*MISSING, 'models', 'available'):
-            entry.pop(name)
-        deployment.store.put('keyed.servers', f'servers/{portal.id}', entry)
-        deployment.record(f'another writer wrote servers/{portal.id}: {entry}')
-    await asyncio.sleep(PLAY_S)
+        deployment.record(f'SIGTERM to {router.name}')
+        router.signal(signal.SIGTERM)
+    await asyncio.sleep(GRACE_S + 1.5)
     until.set()
     await asyncio.gather(*clients)
-    ran = {attempt for _, attempt, _ in portal.runs}
-    answered = [
-        attempt
-        for attempt, answer in answers
-        if attempt in ran and answer.status == 200
-    ]
-    wrong = [attempt for attempt, _ in answers if attempt in ran]
-    found = []
-    if wrong:
-        found.append(
-            f'ROUTE: {len(wrong)} of {len(answers)} requests for desk ran at a'
-            f' runner of portal; {len(answered)} of them got its success'
-        )
-    if not HAS_TROUBLE:
-        failed = sum(answer.status != 200 for _, answer in answers)
-        found += [f'{failed} not served without trouble'] if failed else []
+    if HAS_TROUBLE:
+        found = broken_by(deployment, answers, stopped_s)
+    else:
+        cut = [answer for _, answer in answers if not answer.is_complete]
+        found = [f'{len(cut)} cut without trouble'] if cut else []
     deployment.record('; '.join(found) or 'the rule held')
     return found
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,6 @@
-"""A router is stopped while clients go on using their open connections."""
+"""Routers are stopped and started in turn while long streams run."""
 
 import asyncio
-import itertools
 import pathlib
 import signal
 import sys
@@ -9,114 +8,131 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
-from stand_ins_2 import (  # noqa: E402
-    HAS_TROUBLE,
-    KEY,
-    KeptConnection,
-    new_attempt,
-    run_case,
-)
+from stand_ins_2 import HAS_TROUBLE, new_attempt, run_case  # noqa: E402
 
-CLIENTS = 120
-# Events of the streams of one route, and of the other, of which each eleventh is
-# long. The sheets have 13 events on average, 52 at most.
-DIGEST, SHORT, LONG, EACH = 17, 4, 24, 11
-PAUSE_S = 0.3
-GRACE_S = 8
-SENT_EARLY_S = 3
-MODEL = {'Model': 'm1', 'Token-Usage': '900,100', 'Deadline-Ms': '15000'}
+STREAMS = 16
+NEW_STREAMS = 8
+# A stream of 13.5 s, with 15 s until its deadline.
+EVENTS, PAUSE_S = 30, 0.45
+DEADLINE_S = 15
+MOST_TRIES = 4
+STABLE_WINDOW_S = 3
+MODEL = {'Model': 'm1', 'Token-Usage': '9190,104'}
 
 
-def events_of(path, number):
-    if path.startswith('/digest/'):
-        return DIGEST
-    return SHORT if number % EACH else LONG
+class Client:
+    """A client with one stream, which it takes up again if it breaks off."""
 
+    def __init__(self, deployment, number):
+        self._deployment = deployment
+        self._number = number
+        self.events = {}
+        self.is_whole = False
+        self.resumed_at_s = None
+        self.statuses = []
 
-async def use_connection(deployment, router, until, answers, delay_s):
-    """Send one stream after the other on an open connection, of two kinds."""
-    paths = itertools.cycle(('/digest/1', '/urgent/1'))
-    connection = KeptConnection(router.ip)
-    await asyncio.sleep(delay_s)
-    while not until.is_set():
-        attempt = new_attempt()
-        headers = {
-            **MODEL,
-            'Attempt-Id': attempt,
-            'Authorization': f'Token {KEY}',
-        }
-        path = next(paths)
-        deployment.record(f'sent {attempt} to {router.name}: {path}')
-        answer = await connection.ask(path, headers)
-        deployment.record(
-            f'answer to {attempt}: {answer.status},'
-            f' {answer.last_event()} events, {answer.end}'
-        )
-        answers.append((attempt, answer))
-        if not answer.status:
+    async def run(self):
+        deployment = self._deployment
+        first, other = deployment.routers
+        until_s = time.monotonic() + DEADLINE_S
+        origin = ''
+        router = first
+        for _ in range(MOST_TRIES):
+            headers = {
+                **MODEL,
+                'Attempt-Id': new_attempt(),
+                'Deadline-Ms': str(int((until_s - time.monotonic()) * 1000)),
+            }
+            last = max(self.events, default=0)
+            if last:
+                headers.update({'Last-Event-Id': str(last), 'Resumes': origin})
+            if last and self.resumed_at_s is None:
+                self.resumed_at_s = time.monotonic()
+            answer = await deployment.call(
+                router, f'/urgent/{self._number}', headers
+            )
+            self._take(answer)
+            origin = origin or headers['Attempt-Id']
+            if last:
+                self.statuses.append(answer.status)
+            if answer.status == 200 and answer.is_complete:
+                self.is_whole = sorted(self.events) == list(range(1, EVENTS + 1))
+                return
+            left_s = until_s - time.monotonic()
+            pause_s = float(answer.headers.get('retry-after', 0))
+            if left_s <= 0.1:
+                return
+            await asyncio.sleep(min(pause_s, left_s / 3))
+            router = other
+
+    def _take(self, answer):
+        if answer.status != 200:
             return
-    connection.close()
+        for event in answer.body.split(b'\n\n')[:-1]:
+            number = int(event.split(b'\n')[0].removeprefix(b'id:'))
+            self.events[number] = event
 
 
-def broken_by(deployment, answers, stopped_s):
-    """Return what breaks LOST: see the claim for the excuses."""
-    runs = {attempt for one in deployment.runners for _, attempt, _ in one.runs}
-    ends = {}
-    for runner in deployment.runners:
-        ends.update(runner.ends)
-    found = []
-    for attempt, answer in answers:
-        if answer.is_complete or attempt not in runs:
-            continue
-        is_in_window = stopped_s < answer.ended_s <= stopped_s + GRACE_S + 1
-        is_runners = ends[attempt] in {'done', 'stopped at its deadline'}
-        was_early = answer.sent_s <= stopped_s + SENT_EARLY_S
-        is_late = answer.ended_s >= stopped_s + GRACE_S * 5 / 6
-        if not is_in_window or is_runners or (was_early and is_late):
-            continue
-        found.append(
-            f'LOST: a request sent {answer.sent_s - stopped_s:.2f} s after'
-            f' SIGTERM was cut at {answer.ended_s - stopped_s:.2f} s with'
-            f' {answer.last_event()} events; runner: {ends[attempt]}'
-        )
-    return found
+async def restart(deployment, router):
+    """Stop a router with SIGTERM, and start it again when it has ended."""
+    deployment.record(f'SIGTERM to {router.name}')
+    router.signal(signal.SIGTERM)
+    await asyncio.to_thread(router.process.wait, 8)
+    router.start()
+    started_s = time.monotonic()
+    deployment.record(f'{router.name} started again')
+    await router.wait_ready()
+    deployment.record(f'{router.name} is ready again')
+    return started_s
 
 
 async def play(deployment):
     await deployment.start_store()
     for _ in range(2):
         await deployment.add_runner(
-            'llm',
-            models=['m1'],
-            pause_s=PAUSE_S,
-            events_of=events_of,
+            'llm', models=['m1'], events=EVENTS, pause_s=PAUSE_S
         )
     for _ in range(2):
         deployment.add_router()
-    await deployment.wait_served('/digest/0', MODEL, timeout_s=30)
+    short = {**MODEL, 'Deadline-Ms': '15000'}
+    await deployment.wait_served('/digest/0', short, timeout_s=40)
     await asyncio.sleep(3.5)
-    router = deployment.routers[0]
-    until, answers = asyncio.Event(), []
-    clients = [
-        asyncio.create_task(
-            use_connection(deployment, router, until, answers, number * 0.03)
+    clients = [Client(deployment, number) for number in range(STREAMS)]
+    calls = [asyncio.create_task(client.run()) for client in clients]
+    await asyncio.sleep(0.5)
+    found = []
+    if HAS_TROUBLE:
+        first, other = deployment.routers
+        started_s = await restart(deployment, other)
+        last = asyncio.create_task(restart(deployment, first))
+    await asyncio.gather(*calls)
+    if not HAS_TROUBLE:
+        lost = [client for client in clients if not client.is_whole]
+        found = [f'{len(lost)} streams not whole without trouble'] if lost else []
+        deployment.record('; '.join(found) or 'the rule held')
+        return found
+    new = await asyncio.gather(
+        *(
+            deployment.call(other, f'/urgent/{100 + number}', short)
+            for number in range(NEW_STREAMS)
         )
-        for number in range(CLIENTS)
+    )
+    await last
+    resumed = [
+        client
+        for client in clients
+        if client.resumed_at_s is not None
+        and client.resumed_at_s - started_s >= STABLE_WINDOW_S
     ]
-    await asyncio.sleep(16)
-    stopped_s = time.monotonic()
-    if HAS_TROUBLE:
-        deployment.record(f'SIGTERM to {router.name}')
-        router.signal(signal.SIGTERM)
-    await asyncio.sleep(GRACE_S + 1.5)
-    until.set()
-    await asyncio.gather(*clients)
-    if HAS_TROUBLE:
-        found = broken_by(deployment, answers, stopped_s)
-    else:
-        cut = [answer for _, answer in answers if not answer.is_complete]
-        found = [f'{len(cut)} cut without trouble'] if cut else []
-    deployment.record('; '.join(found) or 'the rule held')
+    went_on = sum(client.is_whole for client in resumed)
+    begun = sum(answer.status == 200 and answer.is_complete for answer in new)
+    summary = (
+        f'{len(resumed)} streams taken up again at a machine in touch,'
+        f' {went_on} went on; {begun} of {len(new)} new streams were served'
+    )
+    deployment.record(summary)
+    if len(resumed) >= 12 and went_on / len(resumed) < begun / len(new) / 2:
+        found = [f'LOST: {summary}']
     return found
 
 
