--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -22,6 +22,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import uuid
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -924,7 +925,7 @@
         for router in self.routers:
             await router.wait_ready()
             while True:
-                answer = await self.call(router, path, headers, is_quiet=True)
+                answer = await self.call(router, path, headers)
                 if answer.status == 200 and answer.is_complete:
                     break
                 if time.monotonic() > until_s:
@@ -934,9 +935,7 @@
                     )
                 await asyncio.sleep(0.1)
 
-    async def call(
-        self, router, path, headers=None, is_quiet=False, **options
-    ):
+    async def call(self, router, path, headers=None, **options):
         """Send a request as a client does, and record it with its answer."""
         sent = {
             'Attempt-Id': new_attempt(),
@@ -944,15 +943,13 @@
             'Authorization': f'Token {KEY}',
             **(headers or {}),
         }
-        if not is_quiet:
-            self.record(f'sent {sent["Attempt-Id"]} to {router.name}: {path}')
+        self.record(f'sent {sent["Attempt-Id"]} to {router.name}: {path}')
         answer = await ask(router.ip, path, sent, **options)
-        if not is_quiet:
-            why = '' if answer.status in {0, 200} else f' {answer.body[:160]!r}'
-            self.record(
-                f'answer to {sent["Attempt-Id"]}: {answer.status},'
-                f' {len(answer.body)} bytes, {answer.end}{why}'
-            )
+        why = '' if answer.status in {0, 200} else f' {answer.body[:160]!r}'
+        self.record(
+            f'answer to {sent["Attempt-Id"]}: {answer.status},'
+            f' {len(answer.body)} bytes, {answer.end}{why}'
+        )
         return answer
 
     async def close(self):
@@ -969,18 +966,31 @@
 
 
 def _free_network():
-    """Return a network of loopback addresses that nothing listens on."""
+    """Return a network of loopback addresses on which all ports are free."""
+    ports = (
+        STORE_PORT,
+        APP_PORT,
+        CALLER_PORT,
+        READY_PORT,
+        PEER_PORT,
+        PEER_PORT + 1,
+    )
     for _ in range(50):
         net = f'127.{random.randrange(2, 250)}.{random.randrange(2, 250)}'
-        with socket.socket() as probe:
-            try:
-                probe.bind((f'{net}.1', STORE_PORT))
-            except OSError:
-                continue
+        if all(_is_free(f'{net}.{host}', port) for host in (1, 2) for port in ports):
             return net
     raise CannotRunError('no free loopback network')
 
 
+def _is_free(ip, port):
+    with socket.socket() as probe:
+        try:
+            probe.bind((ip, port))
+        except OSError:
+            return False
+    return True
+
+
 def run_case(case, record_name, play):
     """Run a case and exit: 1 if the rule was broken, 0 if not, 2 if not run.
 
@@ -990,7 +1000,11 @@
     """
 
     async def run():
-        deployment = Deployment(case, record_name)
+        try:
+            deployment = Deployment(case, record_name)
+        except CannotRunError as error:
+            print(f'could not run: {error}')
+            return None
         try:
             async with asyncio.timeout(110):
                 return await play(deployment)
@@ -1001,6 +1015,10 @@
         except TimeoutError:
             deployment.record('could not run: no time left')
             return None
+        except Exception as error:
+            deployment.record(f'could not run: {error!r}')
+            traceback.print_exc()
+            return None
         finally:
             await deployment.close()
 
