Send nothing that the end of a stopping router might cut

Cause: while the process stops, a call was sent if nine of ten of the route's last 32 answers would have been complete in time. Those that take longer were cut.

A call is now sent only if its own deadline or its route's timeout ends it before the process does; others are refused at once with 503. The same holds for calls that are waiting for a load, a place or a limit when the stop begins, and for a further send of a call of which the caller has received nothing. Streams that have begun go on at another server as before. The estimate of durations is removed.

Two of its tests stated the old rule (served, or refused, by how long answers usually take), and are replaced by ones that state the deadline; a third sent its stream after the stop had begun, which is refused now, and sends it before.

--- a/lagoonflow/relay/admission.py
+++ b/lagoonflow/relay/admission.py
@@ -65,6 +65,8 @@
 
     :ivar arrived_ms: boot time at which the call arrived.
     :ivar deadline_at_ms: boot time by which its answer must be complete.
+    :ivar is_cut_short: that is when this process stops, and the call might
+        take longer.
     :ivar start_by_ms: boot time by which its answer must have begun.
     :ivar charged_tokens: tokens charged to its organisation.
     :ivar fingerprint: what it has in common with its repeats only.
@@ -82,6 +84,7 @@
     charged_tokens: float
     fingerprint: str = ''
     software_version: str | None = None
+    is_cut_short: bool = False
 
     @property
     def urgency(self) -> int:
--- a/lagoonflow/relay/attempts.py
+++ b/lagoonflow/relay/attempts.py
@@ -28,6 +28,8 @@
     :ivar last_failure_reason: why the latest send failed.
     :ivar software_version: version that a server must have, as another one
         began the stream that the call resumes; ``None`` for any.
+    :ivar has_answer_begun: whether the caller has received a part of the
+        answer.
     :ivar replacement: server that is reserved for the next send, whose retry
         is counted already.
     """
@@ -40,6 +42,7 @@
     last_failure: Failed | None = None
     last_failure_reason: str = ''
     software_version: str | None = None
+    has_answer_begun: bool = False
     replacement: Send | None = None
 
     def exclude(self, instance: str, opening: Opening | None) -> None:
--- a/lagoonflow/relay/deadlines.py
+++ b/lagoonflow/relay/deadlines.py
@@ -1,13 +1,10 @@
 """Deadlines of the calls in flight, and the time until the process stops."""
 
 import asyncio
-import collections
 import contextlib
-import math
 from collections.abc import AsyncIterator
 
 from lagoonflow.clock import MS_PER_S, boottime_ms
-from lagoonflow.declared.messages import Route
 from lagoonflow.declared.view import DeclaredView
 from lagoonflow.relay.admission import AdmittedCall
 from lagoonflow.relay.attempts import Attempts
@@ -17,54 +14,12 @@
 from lagoonflow.results import Refusal, Result
 from lagoonflow.time_limits import TimeLimit, time_limit
 
-# Answers of a route whose durations are remembered.
-KEPT_DURATIONS = 32
-# This share of the remembered answers took no longer than what counts as usual.
-USUAL_SHARE = 0.9
-# Routes whose durations are remembered; the ones used least recently are
-# dropped first.
-MAX_ROUTES = 2000
-
-
-class UsualDurations:
-    """How long the answers of each route take, from the send to their end."""
-
-    def __init__(self) -> None:
-        """Remember nothing yet."""
-        self._durations_ms: collections.OrderedDict[
-            str, collections.deque[float]
-        ] = collections.OrderedDict()
-
-    def note(self, route: Route, duration_ms: float) -> None:
-        """Remember how long an answer took."""
-        durations = self._durations_ms.setdefault(
-            route.name, collections.deque(maxlen=KEPT_DURATIONS)
-        )
-        durations.append(duration_ms)
-        self._durations_ms.move_to_end(route.name)
-        if len(self._durations_ms) > MAX_ROUTES:
-            self._durations_ms.popitem(last=False)
-
-    def usual_ms(self, route: Route) -> float:
-        """Return the time that an answer usually takes at most, in ms.
-
-        While no answer is known it is the route's latency target.
-        """
-        durations = sorted(self._durations_ms.get(route.name, ()))
-        if not durations:
-            return route.target_latency_ms
-        return durations[math.ceil(len(durations) * USUAL_SHARE) - 1]
-
 
 class CallDeadlines:
-    """Ends calls in flight at their deadlines, which may be lowered.
-
-    :ivar usual: how long answers take.
-    """
+    """Ends calls in flight at their deadlines, which may be lowered."""
 
     def __init__(self, view: DeclaredView) -> None:
         """Start without calls."""
-        self.usual = UsualDurations()
         self._view = view
         self._timers: dict[int, tuple[AdmittedCall, TimeLimit]] = {}
         self._stop_at_ms = float('inf')
@@ -76,21 +31,23 @@
 
     def bound(self, admitted: AdmittedCall) -> None:
         """End a new call before the process stops."""
-        admitted.deadline_at_ms = min(admitted.deadline_at_ms, self._stop_at_ms)
+        _cut_short(admitted, self._stop_at_ms)
 
     def refuse_late(self, admitted: AdmittedCall) -> Refusal | None:
-        """Refuse a call whose answer can't be expected before the process ends.
+        """Refuse a call that the end of the process might cut.
+
+        How long answers usually take says nothing about this one: only its
+        deadline ends it for certain.
 
         :return: ``None`` when the call may be sent.
         """
-        left_ms = self._stop_at_ms - boottime_ms()
-        usual_ms = self.usual.usual_ms(admitted.route)
-        if usual_ms <= left_ms:
+        if not admitted.is_cut_short:
             return None
+        left_ms = self._stop_at_ms - boottime_ms()
         return Refusal(
             Result.DEADLINE_UNREACHABLE,
-            f'the router stops in {int(left_ms)} ms, and an answer usually'
-            f' takes {int(usual_ms)} ms',
+            f'the router stops in {int(left_ms)} ms, before the deadline of the'
+            ' call',
         )
 
     @contextlib.asynccontextmanager
@@ -121,7 +78,17 @@
         """
         self._stop_at_ms = stop_at_ms
         for admitted, timer in self._timers.values():
-            _lower_deadline(admitted, timer, stop_at_ms)
+            if _cut_short(admitted, stop_at_ms):
+                _move_to_deadline(admitted, timer)
+
+
+def _cut_short(admitted: AdmittedCall, stop_at_ms: float) -> bool:
+    """End a call when the process stops, if its deadline is later."""
+    if stop_at_ms >= admitted.deadline_at_ms:
+        return False
+    admitted.deadline_at_ms = stop_at_ms
+    admitted.is_cut_short = True
+    return True
 
 
 def _lower_deadline(
@@ -130,8 +97,12 @@
     """Set the deadline of a call in flight if the new one is earlier."""
     if limit_ms < admitted.deadline_at_ms:
         admitted.deadline_at_ms = limit_ms
-        left_s = max(limit_ms - boottime_ms(), 0) / MS_PER_S
-        move_timeout(timer, asyncio.get_running_loop().time() + left_s)
+        _move_to_deadline(admitted, timer)
+
+
+def _move_to_deadline(admitted: AdmittedCall, timer: TimeLimit) -> None:
+    left_s = max(admitted.time_left_ms(boottime_ms()), 0) / MS_PER_S
+    move_timeout(timer, asyncio.get_running_loop().time() + left_s)
 
 
 def answer_timeout(
--- a/lagoonflow/relay/placing.py
+++ b/lagoonflow/relay/placing.py
@@ -92,8 +92,8 @@
         :param cold: when cold servers may be sent requests.
         :param held_bytes: counts the bytes of requests from the choice of
             their server on.
-        :param refuse_late: refuses calls that can't be answered in time,
-            before their first send.
+        :param refuse_late: refuses calls that may not be answered in time,
+            unless their answer has begun.
         :param stalled_ms: returns for how long this process stood still so
             far: agents are not heard meanwhile.
         """
@@ -291,7 +291,7 @@
         now_ms: float,
     ) -> Choice | Refusal:
         refusal = self._admission.refuse_crashing(admitted)
-        if refusal is None and not attempts.possible_runs:
+        if refusal is None and not attempts.has_answer_begun:
             refusal = self._refuse_late(admitted)
         if refusal is not None:
             return refusal
--- a/lagoonflow/relay/replacing.py
+++ b/lagoonflow/relay/replacing.py
@@ -50,6 +50,7 @@
             attempts,
             excluded=attempts.excluded | excluded | {self.server.instance},
             rejecting=set(attempts.rejecting),
+            has_answer_begun=self.progress.reply.has_started,
             software_version=(
                 self.progress.software_version or attempts.software_version
             ),
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -141,9 +141,9 @@
     def finish_calls_by(self, stop_at_ms: float) -> None:
         """Answer or refuse all calls by a time, as the process is stopping.
 
-        Calls whose model would be loaded after that time, or whose answer
-        usually takes longer, are refused at once, so that their callers can
-        use another router.
+        Calls that may take longer are refused at once unless they were sent
+        already, so that their callers can use another router. So are those that
+        would be sent again, as long as their callers have received nothing.
 
         :param stop_at_ms: boot time by which all calls are answered.
         """
@@ -224,7 +224,6 @@
                 refusal = choice
                 break
             server = choice.server
-            sent_ms = boottime_ms()
             sent = RunningSend(record, admitted, attempts, progress, server)
             time_limit = answer_timeout(
                 admitted, attempts, self._replacements.search(sent)
@@ -240,13 +239,11 @@
                 )
             record.note_send(server.instance, outcome, boottime_ms())
             record.note_progress(progress)
+            attempts.has_answer_begun = reply.has_started
             if progress.software_version is not None:
                 attempts.software_version = progress.software_version
             if isinstance(outcome, Delivered):
                 self._note_delivered(admitted, server)
-                self._deadlines.usual.note(
-                    admitted.route, boottime_ms() - sent_ms
-                )
                 record.finish('delivered')
                 return None
             refusal = self._handle_failed_send(
--- a/tests/relay/test_stopping.py
+++ b/tests/relay/test_stopping.py
@@ -2,12 +2,16 @@
 
 import asyncio
 
+import pytest
+
+from lagoonflow.backends.limits import LimitStatement
 from lagoonflow.clock import boottime_ms
 from lagoonflow.gossip.messages import AgentState
 from tests.relay.harness import (
     RelayHarness,
     answer_events,
     answer_with,
+    drop_connection,
     encode_request,
     never_answer,
     read_framed_answer,
@@ -15,6 +19,11 @@
 )
 
 WORK_MS = 300
+# Timeout of the routes of the harness.
+ROUTE_TIMEOUT_MS = 1500
+STREAMS = frozenset(('/once/x', '/resume/x'))
+SLOW_LIMIT_PER_S = 1.0
+SHORT_ANSWER = answer_with('200 OK', 'fine')
 
 
 async def harness_with_pending_load():
@@ -102,18 +111,67 @@
     assert boottime_ms() - sent_ms < 150
 
 
-async def test_a_call_is_served_when_its_answer_comes_before_the_process_ends():
+async def test_a_call_is_served_when_its_deadline_is_before_the_process_ends():
     harness, _ = await harness_with_known_work()
     harness.calls.finish_calls_by(boottime_ms() + WORK_MS + 300)
-    assert (await harness.send_request('/book/x'))[0] == 200
+    deadline = f'Deadline-Ms: {WORK_MS + 200}'
+    assert (await harness.send_request('/book/x', deadline))[0] == 200
+
+
+async def test_a_call_is_served_when_its_route_ends_it_before_the_process():
+    harness, _ = await harness_with_known_work()
+    harness.calls.finish_calls_by(boottime_ms() + ROUTE_TIMEOUT_MS + 300)
+    deadline = f'Deadline-Ms: {2 * ROUTE_TIMEOUT_MS}'
+    assert (await harness.send_request('/book/x', deadline))[0] == 200
 
 
-async def test_the_latency_target_counts_where_no_answer_is_known():
+@pytest.mark.parametrize('path', ['/read/x', '/book/x', '/once/x', '/resume/x'])
+async def test_a_long_answer_is_not_cut_because_earlier_ones_were_short(path):
     harness = RelayHarness()
-    (backend,) = await harness.add_backends(answer_with('200 OK', 'fine'))
-    harness.calls.finish_calls_by(boottime_ms() + 150)
-    assert (await harness.send_request('/book/x'))[0] == 503
-    assert not backend.requests
+    script = answer_events(1, 2) if path in STREAMS else SHORT_ANSWER
+    (backend,) = await harness.add_backends(script)
+    for _ in range(3):
+        assert (await harness.send_request(path))[0] == 200
+    backend.requests.clear()
+    backend.script = never_answer
+    harness.calls.finish_calls_by(boottime_ms() + ROUTE_TIMEOUT_MS - 300)
+    status, headers, _ = await harness.send_request(path)
+    assert (status, backend.requests) == (503, [])
+    assert 0 < float(headers['retry-after']) < 0.1
+
+
+@pytest.mark.parametrize('path', ['/read/x', '/resume/x'])
+async def test_a_failed_call_is_not_sent_again_if_the_stop_may_cut_it(path):
+    """Its caller can send it to another router, which isn't about to end."""
+    harness = RelayHarness()
+    first, second = await harness.add_backends(drop_connection, SHORT_ANSWER)
+    first.script = _stop_before(harness, first.script, 600)
+    status, _, _ = await harness.send_request(path)
+    assert (status, second.requests) == (504, [])
+
+
+async def test_a_failed_call_is_sent_again_if_its_deadline_is_before_the_stop():
+    harness = RelayHarness()
+    first, _ = await harness.add_backends(drop_connection, SHORT_ANSWER)
+    first.script = _stop_before(harness, first.script, 600)
+    status, _, _ = await harness.send_request('/read/x', 'Deadline-Ms: 400')
+    assert status == 200
+
+
+async def test_a_call_that_waits_for_a_place_is_refused_if_the_stop_may_cut_it():
+    harness = RelayHarness()
+    (backend,) = await harness.add_backends(SHORT_ANSWER)
+    harness.fleet.limits.hear(
+        LimitStatement('i-0', 1, SLOW_LIMIT_PER_S, boottime_ms())
+    )
+    waiting = asyncio.create_task(harness.send_request('/read/x'))
+    await asyncio.sleep(0.1)
+    assert not waiting.done()
+    stopped_ms = boottime_ms()
+    harness.calls.finish_calls_by(stopped_ms + 1200)
+    status, _, _ = await waiting
+    assert (status, backend.requests) == (503, [])
+    assert boottime_ms() - stopped_ms < 300
 
 
 async def test_a_begun_stream_goes_on_at_another_server_while_stopping():
@@ -122,15 +180,27 @@
         answer_events(1, 2, ends=False), answer_events(3, 4)
     )
     reader, writer = await harness.connect()
-    harness.calls.finish_calls_by(boottime_ms() + 600)
     writer.write(encode_request('/resume/x'))
     second.script = _stop_before(harness, second.script)
     assert (await read_framed_answer(reader)).is_complete
 
 
-def _stop_before(harness, script):
+async def test_a_stream_that_breaks_off_during_the_stop_goes_on_elsewhere():
+    harness = RelayHarness()
+    first, _ = await harness.add_backends(
+        answer_events(1, 2, ends=False), answer_events(3, 4)
+    )
+    reader, writer = await harness.connect()
+    writer.write(encode_request('/resume/x'))
+    first.script = _stop_before(harness, first.script, 600)
+    answer = await read_framed_answer(reader)
+    assert answer.is_complete
+    assert b'id: 4' in answer.body
+
+
+def _stop_before(harness, script, grace_ms=100):
     async def run(writer, received):
-        harness.calls.finish_calls_by(boottime_ms() + 100)
+        harness.calls.finish_calls_by(boottime_ms() + grace_ms)
         return await script(writer, received)
 
     return run
