Read no topic on from a position of another era

Cause: a follower read on from the offset that it had reached before. The store had lost two records and got two others, so the offset was the end of the topic again: the withdrawal was skipped, and each empty read counted as proof that the version in force was the newest.

A position is now an era and an offset (declared/positions.py), which can only be compared together; the era is that of the header Store-Era. A page of another era isn't applied, and the newest records are read anew. Routers that read for each other state the era. A read proves nothing while the store lacks the version that is in force.

Tests that gave followers plain offsets give them positions; nothing else in them changes.

--- a/lagoonflow/declared/overdue_read.py
+++ b/lagoonflow/declared/overdue_read.py
@@ -8,6 +8,7 @@
 import structlog
 
 from lagoonflow.clock import MS_PER_S, Clock
+from lagoonflow.declared.positions import Position
 from lagoonflow.declared.records import (
     DEFAULT_OPTIONS,
     Answer,
@@ -91,11 +92,11 @@
 
     async def read(
         self,
-        offset: int,
+        position: Position,
         wait_ms: int,
         max_replaced_bytes: float = DEFAULT_OPTIONS.max_replaced_bytes,
     ) -> TimedAnswer:
-        """Return the records from an offset on.
+        """Return the records from a position on.
 
         :param wait_ms: longest time to wait for the first record, in ms.
         :param max_replaced_bytes: as in :class:`ReadOptions`.
@@ -104,7 +105,7 @@
         race = _Race(
             self._store,
             self._topic,
-            offset,
+            position,
             whole,
             self._clock,
             self._stalled_ms,
@@ -149,14 +150,14 @@
         self,
         store: KeyedStore,
         topic: str,
-        offset: int,
+        position: Position,
         options: ReadOptions,
         clock: Clock,
         stalled_ms: Callable[[], float],
     ) -> None:
         self._store = store
         self._topic = topic
-        self._offset = offset
+        self._position = position
         self._options = options
         self._clock = clock
         self._stalled_ms = stalled_ms
@@ -181,7 +182,7 @@
             read_timed(
                 self._store,
                 self._topic,
-                self._offset,
+                self._position,
                 wait_ms,
                 self._clock,
                 options,
@@ -290,19 +291,19 @@
 async def read_timed(
     store: KeyedStore,
     topic: str,
-    offset: int,
+    position: Position,
     wait_ms: int,
     clock: Clock,
     options: ReadOptions = DEFAULT_OPTIONS,
 ) -> TimedAnswer:
-    """Read a topic from an offset on.
+    """Read a topic from a position on.
 
     The store answers as soon as there is a record, so an answer without any
     proves that none was written until its wait ended. An answer that comes
     before that proves nothing after the request.
     """
     requested_at_ms = clock()
-    answer = await store.read(topic, offset, wait_ms, options)
+    answer = await store.read(topic, position, wait_ms, options)
     has_waited = clock() - requested_at_ms >= wait_ms
     if has_waited and isinstance(answer, RecordPage) and not answer.records:
         waited_ms = max(wait_ms - MAX_CLOCK_DRIFT_MS, 0)
--- a/lagoonflow/declared/records.py
+++ b/lagoonflow/declared/records.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from lagoonflow.declared.positions import Position
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyedRecord:
@@ -17,13 +19,17 @@
 class RecordPage:
     """Records that one request to the store returned.
 
-    :param next_offset: offset from which to read the records after them.
+    :param next_position: from where to read the records after them.
     :param is_current: whether the topic had no records after them.
+    :param may_be_older: the store has come back from a copy, so the records may
+        be older than what was read before; those that were lost are written
+        again.
     """
 
     records: tuple[KeyedRecord, ...]
-    next_offset: int
+    next_position: Position
     is_current: bool = True
+    may_be_older: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +40,14 @@
     """
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EraChanged:
+    """The store is in another era than the position that was read from.
+
+    The reader has to start anew with the newest record of each key.
+    """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HistoryTooLong:
     """The records take longer to read than the newest ones of each key."""
@@ -94,7 +108,14 @@
 
 
 DEFAULT_OPTIONS = ReadOptions()
-Answer = RecordPage | HistoryExpired | HistoryTooLong | RecordCut | StoreFailure
+Answer = (
+    RecordPage
+    | HistoryExpired
+    | EraChanged
+    | HistoryTooLong
+    | RecordCut
+    | StoreFailure
+)
 
 
 class KeyedStore(Protocol):
@@ -111,11 +132,11 @@
     async def read(
         self,
         topic: str,
-        offset: int,
+        position: Position,
         wait_ms: int,
         options: ReadOptions = DEFAULT_OPTIONS,
     ) -> Answer:
-        """Return the records from an offset on.
+        """Return the records from a position on.
 
         :param wait_ms: longest time to wait for the first record, in ms.
         """
--- a/lagoonflow/declared/shared_reads.py
+++ b/lagoonflow/declared/shared_reads.py
@@ -13,6 +13,7 @@
 
 from lagoonflow.clock import MS_PER_S, Clock
 from lagoonflow.declared.overdue_read import TimedAnswer
+from lagoonflow.declared.positions import Position
 from lagoonflow.declared.records import KeyedRecord, RecordPage
 from lagoonflow.waking.copies import rendezvous_weight
 
@@ -30,25 +31,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SharedPage:
-    """What a router has read of a topic after an offset.
+    """What a router has read of a topic after a position.
 
     :param records: newest record of each key that changed.
-    :param next_offset: offset up to which the topic was read.
+    :param next_position: up to where the topic was read.
     :param age_ms: time since the topic was known to have no more records.
     :param is_whole: whether the records are all that changed; otherwise they
         have to be read from the store.
     """
 
     records: tuple[KeyedRecord, ...]
-    next_offset: int
+    next_position: Position
     age_ms: float
     is_whole: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _KeptPage:
-    from_offset: int
-    next_offset: int
+    from_position: Position
+    next_position: Position
     records: tuple[KeyedRecord, ...]
 
 
@@ -91,37 +92,42 @@
         )
         self._current_at_ms = float('-inf')
 
-    def note(self, offset: int, timed: TimedAnswer) -> None:
-        """Keep a page that the store returned for an offset.
+    def note(self, position: Position, timed: TimedAnswer) -> None:
+        """Keep a page that the store returned for a position.
 
         A page that doesn't continue the ones before discards them.
         """
         page = timed.answer
         if not isinstance(page, RecordPage):
             return
-        if self._pages and self._pages[-1].next_offset != offset:
+        if self._pages and self._pages[-1].next_position != position:
             self._pages.clear()
             self._changes.forget()
         changed = self._changes.select(page.records)
-        self._pages.append(_KeptPage(offset, page.next_offset, changed))
+        self._pages.append(_KeptPage(position, page.next_position, changed))
         self._merge_unchanged()
         if page.is_current:
             self._current_at_ms = timed.current_at_ms
 
-    def after(self, offset: int, now_ms: float) -> SharedPage:
-        """Return what was read after an offset."""
+    def after(self, position: Position, now_ms: float) -> SharedPage:
+        """Return what was read after a position."""
         age_ms = now_ms - self._current_at_ms
-        if not self._pages or offset < self._pages[0].from_offset:
-            return SharedPage((), offset, age_ms, is_whole=False)
+        unknown = SharedPage((), position, age_ms, is_whole=False)
+        if not (
+            self._pages and position.includes(self._pages[0].from_position)
+        ):
+            return unknown
         newest: dict[str, KeyedRecord] = {}
         for page in self._pages:
-            if page.next_offset > offset:
+            if not position.includes(page.next_position):
                 newest.update({record.key: record for record in page.records})
         records = tuple(newest.values())
         if sum(map(_size, records)) > MAX_ANSWER_BYTES:
-            return SharedPage((), offset, age_ms, is_whole=False)
-        next_offset = max(self._pages[-1].next_offset, offset)
-        return SharedPage(records, next_offset, age_ms)
+            return unknown
+        read_until = self._pages[-1].next_position
+        if position.includes(read_until):
+            read_until = position
+        return SharedPage(records, read_until, age_ms)
 
     def _merge_unchanged(self) -> None:
         """Join the last page to the one before if neither has changes."""
@@ -132,7 +138,7 @@
         if last.records or before.records:
             self._pages.extend((before, last))
         else:
-            joined = _KeptPage(before.from_offset, last.next_offset, ())
+            joined = _KeptPage(before.from_position, last.next_position, ())
             self._pages.append(joined)
 
 
@@ -181,14 +187,14 @@
     poll_interval_ms: float
 
 
-AskRouter = Callable[[str, str, int], Awaitable[SharedPage | None]]
-ReadStore = Callable[[int, int], Awaitable[TimedAnswer]]
+AskRouter = Callable[[str, str, Position], Awaitable[SharedPage | None]]
+ReadStore = Callable[[Position, int], Awaitable[TimedAnswer]]
 
 
 class SharedReads:
     """Reads a topic from another router, or from the store if that fails.
 
-    :param ask: asks a router for a topic from an offset on; returns ``None``
+    :param ask: asks a router for a topic from a position on; returns ``None``
         when it doesn't answer.
     :param others: returns the names of the other routers of the zone.
     """
@@ -214,9 +220,9 @@
         self._asked_at_ms = float('-inf')
 
     async def read(
-        self, offset: int, wait_ms: int, read_store: ReadStore
+        self, position: Position, wait_ms: int, read_store: ReadStore
     ) -> TimedAnswer:
-        """Return the records from an offset on.
+        """Return the records from a position on.
 
         :param wait_ms: longest time to wait for the first record, in ms.
         """
@@ -224,17 +230,17 @@
         while True:
             reader = self._readers.pick(self._others(), self._clock())
             if reader is None:
-                return await self._read_store(offset, wait_ms, read_store)
+                return await self._read_store(position, wait_ms, read_store)
             await self._pause()
             asked_at_ms = self._clock()
-            page = await self._ask(reader, self._topic, offset)
-            is_usable = self._is_usable(page, offset)
+            page = await self._ask(reader, self._topic, position)
+            is_usable = self._is_usable(page, position)
             if not is_usable:
                 self._readers.avoid(reader, self._clock())
             if not (is_usable and page.is_whole):
                 # What is known may be old by now, so the store has to answer
                 # at once.
-                return await self._read_store(offset, 0, read_store)
+                return await self._read_store(position, 0, read_store)
             if page.records or self._clock() >= until_ms:
                 return _timed(page, asked_at_ms)
 
@@ -244,16 +250,16 @@
         await asyncio.sleep(pause_ms / MS_PER_S)
         self._asked_at_ms = self._clock()
 
-    def _is_usable(self, page: SharedPage | None, offset: int) -> bool:
+    def _is_usable(self, page: SharedPage | None, position: Position) -> bool:
         if page is None or page.age_ms > self._limits.max_age_ms:
             return False
-        return page.next_offset >= offset
+        return page.next_position.includes(position)
 
     async def _read_store(
-        self, offset: int, wait_ms: int, read_store: ReadStore
+        self, position: Position, wait_ms: int, read_store: ReadStore
     ) -> TimedAnswer:
-        timed = await read_store(offset, wait_ms)
-        self._history.note(offset, timed)
+        timed = await read_store(position, wait_ms)
+        self._history.note(position, timed)
         return timed
 
 
@@ -261,7 +267,7 @@
     # The router stated the age of its proof after it was asked, so the proof
     # is at least as new as this, however long its answer took.
     return TimedAnswer(
-        RecordPage(page.records, page.next_offset),
+        RecordPage(page.records, page.next_position),
         asked_at_ms - page.age_ms,
         is_from_router=True,
     )
--- a/lagoonflow/declared/topic_follower.py
+++ b/lagoonflow/declared/topic_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 from collections.abc import Callable
 
@@ -13,10 +14,12 @@
     TimedAnswer,
     read_timed,
 )
+from lagoonflow.declared.positions import Position
 from lagoonflow.declared.records import (
     DEFAULT_LATE_MS,
     DEFAULT_OPTIONS,
     NEWEST_LATE_MS,
+    EraChanged,
     HistoryExpired,
     HistoryTooLong,
     KeyedStore,
@@ -55,11 +58,17 @@
 # After failures, answers may be this many times as late before they count as
 # lost: a store may be slow rather than silent.
 MAX_LATE_RATIO = 3
+# What a copy of the store has lost may be missing for this long, in ms: those who
+# wrote it write it again.
+REWRITE_MS = 5000
 
 
 class TopicFollower:
     """Reads the newest record of each key of a topic, then all changes.
 
+    When the store has come back from an older copy, it reads the newest records
+    anew, and marks them as possibly older.
+
     :param wait_ms: longest time that one read waits for records, in ms.
     :param gather_ms: pause after each page with records, in ms, so that
         records written one by one are read together.
@@ -101,9 +110,13 @@
             else None
         )
         self._shared_reads = shared_reads
-        self._offset: int | None = None
+        self._position: Position | None = None
         # Where to go on if the newest records can't be read.
-        self._skipped_offset: int | None = None
+        self._skipped_position: Position | None = None
+        # Era of the newest records that were read last.
+        self._era: int | None = None
+        self._restored_at_ms = float('-inf')
+        self._anew_at_ms = float('-inf')
         self._max_replaced_bytes: float = MAX_REPLACED_BYTES
         self._max_bytes = DEFAULT_OPTIONS.max_bytes
         self._is_behind = False
@@ -119,26 +132,27 @@
             await self._read_once()
 
     async def _read_once(self) -> None:
-        is_whole = self._offset is None
+        is_whole = self._position is None
         began_ms = boottime_ms()
         timed = await self._read()
         page = timed.answer
         match page:
             case StoreFailure():
                 await self._handle_failure(page)
-            case HistoryExpired():
-                self._log.info('history expired', topic=self._topic)
-                self._offset = None
+            case HistoryExpired() | EraChanged():
+                await self._start_anew(page)
             case HistoryTooLong():
                 self._log.info('history skipped', topic=self._topic)
-                self._skipped_offset = self._offset
-                self._offset = None
+                self._skipped_position = self._position
+                self._position = None
             case RecordCut(needed_bytes=needed_bytes):
                 self._max_bytes = needed_bytes
-            case RecordPage(records=records, next_offset=next_offset):
+            case RecordPage(records=records, next_position=next_position):
                 self._handle_success()
-                self._offset = next_offset
+                self._position = next_position
                 self._note_age(timed)
+                if is_whole:
+                    page = self._mark_restored(page)
                 self._apply(page, is_whole, timed.current_at_ms)
                 # The router that answered has paused before its own read.
                 if records and not timed.is_from_router:
@@ -155,6 +169,31 @@
         except Exception:
             self._log.exception('page not applied', topic=self._topic)
 
+    async def _start_anew(self, reason: HistoryExpired | EraChanged) -> None:
+        """Read the newest records next, after a pause if that is repeated."""
+        self._log.info(
+            'history not usable', topic=self._topic, why=type(reason).__name__
+        )
+        self._position = None
+        now_ms = boottime_ms()
+        if now_ms - self._anew_at_ms < MAX_RETRY_DELAY_MS:
+            await asyncio.sleep(MIN_RETRY_DELAY_MS / MS_PER_S)
+        self._anew_at_ms = now_ms
+
+    def _mark_restored(self, page: RecordPage) -> RecordPage:
+        """Mark the newest records of a store that has just come back."""
+        now_ms = boottime_ms()
+        era = page.next_position.era
+        if self._era not in {None, era}:
+            self._restored_at_ms = now_ms
+            self._log.warning(
+                'store restored from a copy', topic=self._topic, era=era
+            )
+        self._era = era
+        if now_ms - self._restored_at_ms > REWRITE_MS:
+            return page
+        return dataclasses.replace(page, may_be_older=True)
+
     async def _gather(self, now_ms: float) -> None:
         """Pause for more records to arrive; just after the start, less."""
         is_starting = now_ms - self._started_at_ms < START_PHASE_MS
@@ -186,7 +225,7 @@
         self._is_behind = is_old or not page.is_current
 
     async def _read(self) -> TimedAnswer:
-        if self._offset is None:
+        if self._position is None:
             requested_at_ms = boottime_ms()
             page = await self._store.newest(
                 self._topic, NEWEST_LATE_MS * self._late_ratio
@@ -198,25 +237,27 @@
         if self._failures or self._is_behind or is_wanted:
             wait_ms = 0
         if self._shared_reads is None or self._failures or is_wanted:
-            return await self._read_store(self._offset, wait_ms)
+            return await self._read_store(self._position, wait_ms)
         return await self._shared_reads.read(
-            self._offset, wait_ms, self._read_store
+            self._position, wait_ms, self._read_store
         )
 
     @property
     def _late_ratio(self) -> int:
         return min(self._failures + 1, MAX_LATE_RATIO)
 
-    async def _read_store(self, offset: int, wait_ms: int) -> TimedAnswer:
+    async def _read_store(
+        self, position: Position, wait_ms: int
+    ) -> TimedAnswer:
         if self._overdue_read is not None:
             return await self._overdue_read.read(
-                offset, wait_ms, self._max_replaced_bytes
+                position, wait_ms, self._max_replaced_bytes
             )
         options = ReadOptions(
             DEFAULT_LATE_MS * self._late_ratio, self._max_bytes
         )
         return await read_timed(
-            self._store, self._topic, offset, wait_ms, boottime_ms, options
+            self._store, self._topic, position, wait_ms, boottime_ms, options
         )
 
     def _handle_success(self) -> None:
@@ -225,7 +266,7 @@
                 'store regained', topic=self._topic, failures=self._failures
             )
         self._failures = 0
-        self._skipped_offset = None
+        self._skipped_position = None
         self._max_replaced_bytes = MAX_REPLACED_BYTES
 
     async def _handle_failure(self, failure: StoreFailure) -> None:
@@ -235,9 +276,9 @@
             )
         self._failures += 1
         self._on_failure(failure)
-        if self._skipped_offset is not None:
-            self._offset = self._skipped_offset
-            self._skipped_offset = None
+        if self._skipped_position is not None:
+            self._position = self._skipped_position
+            self._skipped_position = None
             self._max_replaced_bytes = float('inf')
         delay_ms = min(
             MIN_RETRY_DELAY_MS * 2 ** min(self._failures - 1, 8),
--- a/lagoonflow/gossip/topic_messages.py
+++ b/lagoonflow/gossip/topic_messages.py
@@ -8,12 +8,14 @@
 
     :param query_id: identifies the query in the answer.
     :param offset: offset up to which the sender has read the topic.
+    :param era: era of the metadata store that the offset belongs to.
     """
 
     router: str
     query_id: int
     topic: str
     offset: int
+    era: int = 0
 
 
 class TopicEntry(msgspec.Struct, array_like=True, frozen=True):
@@ -26,10 +28,12 @@
 class TopicAnswer(msgspec.Struct, array_like=True, frozen=True, tag=True):
     """What a router has read of a topic after an offset.
 
+    :param next_offset: offset up to which it has read the topic.
     :param age_ms: time since the topic was known to have no more records, in
         ms.
     :param is_whole: whether the records are all that changed; otherwise they
         have to be read from the store.
+    :param era: era of the metadata store that the offset belongs to.
     """
 
     router: str
@@ -38,3 +42,4 @@
     next_offset: int = 0
     age_ms: float = 0
     is_whole: bool = False
+    era: int = 0
--- a/lagoonflow/wiring/platform_agent.py
+++ b/lagoonflow/wiring/platform_agent.py
@@ -119,7 +119,8 @@
         log.info('stopped')
 
     async def _acquire_fence(self) -> None:
-        self._fence = await register(self._store, self._settings, ROLE)
+        registered = await register(self._store, self._settings, ROLE)
+        self._fence = registered.offset
         self._controller.runner_view.can_order = True
 
     def _apply_configuration(self) -> None:
--- a/lagoonflow/wiring/platform_feeds.py
+++ b/lagoonflow/wiring/platform_feeds.py
@@ -28,6 +28,8 @@
 
 # The id of a server, and its entry; ``None`` if that was removed.
 _Entry = tuple[str, BackendServer | None]
+# Stands for a store without a configuration.
+NO_VERSION = -1
 _NO_ROLES: Mapping[str, Members] = types.MappingProxyType({})
 
 
@@ -61,6 +63,10 @@
     :param on_change: called after a newer version was applied.
     :param apply_other_keys: called with each page before its configuration is applied,
         as the topic has other keys, too.
+
+    A store that has come back from an older copy may lack the configuration
+    that is in force; until that is written again, nothing shows whether it
+    is the newest one.
     """
 
     def __init__(
@@ -70,6 +76,8 @@
         self._apply_other_keys = apply_other_keys
         self._view = view
         self._on_change = on_change
+        # Version that the store has, as far as it was read.
+        self._stored_version = NO_VERSION
         self._log = structlog.get_logger(part='configuration')
 
     def on_page(
@@ -89,33 +97,48 @@
         finally:
             # The page isn't read again, and the next one would confirm the
             # configuration before this one.
-            self._apply_newest(page, current_at_ms)
+            self._apply_newest(page, is_snapshot, current_at_ms)
 
     def on_failure(self, failure: StoreFailure) -> None:
         """Ignore a failed read; the last confirmation ages by itself."""
 
-    def _apply_newest(self, page: RecordPage, current_at_ms: float) -> None:
+    def _apply_newest(
+        self, page: RecordPage, is_snapshot: bool, current_at_ms: float
+    ) -> None:
         newest = [
             record.value
             for record in page.records
             if record.key == CONFIGURATION_KEY and record.value is not None
         ]
-        is_readable = not newest or self._apply(newest[-1])
-        is_proof = is_readable and page.is_current
+        if is_snapshot and not newest:
+            self._stored_version = NO_VERSION
+        is_readable = not newest or self._apply(
+            newest[-1], page.next_position.era
+        )
+        has_version = self._stored_version >= self._view.version
+        if page.may_be_older and not has_version:
+            self._log.warning(
+                'configuration lost by the store',
+                version=self._view.version,
+                stored=self._stored_version,
+            )
+        is_proof = is_readable and page.is_current and has_version
         if is_proof and self._view.state is not None:
             self._view.confirm(current_at_ms)
 
-    def _apply(self, raw: bytes) -> bool:
+    def _apply(self, raw: bytes, era: int) -> bool:
         """Apply a configuration, and return whether it could be decoded."""
         try:
             state = decode_configuration(raw)
         except ConfigurationError as error:
             self._log.error('configuration not readable', why=str(error))
             return False
+        self._stored_version = state.version
         if self._view.apply(state):
             self._log.info(
                 'configuration in force',
                 version=state.version,
+                era=era,
                 size_bytes=len(raw),
             )
             self._on_change()
--- a/lagoonflow/wiring/platform_process.py
+++ b/lagoonflow/wiring/platform_process.py
@@ -12,6 +12,7 @@
 
 from lagoonflow.cancellations import is_cancelled
 from lagoonflow.clock import MS_PER_S
+from lagoonflow.declared.positions import Position
 from lagoonflow.declared.records import StoreFailure
 from lagoonflow.platform.settings import PlatformSettings
 from lagoonflow.platform.store import MEMBERS_TOPIC, StoreClient
@@ -34,21 +35,20 @@
 
 async def register(
     store: StoreClient, settings: PlatformSettings, role: str
-) -> int:
+) -> Position:
     """Register this process in the metadata store, with retries.
 
-    :returns: offset of the record. Offsets only grow, so the newest start of
-        a process has the highest one; agents use it as fencing token.
+    :returns: position of the record; agents use its offset as fencing token.
     """
     log = structlog.get_logger(part='members')
     address = f'{settings.ip_address}:{settings.peer_port}'
     record = msgspec.json.encode(MemberRecord(role, address, settings.zone))
     while True:
-        offset = await store.append(MEMBERS_TOPIC, settings.node, record)
-        if not isinstance(offset, StoreFailure):
-            log.info('registered', offset=offset)
-            return offset
-        log.warning('registration failed', reason=offset.reason)
+        position = await store.append(MEMBERS_TOPIC, settings.node, record)
+        if not isinstance(position, StoreFailure):
+            log.info('registered', offset=position.offset, era=position.era)
+            return position
+        log.warning('registration failed', reason=position.reason)
         delay_ms = REGISTRATION_RETRY_MS * random.uniform(0.7, 1.3)
         await asyncio.sleep(delay_ms / MS_PER_S)
 
@@ -60,11 +60,16 @@
     :returns: whether the store has confirmed it.
     """
     log = structlog.get_logger(part='members')
-    offset = await store.append(MEMBERS_TOPIC, node, b'')
-    if isinstance(offset, StoreFailure):
-        log.warning('removal failed', node=node, reason=offset.reason)
+    position = await store.append(MEMBERS_TOPIC, node, b'')
+    if isinstance(position, StoreFailure):
+        log.warning('removal failed', node=node, reason=position.reason)
         return False
-    log.info('registration removed', node=node, offset=offset)
+    log.info(
+        'registration removed',
+        node=node,
+        offset=position.offset,
+        era=position.era,
+    )
     return True
 
 
--- a/lagoonflow/wiring/platform_shared_reads.py
+++ b/lagoonflow/wiring/platform_shared_reads.py
@@ -8,6 +8,7 @@
 
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.clock import boottime_ms
+from lagoonflow.declared.positions import Position
 from lagoonflow.declared.records import KeyedRecord
 from lagoonflow.declared.shared_reads import (
     AllRecords,
@@ -112,11 +113,12 @@
         )
 
     def answer(self, query: TopicQuery, sender: str) -> None:
-        """Tell another router what was read after its offset."""
+        """Tell another router what was read after its position."""
         history = self._histories.get(query.topic)
         if history is None:
             return
-        page = history.after(query.offset, boottime_ms())
+        position = Position(query.era, query.offset)
+        page = history.after(position, boottime_ms())
         entries = tuple(
             TopicEntry(record.key, record.value) for record in page.records
         )
@@ -124,9 +126,10 @@
             self._node,
             query.query_id,
             entries,
-            page.next_offset,
+            page.next_position.offset,
             page.age_ms,
             page.is_whole,
+            page.next_position.era,
         )
         self._gossip.send(message, sender)
 
@@ -144,13 +147,13 @@
         ]
 
     async def _ask(
-        self, router: str, topic: str, offset: int
+        self, router: str, topic: str, position: Position
     ) -> SharedPage | None:
         address = self._members.address_of(router)
         if address is None:
             return None
         for _ in range(QUERY_TRIES):
-            answer = await self._ask_once(address, topic, offset)
+            answer = await self._ask_once(address, topic, position)
             if answer is not None:
                 self._asked.labels(topic, 'answered').inc()
                 records = tuple(
@@ -159,7 +162,7 @@
                 )
                 return SharedPage(
                     records,
-                    answer.next_offset,
+                    Position(answer.era, answer.next_offset),
                     max(answer.age_ms, 0),
                     answer.is_whole,
                 )
@@ -167,15 +170,16 @@
         return None
 
     async def _ask_once(
-        self, address: str, topic: str, offset: int
+        self, address: str, topic: str, position: Position
     ) -> TopicAnswer | None:
         self._next_query_id += 1
         query_id = self._next_query_id
         waiting = asyncio.get_running_loop().create_future()
         self._answers[query_id] = waiting
-        self._gossip.send(
-            TopicQuery(self._node, query_id, topic, offset), address
+        query = TopicQuery(
+            self._node, query_id, topic, position.offset, position.era
         )
+        self._gossip.send(query, address)
         try:
             async with time_limit(ANSWER_TIMEOUT_MS):
                 return await waiting
--- a/loopback/platform_fleet.py
+++ b/loopback/platform_fleet.py
@@ -294,6 +294,24 @@
         if reply.status != OK:
             raise OSError(f'the store answered with status {reply.status}')
 
+    def copy_store(self) -> None:
+        """Let the store keep a copy of its records for :meth:`restore_store`."""
+        http.request(self.store, 'POST', '/test/copy', {})
+
+    def restore_store(self, *configurations: dict[str, Any]) -> None:
+        """Let the store go back to its copy.
+
+        :param configurations: those that are written again at that moment.
+        """
+        rewritten = [
+            {'topic': 'keyed.op', 'key': 'config', 'value': body}
+            for body in configurations
+        ]
+        body = {'rewritten': rewritten}
+        reply = http.request(self.store, 'POST', '/test/restore', body)
+        if reply.status != OK:
+            raise OSError(f'the store answered with status {reply.status}')
+
     def set_faults(self, address: str, **change: Any) -> None:
         """Change faults of a stand-in."""
         http.request(address, 'POST', '/faults', change)
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -10,7 +10,7 @@
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
-from starlette.types import ASGIApp
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from standins.faults import Faults, FaultSwitch
 from standins.lagged import MS_PER_S
@@ -41,6 +41,12 @@
     value: Any = None
 
 
+class RestoreBody(msgspec.Struct, frozen=True):
+    """Records that are written again as the copy is restored."""
+
+    rewritten: list[PutBody] = []
+
+
 class Topic:
     """The records of one keyed topic.
 
@@ -74,9 +80,26 @@
             self.newest[key] = (offset, record[key_end:])
         else:
             self.newest.pop(key, None)
+        self.wake_readers()
+        return offset
+
+    def wake_readers(self) -> None:
+        """Answer the reads that wait for records."""
         self.changed.set()
         self.changed = asyncio.Event()
-        return offset
+
+    def restore(self, earlier: 'Topic') -> None:
+        """Go back to an earlier state."""
+        self.records = list(earlier.records)
+        self.first_offset = earlier.first_offset
+        self.newest = dict(earlier.newest)
+        self.wake_readers()
+
+    def copied(self) -> 'Topic':
+        """Return the present state, for :meth:`restore`."""
+        topic = Topic()
+        topic.restore(self)
+        return topic
 
     def compact(self) -> None:
         """Drop all records; the newest value of each key stays readable."""
@@ -95,10 +118,15 @@
 
 
 class MetadataStore:
-    """Keeps the topics and answers requests."""
+    """Keeps the topics and answers requests.
+
+    :ivar era: what the header ``Store-Era`` of all answers states.
+    """
 
     def __init__(self) -> None:
+        self.era = 1
         self._topics: dict[str, Topic] = {}
+        self._copy: dict[str, Topic] = {}
         self._switch = FaultSwitch(StoreFaults())
         self._counts: Counter[str] = Counter()
 
@@ -110,8 +138,11 @@
             Route('/log-append', self._append, methods=['POST']),
             Route('/test/put', self._put, methods=['POST']),
             Route('/test/compact', self._compact, methods=['POST']),
+            Route('/test/copy', self._copy_topics, methods=['POST']),
+            Route('/test/restore', self._restore, methods=['POST']),
         ]
-        return build_app(routes, self._switch, lambda: dict(self._counts))
+        app = build_app(routes, self._switch, lambda: dict(self._counts))
+        return _EraHeader(app, self)
 
     def _topic(self, request: Request) -> Topic:
         name = request.query_params['topic']
@@ -147,7 +178,7 @@
                     await topic.changed.wait()
             except TimeoutError:
                 self._counts['empty'] += 1
-        if offset < topic.first_offset:
+        if not topic.first_offset <= offset <= topic.end_offset:
             return reply({'first_offset': topic.first_offset}, GONE)
         return Response(topic.page(offset))
 
@@ -162,13 +193,31 @@
 
     async def _put(self, request: Request) -> Response:
         body = await read_body(request, PutBody)
+        return reply({'offset': self._write(body)})
+
+    def _write(self, body: PutBody) -> int:
         key = body.key.encode()
         value = b''
         if body.value is not None:
             value = msgspec.json.encode(body.value)
         topic = self._topics.setdefault(body.topic, Topic())
-        offset = topic.append(bytes([len(key)]) + key + value)
-        return reply({'offset': offset})
+        return topic.append(bytes([len(key)]) + key + value)
+
+    async def _copy_topics(self, request: Request) -> Response:
+        self._copy = {
+            name: topic.copied() for name, topic in self._topics.items()
+        }
+        return reply({})
+
+    async def _restore(self, request: Request) -> Response:
+        """Go back to the copy; offsets are given out again in a new era."""
+        body = await read_body(request, RestoreBody)
+        self.era += 1
+        for name, topic in self._topics.items():
+            topic.restore(self._copy.get(name, Topic()))
+        for record in body.rewritten:
+            self._write(record)
+        return reply({'era': self.era})
 
     async def _compact(self, request: Request) -> Response:
         for topic in self._topics.values():
@@ -176,6 +225,30 @@
         return reply({})
 
 
+class _EraHeader:
+    """ASGI middleware that states the era of the store in each answer."""
+
+    def __init__(self, app: ASGIApp, store: MetadataStore) -> None:
+        self._app = app
+        self._store = store
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Handle one ASGI connection."""
+
+        async def send_with_era(message: Message) -> None:
+            if message['type'] == 'http.response.start':
+                era = str(self._store.era).encode()
+                headers = [*message['headers'], (b'store-era', era)]
+                message = {**message, 'headers': headers}
+            await send(message)
+
+        # The transport of the connection is reached through the sender.
+        send_with_era.__self__ = send.__self__  # type: ignore
+        await self._app(scope, receive, send_with_era)
+
+
 def main() -> None:
     """Read the flags and serve."""
     flags = build_parser('Metadata store.').parse_args()
--- a/tests/backends/test_evacuations.py
+++ b/tests/backends/test_evacuations.py
@@ -27,6 +27,7 @@
     fleet_of,
 )
 from tests.relay.harness import RelayHarness, answer_with
+from tests.support.positions import at
 from tests.wiring.test_platform_publishing import RecordingSocket
 
 CONFIGURATION = b'{"version":3,"routes":[],"services":[],"limits":{}}'
@@ -47,7 +48,7 @@
 
 
 def apply(feed, *page, is_snapshot=False):
-    feed.on_page(RecordPage(page, 9), is_snapshot, NOW_MS)
+    feed.on_page(RecordPage(page, at(9)), is_snapshot, NOW_MS)
 
 
 def test_evacuations_repeat_add_up_and_end():
@@ -123,7 +124,9 @@
         feed_for(fleet).on_page,
     )
     configuration = KeyedRecord(CONFIGURATION_KEY, CONFIGURATION)
-    feed.on_page(RecordPage((configuration, *records('a')), 3), True, NOW_MS)
+    feed.on_page(
+        RecordPage((configuration, *records('a')), at(3)), True, NOW_MS
+    )
     assert seen == [{'a'}]
 
 
@@ -154,14 +157,14 @@
         self.zones_while_down = []
 
     async def newest(self, topic, max_late_ms):
-        return RecordPage(records('a'), 1)
+        return RecordPage(records('a'), at(1))
 
     async def read(self, topic, offset, wait_ms, options):
         if len(self.zones_while_down) < 2:
             self.zones_while_down.append(self._view())
             return StoreFailure('down')
         await asyncio.sleep(0.01)
-        return RecordPage(records('b'), 2)
+        return RecordPage(records('b'), at(2))
 
 
 async def test_the_last_known_state_holds_while_the_store_is_down():
--- a/tests/backends/test_start_order.py
+++ b/tests/backends/test_start_order.py
@@ -14,6 +14,7 @@
 from lagoonflow.declared.records import KeyedRecord, RecordPage
 from lagoonflow.resumption.versions import VersionHistory
 from lagoonflow.wiring.platform_feeds import ServersFeed
+from tests.support.positions import at
 
 FIRST_MS = 1_000_000
 SECOND_MS = [FIRST_MS - 2400, FIRST_MS + 2400]
@@ -43,7 +44,7 @@
     fleet = Fleet()
     feed = ServersFeed(fleet, VersionHistory(), lambda: None)
     for page in pages:
-        feed.on_page(RecordPage(page, 9), is_snapshot, 0)
+        feed.on_page(RecordPage(page, at(9)), is_snapshot, 0)
     return fleet
 
 
@@ -81,7 +82,7 @@
     fleet = read((entry(FIRST_MS),), (entry(SECOND_MS[0], state='draining'),))
     feed = ServersFeed(fleet, VersionHistory(), lambda: None)
     again = (entry(FIRST_MS), entry(SECOND_MS[0], state='draining'))
-    feed.on_page(RecordPage(again, 9), False, 0)
+    feed.on_page(RecordPage(again, at(9)), False, 0)
     assert used(fleet) == []
 
 
--- a/tests/backends/test_store_outages.py
+++ b/tests/backends/test_store_outages.py
@@ -8,6 +8,7 @@
 from lagoonflow.declared.records import KeyedRecord, RecordPage, StoreFailure
 from lagoonflow.resumption.versions import VersionHistory
 from lagoonflow.wiring import platform_feeds
+from tests.support.positions import at
 
 DRAIN_MS = 2000
 RESTORE_MS = 2000
@@ -42,12 +43,12 @@
             self.fleet, VersionHistory(), lambda: None
         )
         self._zones = platform_feeds.EvacuationsFeed(self.fleet, lambda: None)
-        page = RecordPage(tuple(entry(name) for name in NAMES), 5)
+        page = RecordPage(tuple(entry(name) for name in NAMES), at(5))
         self._servers.on_page(page, True, self.now_ms)
 
     def read(self, at_ms, *records, asked_ms=None):
         self.now_ms = at_ms
-        page = RecordPage(records, 9)
+        page = RecordPage(records, at(9))
         current_at_ms = at_ms if asked_ms is None else asked_ms
         self._servers.on_page(page, False, current_at_ms)
 
@@ -57,7 +58,7 @@
 
     def read_configuration(self, at_ms):
         self.now_ms = at_ms
-        self._zones.on_page(RecordPage((), 1), False, at_ms)
+        self._zones.on_page(RecordPage((), at(1)), False, at_ms)
 
     def fail(self, at_ms):
         self.now_ms = at_ms
--- a/tests/declared/test_late_answers.py
+++ b/tests/declared/test_late_answers.py
@@ -12,6 +12,7 @@
 from lagoonflow.relay.admission import CONFIRMATION_MARGIN_MS
 from lagoonflow.wiring.platform_topics import CONFIGURATION_WAIT_MS
 from loopback.virtual_loop import run_virtually
+from tests.support.positions import at
 
 # Keys are refused once the confirmation is older than this, in ms.
 WITHDRAWAL_MS = 5000
@@ -43,9 +44,9 @@
         self._was_late = False
 
     async def newest(self, topic, max_late_ms):
-        return RecordPage((), 0)
+        return RecordPage((), at(0))
 
-    async def read(self, topic, offset, wait_ms, options):
+    async def read(self, topic, position, wait_ms, options):
         self.reads += 1
         self._was_late = (
             not self._was_late and self._random.random() < self._share
@@ -66,7 +67,7 @@
         await asyncio.sleep(min(delay_ms, timeout_ms) / 1000)
         if delay_ms > timeout_ms:
             return StoreFailure('no answer in time')
-        return RecordPage((), offset)
+        return RecordPage((), position)
 
 
 def play(monkeypatch, late_ms, share, seed, outage_ms=(), is_silent=True):
--- a/tests/declared/test_shared_reads.py
+++ b/tests/declared/test_shared_reads.py
@@ -14,6 +14,7 @@
     SharingLimits,
 )
 from loopback.virtual_loop import run_virtually
+from tests.support.positions import at
 
 WAIT_MS = 1200
 MAX_AGE_MS = 1700
@@ -30,14 +31,15 @@
         self.is_down_for = frozenset()
         self._loop = loop
 
-    async def read(self, topic, offset, wait_ms, options):
+    async def read(self, topic, position, wait_ms, options):
         self.reads += 1
         for _ in range(wait_ms // 5):
-            if len(self.records) > offset:
+            if len(self.records) > position.offset:
                 break
             await asyncio.sleep(0.005)
         await asyncio.sleep(0.004)
-        return RecordPage(tuple(self.records[offset:]), len(self.records))
+        records = tuple(self.records[position.offset :])
+        return RecordPage(records, at(len(self.records)))
 
 
 class Zone:
@@ -68,27 +70,27 @@
             self.loop.time_ms,
         )
 
-        async def read_store(offset, wait_ms):
+        async def read_store(position, wait_ms):
             if name in self.cut_off:
                 await asyncio.sleep(10**6)
             return await read_timed(
-                self.store, 'topic', offset, wait_ms, self.loop.time_ms
+                self.store, 'topic', position, wait_ms, self.loop.time_ms
             )
 
-        offset = 0
+        position = at(0)
         records, proofs = self.seen[name]
         while True:
-            timed = await reads.read(offset, WAIT_MS, read_store)
-            offset = timed.answer.next_offset
+            timed = await reads.read(position, WAIT_MS, read_store)
+            position = timed.answer.next_position
             records.extend(timed.answer.records)
             proofs.append(max(proofs[-1], timed.current_at_ms))
 
-    async def _ask(self, router, topic, offset):
+    async def _ask(self, router, topic, position):
         if router in self.silent:
             await asyncio.sleep(0.3)
             return None
         await asyncio.sleep(self.delay_ms / 1000)
-        page = self._histories[router].after(offset, self.loop.time_ms())
+        page = self._histories[router].after(position, self.loop.time_ms())
         await asyncio.sleep(self.delay_ms / 1000)
         return page
 
@@ -182,12 +184,12 @@
     history = ReadHistory(AllRecords())
     record = KeyedRecord('k', b'v')
     for offset in range(100):
-        page = RecordPage((record,), offset + 1)
-        history.note(offset, TimedAnswer(page, offset))
-    assert not history.after(0, 100).is_whole
-    assert history.after(90, 100).records == (record,)
-    large = RecordPage((KeyedRecord('l', b'v' * 20_000),), 101)
-    history.note(100, TimedAnswer(large, 100))
-    assert not history.after(100, 100).is_whole
-    history.note(101, TimedAnswer(StoreFailure('down'), 101))
-    assert history.after(101, 102).age_ms == 2
+        page = RecordPage((record,), at(offset + 1))
+        history.note(at(offset), TimedAnswer(page, offset))
+    assert not history.after(at(0), 100).is_whole
+    assert history.after(at(90), 100).records == (record,)
+    large = RecordPage((KeyedRecord('l', b'v' * 20_000),), at(101))
+    history.note(at(100), TimedAnswer(large, 100))
+    assert not history.after(at(100), 100).is_whole
+    history.note(at(101), TimedAnswer(StoreFailure('down'), 101))
+    assert history.after(at(101), 102).age_ms == 2
--- a/tests/declared/test_topic_follower.py
+++ b/tests/declared/test_topic_follower.py
@@ -12,6 +12,7 @@
     StoreFailure,
 )
 from lagoonflow.declared.topic_follower import TopicFollower
+from tests.support.positions import at
 
 
 class ScriptedStore:
@@ -24,8 +25,8 @@
     async def newest(self, topic, max_late_ms):
         return await self._next('newest')
 
-    async def read(self, topic, offset, wait_ms, options):
-        return await self._next('read', offset, wait_ms)
+    async def read(self, topic, position, wait_ms, options):
+        return await self._next('read', position.offset, wait_ms)
 
     async def _next(self, *call):
         self.calls.append(call)
@@ -36,7 +37,7 @@
 
 def page(offset, *keys):
     records = tuple(KeyedRecord(key, b'x') for key in keys)
-    return RecordPage(records, offset)
+    return RecordPage(records, at(offset))
 
 
 async def follow(*answers, for_s=0.6):
--- a/tests/gossip/test_endless_datagrams.py
+++ b/tests/gossip/test_endless_datagrams.py
@@ -25,6 +25,7 @@
     MemoryGrowth,
     processor_ms,
 )
+from tests.support.positions import at
 
 PLAY_MS = 400
 BATCH = 50
@@ -75,10 +76,10 @@
     records = tuple(KeyedRecord(str(one), b'x' * 100) for one in range(100))
     history_reads = service.share('t', 1000)
 
-    async def read_store(_offset, _wait_ms):
-        return TimedAnswer(RecordPage(records, 100), boottime_ms())
+    async def read_store(_position, _wait_ms):
+        return TimedAnswer(RecordPage(records, at(100)), boottime_ms())
 
-    await history_reads.read(0, 0, read_store)
+    await history_reads.read(at(0), 0, read_store)
     growth = MemoryGrowth()
     address = ('127.0.0.1', gossip.port)
     sender = asyncio.create_task(send_datagrams(DATAGRAMS[kind], address))
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -25,6 +25,7 @@
     send_without_end,
     serving,
 )
+from tests.support.positions import at
 
 # Topics that a process reads at the same time.
 READS = 6
@@ -112,7 +113,7 @@
         client = StoreClient(address)
 
         async def read() -> None:
-            assert isinstance(await client.read('t', 1, 100), StoreFailure)
+            assert isinstance(await client.read('t', at(1), 100), StoreFailure)
 
         async def newest() -> None:
             assert isinstance(await client.newest('t', 200), StoreFailure)
@@ -134,13 +135,13 @@
 async def test_a_page_of_tiny_records_holds_up_no_memory():
     async with serving(serve_whole(TINY_RECORDS)) as address:
         client = StoreClient(address)
-        await check_bounds(lambda: client.read('t', 1, 100))
+        await check_bounds(lambda: client.read('t', at(1), 100))
 
 
 async def test_records_that_a_page_had_no_room_for_are_read_next():
     async with serving(serve_whole(TINY_RECORDS)) as address:
-        page = await StoreClient(address).read('t', 1, 100)
-    assert page.next_offset == 1 + len(page.records)
+        page = await StoreClient(address).read('t', at(1), 100)
+    assert page.next_position.offset == 1 + len(page.records)
     assert len(page.records) == MAX_PAGE_RECORDS
     assert not page.is_current
 
--- a/tests/wiring/test_member_registrations.py
+++ b/tests/wiring/test_member_registrations.py
@@ -21,6 +21,7 @@
     RegistrationRemover,
 )
 from loopback.virtual_loop import run_virtually
+from tests.support.positions import at
 
 SETTINGS = types.SimpleNamespace(
     node='r1', ip_address='127.0.0.1', peer_port=7, zone=''
@@ -43,7 +44,7 @@
         self.newest.pop(key, None)
         if value:
             self.newest[key] = value
-        return self.appends - 1
+        return at(self.appends - 1)
 
 
 class SilentStore:
@@ -61,7 +62,7 @@
 def make_feed(*names):
     feed = MembersFeed(Members('r1'), 'router')
     records = tuple(registration(name) for name in names)
-    feed.on_page(RecordPage(records, len(names)), True, 0)
+    feed.on_page(RecordPage(records, at(len(names))), True, at(0))
     return feed
 
 
@@ -72,7 +73,7 @@
 
 def test_a_removal_takes_a_router_out_of_the_members():
     feed = make_feed('r2', 'r3')
-    feed.on_page(RecordPage((KeyedRecord('r2', None),), 3), False, 0)
+    feed.on_page(RecordPage((KeyedRecord('r2', None),), at(3)), False, 0)
     assert names_later(feed) == ['r3']
     assert not feed.own_removed.is_set()
 
@@ -80,7 +81,7 @@
 def test_a_whole_read_takes_out_routers_that_it_lacks():
     feed = make_feed('r1', 'r2', 'r3')
     records = (registration('r1'), registration('r3'))
-    feed.on_page(RecordPage(records, 9), True, 0)
+    feed.on_page(RecordPage(records, at(9)), True, 0)
     assert names_later(feed) == ['r3']
     assert not feed.own_removed.is_set()
 
@@ -88,16 +89,16 @@
 def test_a_running_router_learns_that_its_registration_was_removed():
     feed = make_feed('r1', 'r2')
     own = (KeyedRecord('r1', None), registration('r1'))
-    feed.on_page(RecordPage(own, 4), False, 0)
+    feed.on_page(RecordPage(own, at(4)), False, 0)
     assert not feed.own_removed.is_set()
-    feed.on_page(RecordPage(own[:1], 5), False, 0)
+    feed.on_page(RecordPage(own[:1], at(5)), False, 0)
     assert feed.own_removed.is_set()
 
 
 def test_a_running_router_learns_that_a_whole_read_lacks_it():
     feed = make_feed('r2')
     assert not feed.own_removed.is_set()
-    feed.on_page(RecordPage((registration('r2'),), 9), True, 0)
+    feed.on_page(RecordPage((registration('r2'),), at(9)), True, 0)
     assert feed.own_removed.is_set()
 
 
@@ -116,7 +117,7 @@
     await platform_process.remove_own_registration(store, SETTINGS)
     second = await platform_process.register(store, SETTINGS, 'agent')
     assert list(store.newest) == ['r1']
-    assert second > first
+    assert second.rank > first.rank
 
 
 async def test_a_store_that_does_not_answer_hardly_delays_a_stop(monkeypatch):
@@ -133,7 +134,7 @@
         self.agents = Members(name)
         self.feed = MembersFeed(self.members, 'router', {'agent': self.agents})
         records = tuple(registration(one) for one in ('r1', 'r2', 'r9'))
-        self.feed.on_page(RecordPage(records, 3), True, 0)
+        self.feed.on_page(RecordPage(records, at(3)), True, 0)
         self.other = 'r2' if name == 'r1' else 'r1'
         self.remover = RegistrationRemover(
             store, self.feed, self.members, self.agents
@@ -180,7 +181,7 @@
     await store.append(MEMBERS_TOPIC, 'a1', a1.value)
     now_ms = boottime_ms()
     survivor = Survivor('r1', store, now_ms)
-    survivor.feed.on_page(RecordPage((a1, *records), 4), False, 0)
+    survivor.feed.on_page(RecordPage((a1, *records), at(4)), False, 0)
     await survivor.run(message_at_ms)
     survivor.agents.record_message('a1', survivor.now_ms, is_leaving=False)
     await survivor.run(duration_ms)
@@ -202,7 +203,7 @@
     store = MemoryStore()
     survivor = Survivor('r1', store, boottime_ms())
     agent = registration('a1', role='agent')
-    survivor.feed.on_page(RecordPage((agent, router), 5), False, 0)
+    survivor.feed.on_page(RecordPage((agent, router), at(5)), False, 0)
     assert not survivor.agents.silences(boottime_ms())
 
 
@@ -210,7 +211,8 @@
     store = MemoryStore()
     tokens = []
     for _ in range(5):
-        tokens.append(await platform_process.register(store, SETTINGS, 'agent'))
+        registered = await platform_process.register(store, SETTINGS, 'agent')
+        tokens.append(registered.rank)
         await platform_process.remove_registration(store, SETTINGS.node)
     assert tokens == sorted(set(tokens))
 
--- a/tests/wiring/test_platform_feeds.py
+++ b/tests/wiring/test_platform_feeds.py
@@ -16,6 +16,7 @@
     MemberRecord,
     MembersFeed,
 )
+from tests.support.positions import at
 
 CONFIGURATION = b'{"version":3,"routes":[],"services":[],"limits":{}}'
 RECORD = KeyedRecord(CONFIGURATION_KEY, CONFIGURATION)
@@ -24,10 +25,10 @@
 def test_a_page_that_lacks_records_does_not_confirm_the_configuration():
     view = DeclaredView()
     feed = ConfigurationFeed(view, lambda: None)
-    feed.on_page(RecordPage((RECORD,), 3), True, 1000)
-    feed.on_page(RecordPage((), 3, is_current=False), False, 2000)
+    feed.on_page(RecordPage((RECORD,), at(3)), True, 1000)
+    feed.on_page(RecordPage((), at(3), is_current=False), False, 2000)
     assert view.confirmed_at_ms == 1000
-    feed.on_page(RecordPage((), 3), False, 3000)
+    feed.on_page(RecordPage((), at(3)), False, 3000)
     assert view.confirmed_at_ms == 3000
 
 
@@ -40,7 +41,7 @@
     view = DeclaredView()
     feed = ConfigurationFeed(view, lambda: None, fail)
     with contextlib.suppress(OverflowError):
-        feed.on_page(RecordPage((RECORD,), 3), True, 1000)
+        feed.on_page(RecordPage((RECORD,), at(3)), True, 1000)
     assert (view.version, view.confirmed_at_ms) == (3, 1000)
 
 
@@ -52,7 +53,7 @@
         KeyedRecord(name, msgspec.json.encode(MemberRecord('router', address)))
         for name, address in addresses.items()
     )
-    feed.on_page(RecordPage(records, 3), True, 1000)
+    feed.on_page(RecordPage(records, at(3)), True, 1000)
     assert [one.name for one in members.present(0)] == ['r4']
 
 
@@ -68,11 +69,11 @@
 
     class Store:
         async def newest(self, _topic, _max_late_ms):
-            return RecordPage((RECORD,), 1)
+            return RecordPage((RECORD,), at(1))
 
-        async def read(self, _topic, offset, _wait_ms, _options):
+        async def read(self, _topic, position, _wait_ms, _options):
             await asyncio.sleep(0.01)
-            return RecordPage((), offset)
+            return RecordPage((), position)
 
     follower = TopicFollower(Store(), 't', 10, 0, on_page, lambda _: None)
     reading = asyncio.create_task(follower.run())
