Let fencing tokens rise over the eras of the store

The token was the offset of the agent's registration. It is the rank of its position now, with the era above 32 bits of offset; numbers stay below 2^53. A store that states no era gives the tokens that it gave before.

tests/platform/test_store.py: the offsets 6, 9, 4, 0, 2 over three eras are no rising tokens before.

--- a/lagoonflow/wiring/platform_agent.py
+++ b/lagoonflow/wiring/platform_agent.py
@@ -120,7 +120,7 @@
 
     async def _acquire_fence(self) -> None:
         registered = await register(self._store, self._settings, ROLE)
-        self._fence = registered.offset
+        self._fence = registered.rank
         self._controller.runner_view.can_order = True
 
     def _apply_configuration(self) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -217,3 +217,16 @@
     async with serving(store.answer) as address:
         newest = await StoreClient(address).newest('keyed.op')
     assert isinstance(newest, StoreFailure)
+
+
+async def test_fencing_tokens_rise_over_eras_though_offsets_fall():
+    """Two holders of one token would both order a runner."""
+    tokens = []
+    for era, offset in ((1, 6), (1, 9), (2, 4), (3, 0), (3, 2)):
+        body = b'{"offset":%d}' % offset
+        registered = await call_store(
+            with_eras(b'200 OK', body, b'%d' % era),
+            lambda client: client.append('t', 'agent', b'x'),
+        )
+        tokens.append(registered.rank)
+    assert tokens == sorted(set(tokens))
