Prove no configuration as of a time at which another router had a newer one

Routers now state in their reports of charges which version is in force and since when. A proof of an older version counts only until then, and proofs that were given are taken back as far. A version elsewhere counts for a minute after it was last heard of. In ordinary operation this changes nothing: a newer version that has just been put in force elsewhere doesn't touch proofs from before.

Failing before: test_a_router_that_starts_on_the_copy_knows_withdrawn_keys.

--- a/lagoonflow/declared/view.py
+++ b/lagoonflow/declared/view.py
@@ -1,7 +1,10 @@
 """The declared state that a process has read, and its freshness."""
 
+import dataclasses
+
 import xxhash
 
+from lagoonflow.clock import boottime_ms
 from lagoonflow.declared.messages import (
     CallerLimits,
     DeclaredState,
@@ -10,6 +13,22 @@
 )
 
 _HASH_RANGE = 100_000_000
+# A newer version that another router has counts for so long after that router
+# was last heard, in ms.
+KNOWN_ELSEWHERE_MS = 60_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _NewerVersion:
+    """A newer version than that in force, which another router has.
+
+    :param since_ms: boot time since which it has been there at least.
+    :param heard_at_ms: boot time of the last message that told of it.
+    """
+
+    version: int
+    since_ms: float
+    heard_at_ms: float
 
 
 class DeclaredView:
@@ -17,12 +36,15 @@
 
     :ivar confirmed_at_ms: latest time at which the state is known to have
         been the newest one, on a clock that counts suspended time.
+    :ivar applied_at_ms: boot time at which the state was put in force.
     """
 
     def __init__(self) -> None:
         """Start without a state."""
         self.state: DeclaredState | None = None
         self.confirmed_at_ms = float('-inf')
+        self.applied_at_ms = float('-inf')
+        self._newer: _NewerVersion | None = None
         self._routes: dict[str, list[Route]] = {}
         self._organisations_by_key: dict[str, Organisation] = {}
 
@@ -41,6 +63,9 @@
         if state.version <= self.version:
             return False
         self.state = state
+        self.applied_at_ms = boottime_ms()
+        if self._newer is not None and self._newer.version <= state.version:
+            self._newer = None
         self._routes = {}
         for route in sorted(
             state.routes,
@@ -56,9 +81,37 @@
         return True
 
     def confirm(self, at_ms: float) -> None:
-        """Record that the state was the newest one at a time."""
+        """Record that the state was the newest one at a time.
+
+        It wasn't from the time on since which another router has a newer one,
+        which the metadata store may have lost.
+        """
+        if self._newer is not None:
+            at_ms = min(at_ms, self._newer.since_ms)
         self.confirmed_at_ms = max(self.confirmed_at_ms, at_ms)
 
+    def note_version_elsewhere(
+        self, version: int, since_ms: float, now_ms: float
+    ) -> None:
+        """Record which version another router has.
+
+        :param since_ms: boot time since which it has it.
+        """
+        newer = self._newer
+        if newer is not None and (
+            now_ms - newer.heard_at_ms > KNOWN_ELSEWHERE_MS
+        ):
+            newer = None
+        self._newer = newer
+        if version <= self.version or (
+            newer is not None and version < newer.version
+        ):
+            return
+        if newer is not None and version == newer.version:
+            since_ms = min(since_ms, newer.since_ms)
+        self._newer = _NewerVersion(version, since_ms, now_ms)
+        self.confirmed_at_ms = min(self.confirmed_at_ms, since_ms)
+
     def age_ms(self, now_ms: float) -> float:
         """Return the time since the state was confirmed as newest, in ms."""
         return now_ms - self.confirmed_at_ms
--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -210,6 +210,8 @@
     :param age_ms: time since the router's start, in ms.
     :param levels: tokens in the fleet's token buckets as the router knows
         them, by organisation.
+    :param version: version of the configuration in force; below 0 for none.
+    :param version_age_ms: time since it was put in force, in ms.
     """
 
     router: str
@@ -218,6 +220,8 @@
     is_leaving: bool = False
     age_ms: int = 0
     levels: dict[str, float] = {}
+    version: int = -1
+    version_age_ms: int = 0
 
 
 class OriginsState(_Message):
--- a/lagoonflow/wiring/platform_publishing.py
+++ b/lagoonflow/wiring/platform_publishing.py
@@ -362,7 +362,8 @@
 
         :param members: the other routers.
         :param rate_limiter: counts the charges of this router.
-        :param view: tells when the metadata store was last read.
+        :param view: tells when the metadata store was last read, and which
+            version of the configuration is in force.
         :param gossip: socket for the datagrams.
         """
         self._node = settings.node
@@ -410,6 +411,9 @@
             message.levels,
         )
         self._rate_limiter.apply_report(message.router, report, now_ms)
+        if message.version >= 0:
+            since_ms = now_ms - max(message.version_age_ms, 0)
+            self._view.note_version_elsewhere(message.version, since_ms, now_ms)
 
     def _publish_charges(
         self, present: list[RouterMember], now_ms: float, *, is_leaving: bool
@@ -430,10 +434,17 @@
             is_leaving,
             int(report.age_ms),
             report.levels,
+            *self._known_version(now_ms),
         )
         for member in present:
             self._gossip.send(message, member.address)
 
+    def _known_version(self, now_ms: float) -> tuple[int, int]:
+        """Return the version in force, and its age in ms."""
+        if self._view.state is None:
+            return (-1, 0)
+        return self._view.version, int(now_ms - self._view.applied_at_ms)
+
 
 class OriginPublisher:
     """Tells the other routers at which software version streams began."""
--- a/tests/declared/test_positions.py
+++ b/tests/declared/test_positions.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lagoonflow.declared import topic_follower
+from lagoonflow.declared import topic_follower, view
 from lagoonflow.declared.positions import MAX_ERA, EraTracker, Position
 from lagoonflow.declared.records import (
     EraChanged,
@@ -141,6 +141,7 @@
 def play(monkeypatch, steps, latencies_ms):
     async def follow(loop):
         monkeypatch.setattr(topic_follower, 'boottime_ms', loop.time_ms)
+        monkeypatch.setattr(view, 'boottime_ms', loop.time_ms)
         index = iter(range(10**9))
         latency_ms = (
             latencies_ms[number % len(latencies_ms)] for number in index
--- a/tests/wiring/test_restored_store.py
+++ b/tests/wiring/test_restored_store.py
@@ -81,6 +81,23 @@
     assert statuses(fleet, KEY) == [200] * 2
 
 
+def test_a_router_that_starts_on_the_copy_knows_withdrawn_keys(fleet):
+    """The copy is from before the withdrawal, which is not written again yet."""
+    fleet.copy_store()
+    fleet.publish(version(2, KEY))
+    time.sleep(APPLY_S)
+    fleet.restore_store()
+    starting = fleet.add_router()
+    fleet.routers.append(starting)
+    time.sleep(APPLY_S + 1)
+    assert 200 not in statuses(fleet, OTHER_KEY)
+    fleet.publish(version(2, KEY))
+    fleet.wait_ready(starting)
+    time.sleep(0.5)
+    assert statuses(fleet, OTHER_KEY) == [UNAUTHORIZED] * 3
+    assert statuses(fleet, KEY) == [200] * 3
+
+
 def test_keys_are_refused_while_the_store_lacks_the_configuration(fleet):
     """Another version may have been lost, which withdrew a key."""
     lose_two_versions(fleet, 2)
