Believe newer statements than those of a restored store

Registrations and crashes that were lost were not written again.

Servers that were draining or removed stay so until a record after the copy says otherwise; entries that are missing count as after an outage of the store; a zone stays evacuated for 30 s unless its key is written again; the list of versions has to be followed anew. Routers register again, within 500 ms, and write the crashes that they know of.

--- a/lagoonflow/backends/roster.py
+++ b/lagoonflow/backends/roster.py
@@ -1,10 +1,14 @@
 """Backend servers that are registered and may receive requests."""
 
+import collections
 import dataclasses
 
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.backends.store_outages import StoreOutages
 
+# Starts of servers that were removed are remembered up to this number.
+MAX_REMOVED = 4096
+
 
 @dataclasses.dataclass(slots=True)
 class _Entry:
@@ -37,6 +41,10 @@
         self.outages = outages or StoreOutages()
         self._entries: dict[str, _Entry] = {}
         self._put_count = 0
+        # The id of a server, and the wall clock of its start in ms.
+        self._removed: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
 
     def put(self, server: BackendServer, now_ms: float) -> bool:
         """Add or update an entry, in the order of the store's records.
@@ -50,6 +58,7 @@
         first_listed_ms = now_ms
         if entry is not None and server.started_ms == entry.server.started_ms:
             first_listed_ms = entry.first_listed_ms
+        self._removed.pop(_start(server), None)
         self._put_count += 1
         self._entries[server.instance] = _Entry(
             server, self._put_count, first_listed_ms
@@ -65,7 +74,7 @@
         if due_ms > now_ms:
             entry.removal_due_ms = due_ms
         else:
-            self._entries.pop(instance)
+            self._pop(instance)
 
     def replace(self, servers: list[BackendServer], now_ms: float) -> None:
         """Replace all entries by a complete listing of the servers."""
@@ -92,7 +101,22 @@
         due = [
             name for name in self._entries if self.is_removal_due(name, now_ms)
         ]
-        return [self._entries.pop(name).server for name in due]
+        return [self._pop(name) for name in due]
+
+    def without_lost_changes(
+        self, servers: list[BackendServer]
+    ) -> list[BackendServer]:
+        """Return a listing as it was before the store lost the last changes.
+
+        Servers that were draining are again, and those that were removed are
+        left out. Entries that are written later than the listing count as they
+        are.
+        """
+        return [
+            self._as_known(server)
+            for server in servers
+            if _start(server) not in self._removed
+        ]
 
     def get(self, instance: str) -> BackendServer | None:
         """Return the server with an id, or ``None``."""
@@ -121,3 +145,26 @@
             if other is None or other.put_number < entry.put_number:
                 newest[server.address] = entry
         return [owner.server for owner in newest.values()]
+
+    def _pop(self, instance: str) -> BackendServer:
+        server = self._entries.pop(instance).server
+        self._removed[_start(server)] = None
+        if len(self._removed) > MAX_REMOVED:
+            self._removed.popitem(last=False)
+        return server
+
+    def _as_known(self, server: BackendServer) -> BackendServer:
+        entry = self._entries.get(server.instance)
+        if entry is None or _start(entry.server) != _start(server):
+            return server
+        if server.is_draining or not entry.server.is_draining:
+            return server
+        return dataclasses.replace(
+            server,
+            is_draining=True,
+            remaining_ms=entry.server.remaining_ms,
+        )
+
+
+def _start(server: BackendServer) -> tuple[str, int]:
+    return server.instance, server.started_ms
--- a/lagoonflow/backends/store_outages.py
+++ b/lagoonflow/backends/store_outages.py
@@ -53,6 +53,14 @@
             self._recovered_at_ms = answered_at_ms
         self._answered_at_ms = answered_at_ms
 
+    def note_restored(self, now_ms: float) -> None:
+        """Record that the store has come back from a copy.
+
+        It may have lost entries, which their servers write again.
+        """
+        self._returned_at_ms = now_ms
+        self._recovered_at_ms = now_ms
+
     def note_listed(self, listed_at_ms: float) -> None:
         """Record as of when all entries of servers have been read."""
         self._listed_at_ms = max(self._listed_at_ms, listed_at_ms)
--- a/lagoonflow/resumption/versions.py
+++ b/lagoonflow/resumption/versions.py
@@ -26,6 +26,11 @@
             self._followed_from_ms = at_ms
         self._confirmed_at_ms = max(self._confirmed_at_ms, at_ms)
 
+    def restart(self) -> None:
+        """Take the list as not followed until now, as some of it was lost."""
+        self._followed_from_ms = float('inf')
+        self._confirmed_at_ms = float('-inf')
+
     def is_confirmed(self, at_ms: float) -> bool:
         """Return whether the list is known to have been complete at a time."""
         return self._confirmed_at_ms >= at_ms
--- a/lagoonflow/wiring/platform_crashes.py
+++ b/lagoonflow/wiring/platform_crashes.py
@@ -69,6 +69,8 @@
                 )
                 continue
             self.learn(entries)
+        if page.may_be_older:
+            self._evidence.has_unsaved = True
         self.has_read.set()
 
     def on_failure(self, failure: StoreFailure) -> None:
@@ -171,10 +173,12 @@
         """Write all known crashes; return the delay until the next write."""
         self._evidence.has_unsaved = False
         entries = self._evidence.entries_to_save(wall_clock_ms())
+        if not entries:
+            return SAVE_INTERVAL_MS
         began_ms = boottime_ms()
         record = msgspec.json.encode(entries)
-        offset = await self._store.append(CRASHES_TOPIC, self._node, record)
-        if not isinstance(offset, StoreFailure):
+        written = await self._store.append(CRASHES_TOPIC, self._node, record)
+        if not isinstance(written, StoreFailure):
             self._log.info(
                 'crashes written',
                 crashes=len(entries),
@@ -182,5 +186,5 @@
             )
             return SAVE_INTERVAL_MS
         self._evidence.has_unsaved = True
-        self._log.warning('crashes not written', reason=offset.reason)
+        self._log.warning('crashes not written', reason=written.reason)
         return SAVE_RETRY_MS * random.uniform(0.7, 1.3)
--- a/lagoonflow/wiring/platform_feeds.py
+++ b/lagoonflow/wiring/platform_feeds.py
@@ -28,6 +28,9 @@
 
 # The id of a server, and its entry; ``None`` if that was removed.
 _Entry = tuple[str, BackendServer | None]
+# A zone stays evacuated for so long after the store has lost its key, in ms,
+# unless the operator writes the key again.
+LOST_EVACUATION_MS = 30_000
 # Stands for a store without a configuration.
 NO_VERSION = -1
 _NO_ROLES: Mapping[str, Members] = types.MappingProxyType({})
@@ -156,6 +159,9 @@
         """Start without evacuations."""
         self._fleet = fleet
         self._on_change = on_change
+        # Evacuated zones whose keys the store may have lost.
+        self._missing: frozenset[str] = frozenset()
+        self._missing_until_ms = float('-inf')
 
     def on_page(
         self, page: RecordPage, is_snapshot: bool, current_at_ms: float
@@ -165,7 +171,7 @@
         A value other than an empty object counts as an evacuation, too.
 
         :param is_snapshot: whether the page has all keys, so that zones without
-            a key are no longer evacuated.
+            a key are no longer evacuated, unless the store may have lost it.
         """
         self._fleet.roster.outages.note_answer(current_at_ms)
         evacuations = self._fleet.evacuations
@@ -174,13 +180,22 @@
             (evacuated_zone(record.key), record.value is not None)
             for record in page.records
         ]
+        changes = [(zone, is_set) for zone, is_set in zones if zone is not None]
+        now_ms = boottime_ms()
+        if page.may_be_older:
+            self._missing = before
+            self._missing_until_ms = now_ms + LOST_EVACUATION_MS
+        self._missing -= {zone for zone, _ in changes}
+        if now_ms >= self._missing_until_ms:
+            changes = [*((zone, False) for zone in self._missing), *changes]
+            self._missing = frozenset()
         returned = evacuations.apply(
-            [(zone, is_set) for zone, is_set in zones if zone is not None],
+            changes,
             frozenset(server.zone for server in self._fleet.roster.all()),
-            is_snapshot=is_snapshot,
+            is_snapshot=is_snapshot and not page.may_be_older,
         )
         for zone in returned:
-            self._fleet.cold.note_zone_returned(zone, boottime_ms())
+            self._fleet.cold.note_zone_returned(zone, now_ms)
         if page.is_current:
             evacuations.note_read(current_at_ms)
         if evacuations.zones != before:
@@ -225,6 +240,10 @@
         now_ms = boottime_ms()
         entries = self._decode(page)
         servers = _last_entries(entries)
+        if page.may_be_older:
+            outages.note_restored(now_ms)
+            servers = self._fleet.roster.without_lost_changes(servers)
+            self._history.restart()
         if is_snapshot:
             self._fleet.roster.replace(servers, now_ms)
         else:
@@ -323,7 +342,8 @@
     :param other_roles: members of other roles, which are updated, too;
         registrations of further roles are ignored.
     :ivar has_read: whether the registrations were read at least once.
-    :ivar own_removed: set when the registration of this process was removed.
+    :ivar own_removed: set when the registration of this process was removed,
+        or may have been lost.
     """
 
     def __init__(
@@ -351,7 +371,9 @@
             for members in self._roles.values():
                 members.retain(listed, now_ms)
             # At the first read, this process may not have registered yet.
-            if self.has_read and own_name not in listed:
+            is_missing = self.has_read and own_name not in listed
+            # An earlier one under its name may have been restored.
+            if is_missing or page.may_be_older:
                 self.own_removed.set()
         self.has_read = self.has_read or page.is_current
         for record in page.records:
--- a/lagoonflow/wiring/platform_process.py
+++ b/lagoonflow/wiring/platform_process.py
@@ -22,6 +22,8 @@
 
 # Delay before a failed registration is retried, in ms; varied by 30 %.
 REGISTRATION_RETRY_MS = 400
+# Longest delay before a process registers again, in ms.
+REGISTER_AGAIN_SPREAD_MS = 500
 # Longest time for the removal of the own registration, in ms. It fits into the
 # time that a stopping router reserves for ending.
 REMOVAL_LIMIT_MS = 500
@@ -38,7 +40,8 @@
 ) -> Position:
     """Register this process in the metadata store, with retries.
 
-    :returns: position of the record; agents use its offset as fencing token.
+    :returns: position of the record. Its rank only rises, so the newest start
+        of a process has the highest one; agents use it as fencing token.
     """
     log = structlog.get_logger(part='members')
     address = f'{settings.ip_address}:{settings.peer_port}'
@@ -53,6 +56,25 @@
         await asyncio.sleep(delay_ms / MS_PER_S)
 
 
+async def keep_registered(
+    store: StoreClient,
+    settings: PlatformSettings,
+    role: str,
+    removed: asyncio.Event,
+) -> None:
+    """Register this process, and again whenever its registration is removed.
+
+    :param removed: set when it was removed, or may have been lost.
+    """
+    while True:
+        await register(store, settings, role)
+        await removed.wait()
+        removed.clear()
+        # All processes register again after the store was restored.
+        delay_ms = random.uniform(0, REGISTER_AGAIN_SPREAD_MS)
+        await asyncio.sleep(delay_ms / MS_PER_S)
+
+
 async def remove_registration(store: StoreClient, node: str) -> bool:
     """Remove the registration of a process that has ended or ends.
 
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -264,11 +264,9 @@
             yield self._memory.run
 
     async def _register(self) -> None:
-        own_removed = self._members_feed.own_removed
-        while True:
-            await platform_process.register(self._store, self._settings, ROLE)
-            await own_removed.wait()
-            own_removed.clear()
+        await platform_process.keep_registered(
+            self._store, self._settings, ROLE, self._members_feed.own_removed
+        )
 
     # Stopping.
 
