Reset connections whose end is that of an answer when the process is killed

Cause: such answers are forwarded as they are, and a router that breaks one off resets the connection; a killed one can't, and the kernel closes in order.

The caller's connection gets SO_LINGER with 0 s from the first byte of such an answer until the kernel has taken all of it, so any other end is a reset: a kill, an abort of a caller that takes nothing, the end of the process. That includes chunked answers to callers of HTTP/1.0.

--- a/lagoonflow/http1/channel.py
+++ b/lagoonflow/http1/channel.py
@@ -4,26 +4,19 @@
 import asyncio
 import contextlib
 import fcntl
-import socket
-import struct
 import termios
 from collections.abc import Callable
 
 import h11
 
 from lagoonflow.clock import boottime_ms
+from lagoonflow.http1.socket_options import end_by_reset, limit_kernel_buffers
 from lagoonflow.time_limits import time_limit
 
 # Reading pauses above this many unread bytes, so that TCP slows the peer.
 MAX_UNREAD_BYTES = 262_144
-# Sizes of the kernel's buffers for the connections of a process whose memory is
-# bounded. The kernel doubles them; unbounded ones grow to some MB for each peer
-# that reads slowly.
-KERNEL_BUFFER_BYTES = 32_768
 # After this many events without a wait, other tasks run.
 MAX_EVENTS_IN_ROW = 32
-# SO_LINGER with a time of 0 s: closing the socket sends a TCP reset.
-_NO_LINGER = struct.pack('ii', 1, 0)
 
 
 class ConnectionClosedError(Exception):
@@ -202,8 +195,7 @@
     def reset(self) -> None:
         """Close with a TCP reset, which discards bytes in transit."""
         if self.transport is not None and self.is_open:
-            raw = self.transport.get_extra_info('socket')
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+            end_by_reset(self.transport)
             self.transport.abort()
 
     async def wait_for_bytes(self) -> None:
@@ -324,13 +316,6 @@
         channel.transport.pause_reading()
 
 
-def limit_kernel_buffers(transport: asyncio.BaseTransport) -> None:
-    """Bound the bytes that the kernel holds for a connection."""
-    raw = transport.get_extra_info('socket')
-    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-        raw.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
-
-
 def _query_bytes(transport: asyncio.BaseTransport, request: int) -> int:
     """Return a number of bytes that the kernel holds for a connection."""
     raw = transport.get_extra_info('socket')
--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -19,7 +19,6 @@
     Channel,
     ConnectionClosedError,
     is_writable,
-    limit_kernel_buffers,
 )
 from lagoonflow.http1.descriptors import Descriptors, NoDescriptorError
 from lagoonflow.http1.messages import (
@@ -30,6 +29,7 @@
     ResponseHead,
     response_framing,
 )
+from lagoonflow.http1.socket_options import limit_kernel_buffers
 from lagoonflow.time_limits import TimeLimit, time_limit
 
 # Longest head of a response. The limit for heads of callers' requests is a
--- a/lagoonflow/http1/response_writer.py
+++ b/lagoonflow/http1/response_writer.py
@@ -18,6 +18,7 @@
     find_header,
     remove_headers,
 )
+from lagoonflow.http1.socket_options import end_by_reset, end_in_order
 
 CLOSE_HEADER = ((b'connection', b'close'),)
 NO_CONTENT_STATUS = 204
@@ -39,7 +40,8 @@
     :ivar announces_close: whether the head says that the connection is closed
         after the response.
     :ivar ends_with_connection: whether only the end of the connection tells
-        where the body ends.
+        where the body ends. From the first byte on that end is a reset, also
+        if this process is killed, until :func:`end_connection_in_order`.
     """
 
     def __init__(
@@ -158,6 +160,7 @@
         was sent; the connection must be closed after it.
         """
         write_raw(self.channel, PLAIN_ERROR)
+        end_connection_in_order(self)
         self.started_at_ms = boottime_ms()
         self.is_complete = True
 
@@ -168,6 +171,9 @@
             await self.channel.send()
 
     def _write(self, *events: h11.Event) -> None:
+        is_first = not self.has_started and self.channel.is_open
+        if is_first and self.ends_with_connection:
+            end_by_reset(self.channel.transport)
         self.channel.write(*events)
         if self.started_at_ms is None:
             self.started_at_ms = boottime_ms()
@@ -207,3 +213,10 @@
         )
         idle_s = self._state_idle_s() if is_kept else 0
         return ((b'keep-alive', b'timeout=%d' % idle_s),) if idle_s else ()
+
+
+def end_connection_in_order(reply: ResponseWriter) -> None:
+    """Let the end of the connection be that of a response, which was taken."""
+    channel = reply.channel
+    if reply.ends_with_connection and channel.is_open:
+        end_in_order(channel.transport)
--- a/lagoonflow/http1/server.py
+++ b/lagoonflow/http1/server.py
@@ -41,7 +41,10 @@
     RequestReader,
     ServerLimits,
 )
-from lagoonflow.http1.response_writer import ResponseWriter
+from lagoonflow.http1.response_writer import (
+    ResponseWriter,
+    end_connection_in_order,
+)
 from lagoonflow.time_limits import time_limit
 
 LISTEN_BACKLOG = 1024
@@ -317,6 +320,7 @@
         if not reply.is_complete:
             _break_off(self.channel, self._reply)
             return False
+        end_connection_in_order(reply)
         self._reader.is_busy = False
         http = self.channel.http
         if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
