Let a router that starts ask the others for the streams that have begun

Cause: routers told each other of a stream only when it began and three times within 3 s. One that started later had the changes, not the state.

Failing before: tests/wiring/test_restarted_routers.py, a fleet of processes.

--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lagoonflow.gossip.entries import LimitEntry, OriginEntry, SpeedEntry
+from lagoonflow.gossip.join_messages import StreamsAnswer, StreamsQuery
 from lagoonflow.gossip.topic_messages import TopicAnswer, TopicQuery
 
 # Entries of crashes are stored as JSON, whose numbers have no bounds, and sent
@@ -332,6 +333,8 @@
     | LimitsState
     | TopicQuery
     | TopicAnswer
+    | StreamsQuery
+    | StreamsAnswer
     | SpeedsState
     | InflightState
 )
--- a/lagoonflow/relay/admission.py
+++ b/lagoonflow/relay/admission.py
@@ -50,10 +50,12 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class AwaitsServerList:
-    """The call can be decided on with a newer list of servers only.
+class Undecided:
+    """The call can be decided on only once more is known.
 
-    :param refusal: answer if no newer list arrives.
+    That is a newer list of servers, or the streams that other routers know of.
+
+    :param refusal: answer if none of it arrives.
     """
 
     refusal: Refusal
@@ -142,7 +144,7 @@
 
     def admit(
         self, call: Call, now_ms: float, arrived_ms: float | None = None
-    ) -> AdmittedCall | Refusal | AwaitsServerList:
+    ) -> AdmittedCall | Refusal | Undecided:
         """Admit a call and charge its organisation, or refuse it.
 
         An unknown route or key is refused for good only while the
@@ -250,7 +252,7 @@
         service: Service,
         organisation: Organisation | None,
         arrived_ms: float,
-    ) -> AdmittedCall | Refusal | AwaitsServerList:
+    ) -> AdmittedCall | Refusal | Undecided:
         caller_timeout_ms = call.deadline_ms
         if caller_timeout_ms is None:
             caller_timeout_ms = route.timeout_ms or DEFAULT_TIMEOUT_MS
@@ -267,7 +269,7 @@
                 retry_after_ms=UNKNOWN_VERSION_RETRY_MS,
             )
             if requirement.may_become_known:
-                return AwaitsServerList(refusal)
+                return Undecided(refusal)
             return refusal
         admitted = AdmittedCall(
             call,
--- a/lagoonflow/relay/admitting.py
+++ b/lagoonflow/relay/admitting.py
@@ -1,4 +1,4 @@
-"""Admission of calls that have to wait for a newer list of servers."""
+"""Admission of calls that have to wait until more is known."""
 
 import asyncio
 
@@ -6,7 +6,7 @@
 from lagoonflow.relay.admission import (
     Admission,
     AdmittedCall,
-    AwaitsServerList,
+    Undecided,
 )
 from lagoonflow.relay.changes import ChangeNotifier
 from lagoonflow.relay.messages import Call
@@ -20,9 +20,9 @@
 
 
 class Admitter:
-    """Admits calls, and waits for a list of servers where one decides.
+    """Admits calls, and waits where a list of servers or of streams decides.
 
-    :param fleet_changed: notified when a list of servers has been read.
+    :param fleet_changed: notified when one of them has been read.
     :ivar list_wanted: set when the list is to be read at once.
     """
 
@@ -39,15 +39,13 @@
     ) -> AdmittedCall | Refusal:
         """Admit a call or refuse it."""
         admitted = self._admission.admit(call, arrived_ms)
-        if not isinstance(admitted, AwaitsServerList):
-            return admitted
-        self.list_wanted.set()
+        is_waiting = isinstance(admitted, Undecided)
+        if is_waiting and not self._admission.is_list_confirmed(arrived_ms):
+            self.list_wanted.set()
         until_ms = arrived_ms + MAX_LIST_WAIT_MS
-        while not self._admission.is_list_confirmed(arrived_ms):
+        while isinstance(admitted, Undecided):
             if boottime_ms() >= until_ms:
                 return admitted.refusal
             await self._fleet_changed.wait(RECHECK_MS, arrived_ms)
-        admitted = self._admission.admit(call, boottime_ms(), arrived_ms)
-        if isinstance(admitted, AwaitsServerList):
-            return admitted.refusal
+            admitted = self._admission.admit(call, boottime_ms(), arrived_ms)
         return admitted
--- a/lagoonflow/resumption/decision.py
+++ b/lagoonflow/resumption/decision.py
@@ -55,6 +55,9 @@
         if version is None:
             return UnknownVersion(
                 'the software version that began the stream is not known',
-                may_become_known=not self.history.is_confirmed(arrived_ms),
+                may_become_known=not (
+                    self.origins.is_known
+                    and self.history.is_confirmed(arrived_ms)
+                ),
             )
         return OneVersion(version)
--- a/lagoonflow/resumption/messages.py
+++ b/lagoonflow/resumption/messages.py
@@ -19,7 +19,8 @@
 class UnknownVersion:
     """The call resumes a stream, but not at which version it began.
 
-    :param may_become_known: whether a newer list of servers may tell.
+    :param may_become_known: whether a newer list of servers, or another router,
+        may tell.
     """
 
     reason: str
--- a/lagoonflow/wiring/platform_feeds.py
+++ b/lagoonflow/wiring/platform_feeds.py
@@ -342,6 +342,7 @@
     :param other_roles: members of other roles, which are updated, too;
         registrations of further roles are ignored.
     :ivar has_read: whether the registrations were read at least once.
+    :ivar was_read: set when they have been.
     :ivar own_removed: set when the registration of this process was removed,
         or may have been lost.
     """
@@ -354,6 +355,7 @@
     ) -> None:
         """Start without registrations."""
         self.has_read = False
+        self.was_read = asyncio.Event()
         self.own_removed = asyncio.Event()
         self._log = structlog.get_logger(part='members')
         self._members = members
@@ -376,6 +378,8 @@
             if is_missing or page.may_be_older:
                 self.own_removed.set()
         self.has_read = self.has_read or page.is_current
+        if self.has_read:
+            self.was_read.set()
         for record in page.records:
             self._apply(record, now_ms)
         own = [one for one in page.records if one.key == own_name]
--- a/lagoonflow/wiring/platform_publishing.py
+++ b/lagoonflow/wiring/platform_publishing.py
@@ -11,10 +11,9 @@
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.backends.rates import ModelRates
-from lagoonflow.clock import boottime_ms, wall_clock_ms
+from lagoonflow.clock import wall_clock_ms
 from lagoonflow.declared.messages import DeclaredState, EngineSpec
 from lagoonflow.declared.view import DeclaredView
-from lagoonflow.gossip.entries import OriginEntry
 from lagoonflow.gossip.members import (
     SILENCE_TIMEOUT_MS,
     Members,
@@ -24,15 +23,12 @@
     AgentState,
     LoadRequest,
     MeterState,
-    OriginsState,
     RouterState,
 )
 from lagoonflow.gossip.transport import GossipSocket
 from lagoonflow.platform.settings import PlatformSettings
 from lagoonflow.quotas.fleet_rate_limiter import ChargeReport, FleetRateLimiter
 from lagoonflow.relay.load_requests import LoadRequests
-from lagoonflow.resumption.messages import StreamOrigin
-from lagoonflow.resumption.origins import StreamOrigins
 from lagoonflow.waking.copies import models_with_copy
 from lagoonflow.waking.preloading import LoadPlan, plan_loads
 from lagoonflow.waking.store_queue import (
@@ -446,62 +442,6 @@
         return self._view.version, int(now_ms - self._view.applied_at_ms)
 
 
-class OriginPublisher:
-    """Tells the other routers at which software version streams began."""
-
-    def __init__(
-        self,
-        settings: PlatformSettings,
-        members: Members,
-        origins: StreamOrigins,
-        gossip: GossipSocket,
-    ) -> None:
-        """Start with nothing sent.
-
-        :param members: the other routers.
-        :param origins: streams of this router and of the others.
-        """
-        self._node = settings.node
-        self._members = members
-        self._origins = origins
-        self._gossip = gossip
-
-    def announce(self, origin: StreamOrigin) -> None:
-        """Record a stream that begins, and send it to the others at once."""
-        now_ms = boottime_ms()
-        self._origins.record(origin, now_ms)
-        self.publish_due(now_ms)
-
-    def publish_due(self, now_ms: float) -> None:
-        """Send the entries that are due."""
-        due = self._origins.take_due(now_ms)
-        if not due:
-            return
-        entries = tuple(
-            OriginEntry(
-                origin.request_id,
-                origin.service,
-                origin.software_version,
-                int(origin.expires_at_ms - now_ms),
-            )
-            for origin in due
-        )
-        message = OriginsState(self._node, entries)
-        for member in self._members.present(now_ms):
-            self._gossip.send(message, member.address)
-
-    def receive(self, message: OriginsState, now_ms: float) -> None:
-        """Learn the streams of another router."""
-        for entry in message.origins:
-            origin = StreamOrigin(
-                entry.request_id,
-                entry.service,
-                entry.software_version,
-                now_ms + entry.left_ms,
-            )
-            self._origins.learn(origin, now_ms)
-
-
 def _plans_without_loads(
     before: Mapping[str, LoadPlan],
     servers: list[BackendServer],
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -18,7 +18,6 @@
     LimitsState,
     Message,
     MeterState,
-    OriginsState,
 )
 from lagoonflow.gossip.topic_messages import TopicAnswer, TopicQuery
 from lagoonflow.gossip.transport import GossipSocket
@@ -63,11 +62,11 @@
 from lagoonflow.wiring.platform_memory import build_memory
 from lagoonflow.wiring.platform_publishing import (
     ChargePublisher,
-    OriginPublisher,
     RouterStatePublisher,
 )
 from lagoonflow.wiring.platform_shared_reads import SharedReadService
 from lagoonflow.wiring.platform_speeds import SpeedPublisher
+from lagoonflow.wiring.platform_streams import StreamMessage, StreamService
 from lagoonflow.wiring.platform_topics import Feeds, topic_followers
 
 ROLE = 'router'
@@ -117,15 +116,21 @@
             build_crash_guard(settings.node, self._members, self._crashes),
         )
         self._gossip = GossipSocket(self._receive)
-        self._origin_publisher = OriginPublisher(
-            settings, self._members, origins, self._gossip
+        self._streams = StreamService(
+            settings,
+            self._members,
+            self._members_feed,
+            origins,
+            self._view,
+            self._gossip,
+            self._choose_again,
         )
         descriptors = process_descriptors(settings.max_descriptors)
         self._sender = Sender(
             self._fleet,
             self._admission,
             codec,
-            self._origin_publisher.announce,
+            self._streams.announce,
             self._crash_monitor,
             ServerPools(
                 self._fleet,
@@ -254,6 +259,7 @@
         ):
             yield follower.run
         yield self._register
+        yield self._streams.run
         yield RegistrationRemover(
             self._store, self._members_feed, self._members, self._agents
         ).run
@@ -330,6 +336,9 @@
 
     def _receive(self, message: Message, sender: str) -> None:
         now_ms = boottime_ms()
+        if isinstance(message, StreamMessage):
+            self._streams.receive(message, now_ms, sender)
+            return
         match message:
             case AgentState():
                 self._agents.record_message(
@@ -338,9 +347,8 @@
                 if self._fleet.observe_agent(message, now_ms):
                     self._calls.placer.fleet_changed.notify()
             case MeterState():
+                self._streams.note_heard(now_ms)
                 self._charge_publisher.receive(message, now_ms, sender)
-            case OriginsState():
-                self._origin_publisher.receive(message, now_ms)
             case LimitsState():
                 self._limit_publisher.receive(message, now_ms)
             case InflightState():
@@ -354,6 +362,10 @@
             case _:
                 self._speed_publisher.receive(message, now_ms)
 
+    def _choose_again(self) -> None:
+        """Let waiting calls use what has become known."""
+        self._calls.placer.fleet_changed.notify()
+
     # Updates to agents and other routers.
 
     async def _publish_updates(self) -> None:
@@ -376,7 +388,7 @@
                 others = [one.name for one in self._members.present(now_ms)]
                 self._fleet.held_bytes.update_routers(others)
                 self._sender.pools.connections.update_routers(len(others) + 1)
-            self._origin_publisher.publish_due(now_ms)
+            self._streams.publish_due(now_ms)
             self._crash_monitor.confirm_by_fleet()
             self._limit_publisher.publish_due(now_ms)
             self._speed_publisher.publish_due(now_ms)
--- a/tests/relay/test_software_versions.py
+++ b/tests/relay/test_software_versions.py
@@ -163,3 +163,32 @@
     await harness.add_backends(answer_with('200 OK', 'fine'))
     status, _, _ = await harness.send_request('/read/x', *RESUME)
     assert status == 200
+
+
+async def test_a_resumed_stream_waits_until_a_new_router_has_asked_the_others():
+    harness = RelayHarness()
+    other, same = await harness.add_backends(
+        answer_events(3, 4),
+        answer_events(3, 4),
+        software_versions=('v1', 'v2'),
+    )
+    harness.origins.is_known = False
+    pending = asyncio.create_task(harness.send_request('/resume/x', *RESUME))
+    await asyncio.sleep(0.1)
+    assert not pending.done()
+    know_origin(harness, 'v2')
+    harness.origins.is_known = True
+    harness.calls.placer.fleet_changed.notify()
+    status, _, _ = await pending
+    assert (status, len(same.requests), other.requests) == (200, 1, [])
+
+
+async def test_a_resumed_stream_that_nobody_knows_of_is_refused_in_time():
+    harness = RelayHarness()
+    await harness.add_backends(answer_events(3, 4))
+    harness.origins.is_known = False
+    sent_ms = boottime_ms()
+    status, headers, _ = await harness.send_request('/resume/x', *RESUME)
+    assert status == 503
+    assert float(headers['retry-after']) > 0
+    assert boottime_ms() - sent_ms < 1500
--- a/tests/wiring/test_platform_publishing.py
+++ b/tests/wiring/test_platform_publishing.py
@@ -9,10 +9,8 @@
 from lagoonflow.relay.load_requests import LoadRequests
 from lagoonflow.resumption.messages import StreamOrigin
 from lagoonflow.resumption.origins import StreamOrigins
-from lagoonflow.wiring.platform_publishing import (
-    OriginPublisher,
-    RouterStatePublisher,
-)
+from lagoonflow.wiring.platform_publishing import RouterStatePublisher
+from lagoonflow.wiring.platform_streams import OriginPublisher
 from tests.backends.test_choosing import ENGINE, NOW_MS, agent, fleet_of
 
 
--- a/tests/wiring/test_restarted_routers.py
+++ b/tests/wiring/test_restarted_routers.py
@@ -212,3 +212,24 @@
         ]
         time.sleep(0.05)
     assert status_of(fleet, router, '/book/x') == 404
+
+
+def test_a_stream_is_taken_up_at_a_router_that_started_after_it_began(fleet):
+    """Routers tell each other of streams only as they begin."""
+    model = {'Model': 'm1/a1', 'Deadline-Ms': '15000', 'Attempt-Id': 'first'}
+    fleet.routers.append(fleet.add_router())
+    first, second = fleet.routers
+    fleet.wait_ready(second)
+    assert fleet.send_request(first, '/resume/x', model).status == 200
+    # The stream is repeated to the others for three seconds.
+    time.sleep(4)
+    second.program.kill()
+    fleet.start_router(second)
+    fleet.wait_ready(second)
+    resumed = {
+        **model,
+        'Attempt-Id': 'second',
+        'Resumes': 'first',
+        'Last-Event-Id': '2',
+    }
+    assert fleet.send_request(second, '/resume/x', resumed).status == 200
