Use no server by a list from before a time in which the router didn't run

A router that stood still placed the calls that had waited in the kernel by the list from before, and took its own silence for an outage of the store, so that it kept servers whose entries had been removed in use for up to 1.8 s more.

Absences of the process are noted by the clock that counts suspension, and left out of the store's silence. If the list is too old only because of one, it is read at once and no server is used before, for 700 ms at most.

--- a/lagoonflow/backends/candidates.py
+++ b/lagoonflow/backends/candidates.py
@@ -7,8 +7,12 @@
 def usable_servers(
     fleet: Fleet, service: str, now_ms: float
 ) -> list[BackendServer]:
-    """Return the servers of a service that are neither leaving nor evacuated."""
-    if fleet.evacuations.is_outdated(now_ms):
+    """Return the servers of a service that are neither leaving nor evacuated.
+
+    There are none while it isn't known which servers have left.
+    """
+    is_outdated = fleet.roster.outages.is_list_outdated(now_ms)
+    if is_outdated or fleet.evacuations.is_outdated(now_ms):
         return []
     return [
         server
@@ -38,6 +42,11 @@
     return not pause_left_ms(fleet, server, now_ms)
 
 
+def is_list_outdated(fleet: Fleet, now_ms: float) -> bool:
+    """Return whether the list of servers must be read before a send."""
+    return fleet.roster.outages.is_list_outdated(now_ms)
+
+
 def may_use_zone(fleet: Fleet, server: BackendServer, now_ms: float) -> bool:
     """Return whether the zone of a server that was chosen may be used."""
     evacuations = fleet.evacuations
--- a/lagoonflow/backends/choosing.py
+++ b/lagoonflow/backends/choosing.py
@@ -7,7 +7,11 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from lagoonflow.backends.candidates import pause_left_ms, usable_servers
+from lagoonflow.backends.candidates import (
+    is_list_outdated,
+    pause_left_ms,
+    usable_servers,
+)
 from lagoonflow.backends.connections import connection_wait_ms
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.messages import BackendServer
@@ -292,6 +296,10 @@
         self, requirements: Requirements, now_ms: float
     ) -> NoServer:
         evacuations = self._fleet.evacuations
+        if is_list_outdated(self._fleet, now_ms):
+            return NoServer(
+                'it is not known which servers have left', may_change=True
+            )
         if evacuations.is_outdated(now_ms):
             return NoServer(
                 'it is not known which zones are evacuated', may_change=True
--- a/lagoonflow/backends/store_outages.py
+++ b/lagoonflow/backends/store_outages.py
@@ -1,5 +1,7 @@
 """Outages of the metadata store, and how long removed entries stay in doubt."""
 
+from lagoonflow.absences import Absences
+
 # After an outage of the metadata store, the platform takes up to this long to
 # restore the entries that expired during it, counted from the store's return.
 RESTORE_MS = 2000
@@ -7,6 +9,9 @@
 EXPIRY_HEARTBEATS = 1.5
 # Answers to reads are normally less far apart than this, in ms.
 MIN_OUTAGE_MS = 1800
+# After an absence of this process, the store answers a read within this time or
+# counts as away, in ms.
+REREAD_MS = 700
 # Time for a request that was sent in time to reach the server, in ms.
 SEND_MARGIN_MS = 200
 
@@ -20,12 +25,14 @@
     :param drain_ms: time after a removal that the store acknowledged while it
         was stable, after which the server must get no requests.
     :param heartbeat_ms: interval at which servers renew their entries.
+    :ivar absences: when this process did not run, and so read nothing.
     """
 
     def __init__(
         self, drain_ms: float = 2000, heartbeat_ms: float = 1200
     ) -> None:
         """Start without outages."""
+        self.absences = Absences()
         self._usable_for_ms = max(drain_ms - SEND_MARGIN_MS, 0)
         self._min_outage_ms = max(
             EXPIRY_HEARTBEATS * heartbeat_ms, MIN_OUTAGE_MS
@@ -45,6 +52,9 @@
         if answered_at_ms <= self._answered_at_ms:
             return
         silent_ms = answered_at_ms - self._answered_at_ms
+        silent_ms -= self.absences.between_ms(
+            self._answered_at_ms, answered_at_ms
+        )
         is_first = self._answered_at_ms == float('-inf')
         if silent_ms >= self._min_outage_ms and not is_first:
             self._returned_at_ms = answered_at_ms
@@ -65,6 +75,20 @@
         """Record as of when all entries of servers have been read."""
         self._listed_at_ms = max(self._listed_at_ms, listed_at_ms)
 
+    def is_list_outdated(self, now_ms: float) -> bool:
+        """Return whether a server may be used no more of which isn't known.
+
+        That is so after this process did not run, until the list is read again
+        or could have been. A list that is old for other reasons is that of a
+        store that is away, which removes no server.
+        """
+        self.absences.note_running(now_ms)
+        if now_ms - self.absences.ended_at_ms > REREAD_MS:
+            return False
+        age_ms = now_ms - self._listed_at_ms
+        absent_ms = self.absences.between_ms(self._listed_at_ms, now_ms)
+        return age_ms - absent_ms <= self._usable_for_ms < age_ms
+
     def doubtful_until_ms(self, now_ms: float) -> float:
         """Return until when a removal that was read now may be an expiry.
 
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -5,7 +5,11 @@
 
 import structlog
 
-from lagoonflow.backends.candidates import may_send, may_use_zone
+from lagoonflow.backends.candidates import (
+    is_list_outdated,
+    may_send,
+    may_use_zone,
+)
 from lagoonflow.backends.choosing import Send
 from lagoonflow.backends.fleet import Fleet
 from lagoonflow.backends.limits import LimitStatement
@@ -323,20 +327,9 @@
         prefill: '_Reading',
     ) -> Outcome:
         now_ms = boottime_ms()
-        refusal = self._admission.recheck_key(admitted, now_ms)
-        if refusal is not None:
-            return Withheld(refusal)
-        refusal = self._admission.refuse_crashing(admitted)
-        if refusal is not None:
-            return Withheld(refusal)
-        if not may_use_zone(self._fleet, server, now_ms):
-            return Forbidden('the zone of the server is evacuated')
-        if not may_send(self._fleet, server, now_ms):
-            return NotSent('the server is leaving or asked for a pause')
-        if not self._fleet.cold.confirm(
-            server.instance, id(admitted.call), now_ms
-        ):
-            return Forbidden('the cold server takes no request now')
+        obstacle = self._find_obstacle(admitted, server, now_ms)
+        if obstacle is not None:
+            return obstacle
         prefill.is_trial = self._admission.begin_send(admitted)
         target = _target(admitted, server, progress, now_ms)
         request = self._codec.encode_call(admitted.call, target)
@@ -367,6 +360,27 @@
         body = await connection.read_body(MAX_BODY_BYTES, wait_for_room)
         return await self._deliver_whole(answer, body, progress)
 
+    def _find_obstacle(
+        self, admitted: AdmittedCall, server: BackendServer, now_ms: float
+    ) -> Withheld | Forbidden | NotSent | None:
+        """Return what has come between the choice of a server and the send."""
+        refusal = self._admission.recheck_key(
+            admitted, now_ms
+        ) or self._admission.refuse_crashing(admitted)
+        if refusal is not None:
+            return Withheld(refusal)
+        if is_list_outdated(self._fleet, now_ms):
+            return Forbidden('it is not known which servers have left')
+        if not may_use_zone(self._fleet, server, now_ms):
+            return Forbidden('the zone of the server is evacuated')
+        if not may_send(self._fleet, server, now_ms):
+            return NotSent('the server is leaving or asked for a pause')
+        if not self._fleet.cold.confirm(
+            server.instance, id(admitted.call), now_ms
+        ):
+            return Forbidden('the cold server takes no request now')
+        return None
+
     async def _deliver_whole(
         self, answer: Answer, body: bytes, progress: Progress
     ) -> Outcome:
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -368,6 +368,12 @@
 
     # Updates to agents and other routers.
 
+    def _note_running(self, now_ms: float) -> None:
+        """Read the servers at once if some may have left during a stall."""
+        self._fleet.evacuations.note_running(now_ms)
+        if self._fleet.roster.outages.is_list_outdated(now_ms):
+            self._calls.list_wanted.set()
+
     async def _publish_updates(self) -> None:
         load_requests_changed = self._calls.placer.load_requests_changed
         while True:
@@ -376,7 +382,7 @@
                     await load_requests_changed.wait()
             load_requests_changed.clear()
             now_ms = boottime_ms()
-            self._fleet.evacuations.note_running(now_ms)
+            self._note_running(now_ms)
             if self._view.state is not None:
                 self._state_publisher.publish_due(self._view.state, now_ms)
             has_finished = self._http.open_connection_count == 0
--- a/loopback/platform_fleet.py
+++ b/loopback/platform_fleet.py
@@ -118,6 +118,8 @@
         plain servers crash, too.
     :ivar max_descriptors: limit of the routers that are started from now on;
         0 for that of this process.
+    :ivar evacuate_ms: time within which routers that are started from now on
+        leave evacuated zones; 0 if zones can't be evacuated.
     :ivar version: version of the configuration that was published last.
     :ivar published: the last configuration that the store has accepted.
     :ivar relays: relays by name: `server IP`, or `store IP` for the connections
@@ -132,6 +134,7 @@
         self.crashing_part = ''
         self.crashing_body = ''
         self.max_descriptors = 0
+        self.evacuate_ms = 5000
         self.version = 0
         self.published: dict[str, Any] = {}
         self._processes = processes
@@ -321,6 +324,10 @@
         address = f'{host.ip}:{RUNNER_PORT}'
         return http.request(address, 'GET', '/counts').json()
 
+    def server_key(self, host: Host) -> str:
+        """Return the key of a backend server's entry in the store."""
+        return f'servers/{self.counts(host)["instance"]}'
+
     def is_ready(self, host: Host) -> bool:
         """Tell whether a router reports that it is ready."""
         try:
@@ -424,7 +431,7 @@
             'bounds.revoke_strict': 'true',
             'bounds.revoke_ms': '5000',
             'bounds.grace_s': '8',
-            'bounds.evacuate_ms': '5000',
+            'bounds.evacuate_ms': str(self.evacuate_ms),
             **fields,
         }
         path = self._settings_path(role, host)
--- a/tests/backends/test_store_outages.py
+++ b/tests/backends/test_store_outages.py
@@ -136,3 +136,60 @@
     router.read(12_200, removal('i-a'))
     assert 'i-a' in router.used(12_250)
     assert 'i-a' not in router.used(12_350)
+
+
+def stall(router, from_ms, until_ms):
+    """Let the router stand still after it has run until a time."""
+    absences = router.fleet.roster.outages.absences
+    for at_ms in range(10_000, from_ms + 1, 50):
+        absences.note_running(at_ms)
+    absences.note_running(until_ms)
+
+
+def test_servers_removed_during_a_stall_are_not_used(router):
+    """What was not read during the stall was no outage of the store."""
+    router.read_every_500_ms(10_000, 14_000)
+    stall(router, 14_100, 17_000)
+    router.read(17_000, removal('i-a'), asked_ms=14_050)
+    router.read(17_200, removal('i-b'))
+    assert router.used(17_200) == {'i-c', 'i-d', 'i-e'}
+
+
+def test_no_server_is_used_before_the_list_is_read_after_a_stall(router):
+    router.read_every_500_ms(10_000, 14_000)
+    stall(router, 14_100, 16_500)
+    assert not router.used(16_500)
+    router.read(16_510, removal('i-a'), asked_ms=14_050)
+    assert not router.used(16_510)
+    router.read(16_520, removal('i-b'))
+    assert router.used(16_520) == {'i-c', 'i-d', 'i-e'}
+
+
+def test_a_stall_that_leaves_time_for_the_next_read_holds_up_no_call(router):
+    router.read_every_500_ms(10_000, 14_000)
+    stall(router, 14_100, 14_900)
+    assert router.used(14_900) == set(NAMES)
+
+
+def test_a_store_that_is_away_after_a_stall_holds_up_calls_for_a_short_time(
+    router,
+):
+    router.read_every_500_ms(10_000, 14_000)
+    stall(router, 14_100, 16_500)
+    assert not router.used(16_700)
+    for at_ms in range(16_500, 17_301, 50):
+        router.fleet.roster.outages.absences.note_running(at_ms)
+    assert router.used(17_300) == set(NAMES)
+
+
+def test_a_store_that_is_away_holds_up_no_call_without_a_stall(router):
+    router.read_every_500_ms(10_000, 14_000)
+    stall(router, 17_000, 17_050)
+    assert router.used(17_050) == set(NAMES)
+
+
+def test_an_outage_that_a_stall_is_part_of_is_still_one(router):
+    router.read_every_500_ms(10_000, 12_000)
+    stall(router, 14_500, 15_000)
+    router.read(15_100, removal('i-a'))
+    assert 'i-a' in router.used(15_150)
