Read answers to the programs of our own interface with h11, too

Operators of other systems saw answers with the status 000 taken for answers, and parts of early answers that were reset taken for whole ones. But the client of our own interface returned answers of status 000, 099, 20, 2, 1000, 2000, 0200 and 2x0 as whole ones, also one with two lengths, and 100 and 101 with a length of 0.

Cause: two readers of answers side by side; aiosonic takes what stands in the place of the status for a number. clients/http.py uses http1/client.py now, and its own class of connections is gone. Each request still has a connection of its own.

Failing before: 11 cases of test_invalid_answer_is_a_failure.

--- a/lagoonflow/clients/http.py
+++ b/lagoonflow/clients/http.py
@@ -3,68 +3,46 @@
 import asyncio
 import contextlib
 import re
-from collections.abc import AsyncIterator, Coroutine
-from typing import Any, TypeVar
-
-from aiosonic import HTTPClient, HttpResponse
-from aiosonic.connectors import TCPConnector
-from aiosonic.exceptions import AiosonicError
-from aiosonic.pools import PoolConfig
-from aiosonic.timeout import Timeouts
-
-from lagoonflow.clients.connection import (
-    OneRequestConnection,
-    SendState,
-    send_state,
-)
+from collections.abc import Callable
+
+import h11
+
 from lagoonflow.clients.exchange import (
     HttpAnswer,
     HttpFailure,
     HttpRequest,
 )
-from lagoonflow.http1.body_memory import MEMORY, reserve_part
-from lagoonflow.http1.messages import ExchangeError
+from lagoonflow.http1.client import ClientConnection, ConnectionPool
+from lagoonflow.http1.messages import (
+    BodyFraming,
+    ExchangeError,
+    ExchangeStage,
+    Headers,
+    RequestHead,
+    ResponseHead,
+)
 from lagoonflow.time_limits import time_limit
 
 DEFAULT_MAX_CONNECTIONS = 256
+CONNECT_TIMEOUT_MS = 1000
 METHODS_WITHOUT_BODY = frozenset(('GET', 'HEAD'))
-STATUSES_WITHOUT_BODY = frozenset((204, 304))
+# Headers that the client sets itself.
+OWN_HEADERS = frozenset(
+    ('host', 'connection', 'content-length', 'transfer-encoding')
+)
 SAFE_TARGET = re.compile('/[!-~]*')
 SAFE_METHOD = re.compile('[A-Z]+')
 
-# The time limits are set by asyncio.timeout: those of aiosonic use
-# asyncio.wait_for, which can swallow a cancellation on Python 3.11.
-NO_TIMEOUTS = Timeouts(
-    sock_connect=None,
-    sock_read=None,
-    pool_acquire=None,
-    request_timeout=None,
-)
-
-# aiosonic raises ValueError or EOFError when the framing is truncated or
-# malformed. ExchangeError tells that large bodies use all memory.
-EXCHANGE_ERRORS = (
-    AiosonicError,
-    ExchangeError,
-    OSError,
-    EOFError,
-    ValueError,
-    asyncio.LimitOverrunError,
-)
-
-AnswerT = TypeVar('AnswerT')
-
 
 class HttpStream:
     """An answer whose body is read piece by piece.
 
-    :param response: the response of aiosonic, with its headers received.
+    :param exchange: the exchange, whose answer has begun.
     """
 
-    def __init__(self, response: HttpResponse) -> None:
-        self.status = response.status_code
-        self._response = response
-        self._pieces: AsyncIterator[bytes] = response.read_chunks()
+    def __init__(self, exchange: '_Exchange') -> None:
+        self.status = exchange.head.status
+        self._exchange = exchange
 
     async def read(self, timeout_ms: float) -> bytes | HttpFailure:
         """Return the next piece, or an empty one after the end of the body.
@@ -73,15 +51,15 @@
         """
         try:
             async with time_limit(timeout_ms):
-                return await anext(self._pieces, b'')
+                return await self._exchange.read_piece()
         except TimeoutError:
             return HttpFailure('no progress in time', True, True)
-        except EXCHANGE_ERRORS as error:
-            return HttpFailure(_describe_error(error), was_sent=True)
+        except ExchangeError as error:
+            return HttpFailure(str(error), was_sent=True)
 
     async def aclose(self) -> None:
         """Close the connection; may be called more than once."""
-        await self._response.aclose()
+        self._exchange.close()
 
 
 class HttpClient:
@@ -97,129 +75,179 @@
         address: str,
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
-        pool = PoolConfig(size=max_connections)
-        connector = TCPConnector(
-            pool_configs={':default': pool},
-            timeouts=NO_TIMEOUTS,
-            connection_cls=OneRequestConnection,
-        )
-        self._base = f'http://{address}'
-        self._client = HTTPClient(connector)
+        self._address = address
+        self._pool = ConnectionPool(address)
+        self._places = asyncio.Semaphore(max_connections)
+        self._exchanges: set[_Exchange] = set()
 
     async def call(self, request: HttpRequest) -> HttpAnswer | HttpFailure:
         """Send a request and read its whole answer."""
-        return await _run_within_timeout(request, self._exchange(request))
+        exchange = self._begin()
+        try:
+            async with time_limit(request.timeout_ms):
+                head = await exchange.open(request)
+                body = await exchange.read_body(request.body_limit_bytes)
+        except (TimeoutError, ExchangeError, h11.LocalProtocolError) as error:
+            return exchange.failure(error)
+        finally:
+            exchange.close()
+        return HttpAnswer(head.status, _decode_headers(head.headers), body)
 
     async def open(self, request: HttpRequest) -> HttpStream | HttpFailure:
         """Send a request and return once the answer's headers arrive."""
-        return await _run_within_timeout(request, self._open(request))
+        exchange = self._begin()
+        with contextlib.ExitStack() as on_failure:
+            on_failure.callback(exchange.close)
+            try:
+                async with time_limit(request.timeout_ms):
+                    await exchange.open(request)
+            except (
+                TimeoutError,
+                ExchangeError,
+                h11.LocalProtocolError,
+            ) as error:
+                return exchange.failure(error)
+            on_failure.pop_all()
+        return HttpStream(exchange)
 
     async def aclose(self) -> None:
         """Close all connections."""
-        await self._client.aclose()
-
-    async def _exchange(self, request: HttpRequest) -> HttpAnswer:
-        response = await self._send(request)
-        async with contextlib.aclosing(response):
-            body = await _read_body(response, request)
-        headers = tuple((name, text) for name, text in response.raw_headers)
-        return HttpAnswer(response.status_code, headers, body)
-
-    async def _open(self, request: HttpRequest) -> HttpStream:
-        return HttpStream(await self._send(request))
-
-    async def _send(self, request: HttpRequest) -> HttpResponse:
-        _check_request_line(request)
-        # aiosonic would drop what follows these characters.
-        target = request.target.replace(';', '%3B').replace('#', '%23')
-        return await self._client.request(
-            f'{self._base}{target}',
-            method=request.method,
-            headers=_request_headers(request),
-            data=request.body,
-            stream=True,
-        )
+        for exchange in list(self._exchanges):
+            exchange.close()
 
+    def _begin(self) -> '_Exchange':
+        exchange = _Exchange(
+            self._address, self._pool, self._places, self._exchanges.discard
+        )
+        self._exchanges.add(exchange)
+        return exchange
 
-async def _run_within_timeout(
-    request: HttpRequest,
-    exchange: Coroutine[Any, Any, AnswerT],
-) -> AnswerT | HttpFailure:
-    """Await an exchange within its time limit; return errors as failures."""
-    state = SendState()
-    send_state.set(state)
-    try:
-        async with time_limit(request.timeout_ms):
-            return await exchange
-    except TimeoutError:
-        return HttpFailure('no answer in time', state.was_sent, True)
-    except EXCHANGE_ERRORS as error:
-        return HttpFailure(_describe_error(error), state.was_sent)
 
+class _Exchange:
+    """One request and its answer, on a connection of their own.
 
-def _describe_error(error: BaseException) -> str:
-    """Describe an exception in one line."""
-    return f'{type(error).__name__}: {error}'.rstrip(': ')
+    :param places: limits the number of exchanges.
+    :param on_close: called once, with the exchange, when it ends.
+    :ivar head: head of the answer, once it has arrived.
+    """
 
+    def __init__(
+        self,
+        address: str,
+        pool: ConnectionPool,
+        places: asyncio.Semaphore,
+        on_close: Callable[['_Exchange'], None],
+    ) -> None:
+        self.head: ResponseHead | None = None
+        self._on_close = on_close
+        self._address = address
+        self._pool = pool
+        self._places = places
+        self._connection: ClientConnection | None = None
+        self._has_place = False
+        self._was_sent = False
+        self._is_closed = False
+
+    async def open(self, request: HttpRequest) -> ResponseHead:
+        """Send a request, and return the head of its answer.
+
+        :raises ExchangeError: when the server doesn't answer.
+        :raises h11.LocalProtocolError: when the request can't be sent.
+        """
+        head = _request_head(request, self._address)
+        await self._places.acquire()
+        self._has_place = True
+        self._connection = await self._pool.connect(CONNECT_TIMEOUT_MS)
+        self._was_sent = True
+        await self._connection.send(head, request.body)
+        self.head = await self._connection.read_head()
+        return self.head
+
+    async def read_body(self, max_bytes: int) -> bytes:
+        """Return the whole body.
+
+        :raises ExchangeError: when it is cut or too long, and when nothing
+            tells where it ends, so that a cut one would look whole.
+        """
+        if self.head.framing is BodyFraming.UNTIL_CLOSE:
+            reason = 'answer without a length'
+            raise ExchangeError(ExchangeStage.ANSWERING, reason)
+        return await self._connection.read_body(max_bytes)
 
-def _request_headers(request: HttpRequest) -> dict[str, str]:
-    """Return the headers to send, with one value for each name.
+    async def read_piece(self) -> bytes:
+        """Return the next piece of the body, an empty one after the last.
 
-    Repeated headers are joined, since aiosonic would send only one of them. A
-    request without a body states a length of 0 if its method allows a body.
+        :raises ExchangeError: when the body is cut.
+        """
+        if self._is_closed:
+            return b''
+        piece = await self._connection.read_part()
+        return b'' if piece is None else piece
+
+    def failure(self, error: Exception) -> HttpFailure:
+        """Return the failure that an error of the exchange is."""
+        if isinstance(error, TimeoutError):
+            return HttpFailure('no answer in time', self._was_sent, True)
+        # A request that h11 rejects is rejected before its first byte.
+        was_sent = self._was_sent and isinstance(error, ExchangeError)
+        return HttpFailure(str(error), was_sent)
+
+    def close(self) -> None:
+        """End the exchange; may be called more than once."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        if self._connection is not None:
+            self._pool.discard(self._connection)
+        if self._has_place:
+            self._places.release()
+        self._on_close(self)
+
+
+def _request_head(request: HttpRequest, address: str) -> RequestHead:
+    """Return the request line and headers to send; repeated ones are joined.
+
+    A request without a body states a length of 0 if its method allows a body.
+
+    :raises h11.LocalProtocolError: when the method or the target is malformed,
+        or when a method that allows no body has one.
     """
-    merged: dict[str, str] = {}
-    if not request.body and request.method not in METHODS_WITHOUT_BODY:
-        merged['content-length'] = '0'
+    _check_request_line(request)
+    headers = {'host': address, 'connection': 'close'}
+    if request.body or request.method not in METHODS_WITHOUT_BODY:
+        headers['content-length'] = str(len(request.body))
     for name, text in request.headers:
         key = name.lower()
-        merged[key] = f'{merged[key]}, {text}' if key in merged else text
-    return merged
-
-
-async def _read_body(response: HttpResponse, request: HttpRequest) -> bytes:
-    """Read a body up to the limit of the request.
-
-    :raises ValueError: when the body is too long, or when the answer is
-        neither chunked nor states a length, so that a truncated body would
-        look like a whole one.
-    """
-    if request.method == 'HEAD':
-        return b''
-    if response.status_code in STATUSES_WITHOUT_BODY:
-        return b''
-    length = response.headers.get('content-length')
-    if length == '0':
-        return b''
-    if length is None and not response.chunked:
-        raise ValueError('answer without a length')
-    return await _collect(response, request.body_limit_bytes)
-
-
-async def _collect(response: HttpResponse, limit_bytes: int) -> bytes:
-    pieces = bytearray()
-    reserved_bytes = 0
-    try:
-        async with contextlib.aclosing(response.read_chunks()) as chunks:
-            async for chunk in chunks:
-                pieces += chunk
-                if len(pieces) > limit_bytes:
-                    raise ValueError('answer too long')
-                reserved_bytes += reserve_part(len(pieces), len(chunk))
-        return bytes(pieces)
-    finally:
-        MEMORY.give_back(reserved_bytes)
+        if key not in OWN_HEADERS:
+            before = f'{headers[key]}, ' if key in headers else ''
+            headers[key] = before + text
+    target = request.target.replace('#', '%23')
+    return RequestHead(
+        request.method.encode(), target.encode(), _encode_headers(headers)
+    )
 
 
 def _check_request_line(request: HttpRequest) -> None:
-    """Reject characters that could end the request line early.
-
-    :raises ValueError: when the method or the target is malformed, or when a
-        method that allows no body has one.
-    """
     if not SAFE_METHOD.fullmatch(request.method):
-        raise ValueError('malformed method')
+        raise h11.LocalProtocolError('malformed method')
     if not SAFE_TARGET.fullmatch(request.target):
-        raise ValueError('malformed target')
+        raise h11.LocalProtocolError('malformed target')
     if request.body and request.method in METHODS_WITHOUT_BODY:
-        raise ValueError(f'{request.method} with a body')
+        raise h11.LocalProtocolError(f'{request.method} with a body')
+
+
+def _encode_headers(headers: dict[str, str]) -> Headers:
+    try:
+        return tuple(
+            (key.encode('ascii'), headers[key].encode('latin-1'))
+            for key in headers
+        )
+    except UnicodeEncodeError as error:
+        raise h11.LocalProtocolError('malformed header') from error
+
+
+def _decode_headers(headers: Headers) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in headers
+    )
--- a/lagoonflow/http1/client.py
+++ b/lagoonflow/http1/client.py
@@ -63,6 +63,7 @@
 # Longer numbers are cut off: Python refuses to convert very long ones.
 KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})')
 
+_RESPONSE_ENDED = frozenset((h11.DONE, h11.MUST_CLOSE, h11.CLOSED))
 # Hosts and ports that can't be connected to raise the second and the third.
 _CONNECT_ERRORS = (OSError, ValueError, OverflowError, ConnectionClosedError)
 
@@ -220,6 +221,11 @@
         finally:
             MEMORY.give_back(taken_bytes)
 
+    @property
+    def has_whole_response(self) -> bool:
+        """Whether the response to the last request has been read."""
+        return self.channel.http.their_state in _RESPONSE_ENDED
+
     @property
     def is_reusable(self) -> bool:
         """Whether the exchange is complete and another may follow."""
@@ -437,6 +443,14 @@
             connection.close()
         self._close_surplus()
 
+    def discard(self, connection: ClientConnection) -> None:
+        """Close a connection that isn't to be used again."""
+        self._in_use.discard(connection)
+        if connection.has_whole_response:
+            connection.channel.close()
+        else:
+            connection.close()
+
     def close(self) -> None:
         """Close all idle connections, and keep none from now on."""
         self._is_closed = True
@@ -458,6 +472,7 @@
         if not self._descriptors.has_one_for_servers():
             raise NoDescriptorError
         host, _, port = self.address.rpartition(':')
+        host = host.strip('[]')
         loop = asyncio.get_running_loop()
         try:
             return await loop.create_connection(
