Take no incomplete entry for that of a server

Cause: an entry of another writer under the id of a server lacked version, for which there was a default, as for slots, sequence and cold_left_ms; so it replaced the entry of the server. Without one of these an entry names no server now. What is known of a server holds beside such an entry also when all newest records are read anew, and routers that read for others pass none on.

Entries of tests and of the stand-in that lacked a field have it now.

--- a/lagoonflow/backends/roster.py
+++ b/lagoonflow/backends/roster.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Collection
 
 from lagoonflow.backends.messages import BackendServer
 from lagoonflow.backends.store_outages import StoreOutages
@@ -76,11 +77,20 @@
         else:
             self._pop(instance)
 
-    def replace(self, servers: list[BackendServer], now_ms: float) -> None:
-        """Replace all entries by a complete listing of the servers."""
+    def replace(
+        self,
+        servers: list[BackendServer],
+        now_ms: float,
+        held: Collection[str] = (),
+    ) -> None:
+        """Replace all entries by a complete listing of the servers.
+
+        :param held: ids of which the listing has no usable entry, but one of
+            another writer; what is known of them stays.
+        """
         for server in servers:
             self.put(server, now_ms)
-        listed = {one.instance for one in servers}
+        listed = {one.instance for one in servers}.union(held)
         missing = [name for name in self._entries if name not in listed]
         for name in missing:
             self.remove(name, now_ms)
--- a/lagoonflow/platform/servers.py
+++ b/lagoonflow/platform/servers.py
@@ -33,22 +33,28 @@
 
 
 class _Entry(msgspec.Struct):
+    """An entry as servers write it.
+
+    Fields without a default are in each of them. An entry that lacks one is
+    from another writer, and may contradict the server whose id it bears.
+    """
+
     service: str
     address: str
     zone: str
     state: str
     # Version of the server's software, not of any weights.
-    version: str | int = ''
-    slots: Slots = 1
+    version: str | int
+    slots: Slots
+    # Orders accepted since the start.
+    sequence: Count
+    # Time for which the server is cold; a malformed one doesn't make the whole
+    # entry unreadable.
+    cold_left_ms: msgspec.Raw
     # Unix time of the start, in ms.
     born: Count = 0
-    # Orders accepted since the start.
-    sequence: Count = 0
     # Time until the server is removed; only set when that is announced.
     remaining_ms: DurationMs | None = None
-    # Time for which the server is cold; a malformed one doesn't make the whole
-    # entry unreadable.
-    cold_left_ms: msgspec.Raw = msgspec.Raw()
     models: list[ModelEntry] = []
     available: AvailableCopies = msgspec.field(default_factory=AvailableCopies)
 
--- a/lagoonflow/wiring/platform_feeds.py
+++ b/lagoonflow/wiring/platform_feeds.py
@@ -1,6 +1,7 @@
 """Handlers of the metadata store's records, which update local state."""
 
 import asyncio
+import dataclasses
 import types
 from collections.abc import Mapping
 
@@ -28,6 +29,16 @@
 
 # The id of a server, and its entry; ``None`` if that was removed.
 _Entry = tuple[str, BackendServer | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Entries:
+    """Entries of a page in its order, and the ids of those that name no server."""
+
+    read: list[_Entry]
+    odd: frozenset[str]
+
+
 # A zone stays evacuated for so long after the store has lost its key, in ms,
 # unless the operator writes the key again.
 LOST_EVACUATION_MS = 30_000
@@ -238,14 +249,15 @@
         outages = self._fleet.roster.outages
         outages.note_answer(current_at_ms)
         now_ms = boottime_ms()
-        entries = self._decode(page)
+        decoded = self._decode(page)
+        entries = decoded.read
         servers = _last_entries(entries)
         if page.may_be_older:
             outages.note_restored(now_ms)
             servers = self._fleet.roster.without_lost_changes(servers)
             self._history.restart()
         if is_snapshot:
-            self._fleet.roster.replace(servers, now_ms)
+            self._fleet.roster.replace(servers, now_ms, held=decoded.odd)
         else:
             self._apply_changes(servers, _removed(entries), now_ms)
         if page.is_current:
@@ -260,9 +272,10 @@
         """Record that the store can't be read, so entries may be outdated."""
         self._fleet.roster.outages.note_failure(boottime_ms())
 
-    def _decode(self, page: RecordPage) -> list[_Entry]:
-        """Return what the records state, without those that can't be read."""
+    def _decode(self, page: RecordPage) -> _Entries:
+        """Return what the records state."""
         entries: list[_Entry] = []
+        odd: set[str] = set()
         for record in page.records:
             instance = record.key.rpartition('/')[2]
             if record.value is None:
@@ -271,12 +284,13 @@
             try:
                 server = decode_server(record.key, record.value)
             except EntryError as error:
+                odd.add(instance)
                 self._log.warning(
                     'entry ignored', key=record.key, why=str(error)
                 )
             else:
                 entries.append((instance, server))
-        return entries
+        return _Entries(entries, frozenset(odd))
 
     def _apply_changes(
         self,
--- a/lagoonflow/wiring/platform_shared_reads.py
+++ b/lagoonflow/wiring/platform_shared_reads.py
@@ -1,7 +1,6 @@
 """Reads of the metadata store that the routers of a zone do for each other."""
 
 import asyncio
-import contextlib
 from collections.abc import Iterable
 
 import prometheus_client as prometheus
@@ -60,11 +59,15 @@
         before = self._known.pop(record.key, None)
         if record.value is None:
             return True
-        with contextlib.suppress(EntryError):
+        try:
             server = decode_server(record.key, record.value)
-            self._known[record.key] = server
-            return server != before
-        return True
+        except EntryError:
+            # It would take the place of the last one that names a server.
+            if before is not None:
+                self._known[record.key] = before
+            return False
+        self._known[record.key] = server
+        return server != before
 
 
 class SharedReadService:
--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -187,10 +187,9 @@
                 'version': self._software_version,
                 'slots': 8,
                 'state': state,
+                'cold_left_ms': self._switch.current.cold_ms,
                 **self._state(),
             }
-            if self._switch.current.cold_ms:
-                entry['cold_left_ms'] = self._switch.current.cold_ms
             await asyncio.to_thread(self._register, entry)
             await asyncio.sleep(HEARTBEAT_S)
 
--- a/tests/backends/test_start_order.py
+++ b/tests/backends/test_start_order.py
@@ -14,6 +14,7 @@
 from lagoonflow.declared.records import KeyedRecord, RecordPage
 from lagoonflow.resumption.versions import VersionHistory
 from lagoonflow.wiring.platform_feeds import ServersFeed
+from lagoonflow.wiring.platform_shared_reads import ChangedServers
 from tests.support.positions import at
 
 FIRST_MS = 1_000_000
@@ -25,7 +26,10 @@
         'service': 'app',
         'address': '10.0.0.1:80',
         'zone': 'z',
+        'version': 'v1',
         'state': 'ready',
+        'cold_left_ms': 0,
+        'sequence': 0,
         'slots': 8,
         'born': born,
     }
@@ -140,3 +144,34 @@
     assert not cold.is_cold('i-a', 90_100)
     cold.note_listed([server(second_ms + 1)], 90_200, second_ms + 90_200)
     assert cold.is_cold('i-a', 90_300)
+
+
+def odd_entry(instance='i-a'):
+    return KeyedRecord(f'servers/{instance}', b'{"service":"other"}')
+
+
+@pytest.mark.parametrize('is_snapshot', [False, True])
+def test_what_is_known_of_a_server_holds_beside_an_entry_of_another_writer(
+    is_snapshot,
+):
+    fleet = Fleet()
+    feed = ServersFeed(fleet, VersionHistory(), lambda: None)
+    feed.on_page(RecordPage((entry(FIRST_MS),), at(1)), True, 0)
+    page = RecordPage((odd_entry(), odd_entry('i-b')), at(9))
+    feed.on_page(page, is_snapshot, 0)
+    assert used(fleet) == [('i-a', FIRST_MS)]
+    feed.on_page(RecordPage((), at(9)), True, 0)
+    assert used(fleet) == []
+
+
+def test_an_entry_of_another_writer_hides_no_news_of_its_page():
+    news = entry(SECOND_MS[0])
+    fleet = read([entry(FIRST_MS), odd_entry(), news, odd_entry()])
+    assert used(fleet) == [('i-a', SECOND_MS[0])]
+
+
+def test_routers_that_read_for_others_pass_on_no_entry_of_another_writer():
+    changes = ChangedServers()
+    first, odd = entry(FIRST_MS), odd_entry()
+    assert changes.select((first, odd)) == (first,)
+    assert changes.select((odd, first)) == ()
--- a/tests/backends/test_store_outages.py
+++ b/tests/backends/test_store_outages.py
@@ -21,7 +21,10 @@
         'service': 'app',
         'address': f'10.0.0.{number}:80',
         'zone': 'z',
+        'version': 'v1',
         'state': 'ready',
+        'cold_left_ms': 0,
+        'sequence': 0,
         'slots': 8,
         'born': 1000,
     }
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -71,8 +71,10 @@
     'service': 's1',
     'address': '10.0.0.1:80',
     'zone': 'z1',
+    'version': 'v1',
     'state': 'ready',
     'slots': 64,
+    'cold_left_ms': 0,
     'born': 5,
     'sequence': 3,
     'models': [{'name': 'm1', 'version': 2, 'adapters': ['a1']}],
@@ -161,6 +163,27 @@
         decode_server('i-1', raw)
 
 
+@pytest.mark.parametrize(
+    'field',
+    [
+        'service',
+        'address',
+        'zone',
+        'version',
+        'slots',
+        'state',
+        'cold_left_ms',
+        'sequence',
+    ],
+)
+def test_an_entry_that_lacks_a_field_names_no_server(field):
+    """Another writer's entry under the id of a server of another service."""
+    entry = {**ENTRY}
+    entry.pop(field)
+    with pytest.raises(EntryError):
+        decode_server('i-1', msgspec.json.encode(entry))
+
+
 @pytest.mark.parametrize('key', ['servers/', 'i-1\r\nHost: x', 'i 1', '\0'])
 def test_an_entry_whose_id_cannot_be_a_header_is_refused(key):
     with pytest.raises(EntryError):
@@ -211,8 +234,10 @@
     ],
 )
 def test_a_malformed_cold_time_does_not_hide_the_server(stated, cold_ms):
+    entry = {**ENTRY}
+    entry.pop('cold_left_ms')
     raw = (
-        msgspec.json.encode(ENTRY)[:-1] + f',"cold_left_ms":{stated}}}'.encode()
+        msgspec.json.encode(entry)[:-1] + f',"cold_left_ms":{stated}}}'.encode()
     )
     assert decode_server('i-1', raw).cold_for_ms == cold_ms
 
--- a/tests/wiring/test_odd_entries.py
+++ b/tests/wiring/test_odd_entries.py
@@ -5,6 +5,7 @@
 from loopback.platform_fleet import (
     MODEL_SERVICE,
     PLAIN_SERVICE,
+    RUNNER_PORT,
     PlatformFleet,
 )
 from loopback.processes import ProcessSet
@@ -40,14 +41,39 @@
                 'service': service,
                 'address': '127.0.0.1:9',
                 'zone': 'zone-a',
+                'version': 'v1',
                 'state': 'ready',
                 'slots': 64,
+                'cold_left_ms': 0,
+                'sequence': 0,
+                'born': 7,
                 'models': [{'name': 'm1', 'version': 1, 'adapters': []}],
                 **change,
             }
             fleet.put('keyed.servers', f'odd-{service}-{number}', entry)
 
 
+def test_an_incomplete_entry_moves_no_server_to_another_service(fleet):
+    """Requests that may run once ran at, and were answered by, the wrong one."""
+    (router,) = fleet.routers
+    runner = fleet.runners[0]
+    entry = {
+        'service': PLAIN_SERVICE,
+        'address': f'{runner.ip}:{RUNNER_PORT}',
+        'zone': 'zone-a',
+        'state': 'ready',
+        'slots': 64,
+        'cold_left_ms': 0,
+        'sequence': 0,
+    }
+    ran_before = len(fleet.counts(runner)['ran'])
+    key = fleet.server_key(runner)
+    for _ in range(4 * CALLS):
+        fleet.put('keyed.servers', key, entry)
+        assert fleet.send_request(router, '/book/x').status == 200
+    assert len(fleet.counts(runner)['ran']) == ran_before
+
+
 def test_odd_entries_end_no_process_and_fail_no_call(fleet):
     put_odd_entries(fleet)
     fleet.runners[0].program.kill()
--- a/tests/wiring/test_restored_records.py
+++ b/tests/wiring/test_restored_records.py
@@ -42,6 +42,8 @@
         'version': 'v1',
         'state': 'ready',
         'slots': 8,
+        'cold_left_ms': 0,
+        'sequence': 0,
         'born': 7,
     }
     return KeyedRecord(
