Serve usual calls while callers may still be sent to a stopping router

Callers lost answers at a planned stop since: a stopping router refused each call whose deadline was after its end, from SIGTERM on. Until the load balancer has noticed the stop (two failed checks, up to 2 s), their retries came to the same router, were refused again, and ran out.

While the router accepts connections it sends calls that usually end in time, as on; after that, when refused callers reach other routers, only those that must end in time. Calls that still wait when that time ends are judged again.

--- a/lagoonflow/relay/deadlines.py
+++ b/lagoonflow/relay/deadlines.py
@@ -1,10 +1,13 @@
 """Deadlines of the calls in flight, and the time until the process stops."""
 
 import asyncio
+import collections
 import contextlib
+import math
 from collections.abc import AsyncIterator
 
 from lagoonflow.clock import MS_PER_S, boottime_ms
+from lagoonflow.declared.messages import Route
 from lagoonflow.declared.view import DeclaredView
 from lagoonflow.relay.admission import AdmittedCall
 from lagoonflow.relay.attempts import Attempts
@@ -14,15 +17,58 @@
 from lagoonflow.results import Refusal, Result
 from lagoonflow.time_limits import TimeLimit, time_limit
 
+# Answers of a route whose durations are remembered.
+KEPT_DURATIONS = 32
+# This share of the remembered answers took no longer than what counts as usual.
+USUAL_SHARE = 0.9
+# Routes whose durations are remembered; the ones used least recently are
+# dropped first.
+MAX_ROUTES = 2000
+
+
+class UsualDurations:
+    """How long the answers of each route take, from the send to their end."""
+
+    def __init__(self) -> None:
+        """Remember nothing yet."""
+        self._durations_ms: collections.OrderedDict[
+            str, collections.deque[float]
+        ] = collections.OrderedDict()
+
+    def note(self, route: Route, duration_ms: float) -> None:
+        """Remember how long an answer took."""
+        durations = self._durations_ms.setdefault(
+            route.name, collections.deque(maxlen=KEPT_DURATIONS)
+        )
+        durations.append(duration_ms)
+        self._durations_ms.move_to_end(route.name)
+        if len(self._durations_ms) > MAX_ROUTES:
+            self._durations_ms.popitem(last=False)
+
+    def usual_ms(self, route: Route) -> float:
+        """Return the time that an answer usually takes at most, in ms.
+
+        While no answer is known it is the route's latency target.
+        """
+        durations = sorted(self._durations_ms.get(route.name, ()))
+        if not durations:
+            return route.target_latency_ms
+        return durations[math.ceil(len(durations) * USUAL_SHARE) - 1]
+
 
 class CallDeadlines:
-    """Ends calls in flight at their deadlines, which may be lowered."""
+    """Ends calls in flight at their deadlines, which may be lowered.
+
+    :ivar usual: how long answers take.
+    """
 
     def __init__(self, view: DeclaredView) -> None:
         """Start without calls."""
+        self.usual = UsualDurations()
         self._view = view
         self._timers: dict[int, tuple[AdmittedCall, TimeLimit]] = {}
         self._stop_at_ms = float('inf')
+        self._is_in_rotation = True
 
     @property
     def is_stopping(self) -> bool:
@@ -36,14 +82,21 @@
     def refuse_late(self, admitted: AdmittedCall) -> Refusal | None:
         """Refuse a call that the end of the process might cut.
 
-        How long answers usually take says nothing about this one: only its
-        deadline ends it for certain.
+        While this process is in rotation, a refused caller may be sent back to
+        it until no retry is left, so calls are sent that usually end in time.
+        After that another router serves those that are refused, and only a
+        deadline ends a call for certain.
 
         :return: ``None`` when the call may be sent.
         """
         if not admitted.is_cut_short:
             return None
         left_ms = self._stop_at_ms - boottime_ms()
+        if (
+            self._is_in_rotation
+            and self.usual.usual_ms(admitted.route) <= left_ms
+        ):
+            return None
         return Refusal(
             Result.DEADLINE_UNREACHABLE,
             f'the router stops in {int(left_ms)} ms, before the deadline of the'
@@ -71,12 +124,15 @@
                 limit_ms = admitted.arrived_ms + route.timeout_ms
                 _lower_deadline(admitted, timer, limit_ms)
 
-    def finish_by(self, stop_at_ms: float) -> None:
+    def finish_by(self, stop_at_ms: float, *, is_in_rotation: bool) -> None:
         """End all calls by a time, in flight and new ones.
 
         :param stop_at_ms: boot time by which all calls are answered.
+        :param is_in_rotation: whether callers that are refused may be sent to
+            this process again.
         """
         self._stop_at_ms = stop_at_ms
+        self._is_in_rotation = is_in_rotation
         for admitted, timer in self._timers.values():
             if _cut_short(admitted, stop_at_ms):
                 _move_to_deadline(admitted, timer)
--- a/lagoonflow/relay/serving.py
+++ b/lagoonflow/relay/serving.py
@@ -138,7 +138,9 @@
         """Apply lowered route timeouts to calls in flight."""
         self._deadlines.apply_route_timeouts()
 
-    def finish_calls_by(self, stop_at_ms: float) -> None:
+    def finish_calls_by(
+        self, stop_at_ms: float, *, is_in_rotation: bool = False
+    ) -> None:
         """Answer or refuse all calls by a time, as the process is stopping.
 
         Calls that may take longer are refused at once unless they were sent
@@ -146,8 +148,11 @@
         would be sent again, as long as their callers have received nothing.
 
         :param stop_at_ms: boot time by which all calls are answered.
+        :param is_in_rotation: whether the load balancer may still send callers
+            here, also those that were refused; calls that usually end in time
+            are sent then, too.
         """
-        self._deadlines.finish_by(stop_at_ms)
+        self._deadlines.finish_by(stop_at_ms, is_in_rotation=is_in_rotation)
         self.placer.fleet_changed.notify()
 
     async def _serve(
@@ -224,6 +229,7 @@
                 refusal = choice
                 break
             server = choice.server
+            sent_ms = boottime_ms()
             sent = RunningSend(record, admitted, attempts, progress, server)
             time_limit = answer_timeout(
                 admitted, attempts, self._replacements.search(sent)
@@ -244,6 +250,9 @@
                 attempts.software_version = progress.software_version
             if isinstance(outcome, Delivered):
                 self._note_delivered(admitted, server)
+                self._deadlines.usual.note(
+                    admitted.route, boottime_ms() - sent_ms
+                )
                 record.finish('delivered')
                 return None
             refusal = self._handle_failed_send(
--- a/lagoonflow/wiring/platform_router.py
+++ b/lagoonflow/wiring/platform_router.py
@@ -284,8 +284,9 @@
             stop_began_ms + self._settings.stop_grace_ms - STOP_MARGIN_MS
         )
         answer_by_ms = deadline_ms - ANSWER_DELIVERY_MARGIN_MS
-        self._calls.finish_calls_by(answer_by_ms)
+        self._calls.finish_calls_by(answer_by_ms, is_in_rotation=True)
         await asyncio.sleep(UNREADY_PERIOD_MS / MS_PER_S)
+        self._calls.finish_calls_by(answer_by_ms)
         await self._http.stop_accepting()
         await self._http.wait_until_closed(max(answer_by_ms - boottime_ms(), 0))
         self._http.refuse_unread()
--- a/tests/relay/test_stopping.py
+++ b/tests/relay/test_stopping.py
@@ -111,6 +111,27 @@
     assert boottime_ms() - sent_ms < 150
 
 
+async def test_a_refused_caller_may_come_back_so_short_answers_are_served():
+    """A load balancer that has not noticed the stop sends retries here again."""
+    harness, _ = await harness_with_known_work()
+    harness.calls.finish_calls_by(
+        boottime_ms() + WORK_MS + 300, is_in_rotation=True
+    )
+    assert (await harness.send_request('/book/x'))[0] == 200
+    harness.calls.finish_calls_by(boottime_ms() + WORK_MS + 300)
+    assert (await harness.send_request('/book/x'))[0] == 503
+
+
+async def test_the_latency_target_counts_where_no_answer_is_known():
+    harness = RelayHarness()
+    (backend,) = await harness.add_backends(SHORT_ANSWER)
+    harness.calls.finish_calls_by(boottime_ms() + 150, is_in_rotation=True)
+    assert (await harness.send_request('/book/x'))[0] == 503
+    assert not backend.requests
+    harness.calls.finish_calls_by(boottime_ms() + 600, is_in_rotation=True)
+    assert (await harness.send_request('/book/x'))[0] == 200
+
+
 async def test_a_call_is_served_when_its_deadline_is_before_the_process_ends():
     harness, _ = await harness_with_known_work()
     harness.calls.finish_calls_by(boottime_ms() + WORK_MS + 300)
@@ -158,7 +179,8 @@
     assert status == 200
 
 
-async def test_a_call_that_waits_for_a_place_is_refused_if_the_stop_may_cut_it():
+async def harness_with_waiting_call():
+    """Return a relay with a call that waits for its server's limit."""
     harness = RelayHarness()
     (backend,) = await harness.add_backends(SHORT_ANSWER)
     harness.fleet.limits.hear(
@@ -167,6 +189,11 @@
     waiting = asyncio.create_task(harness.send_request('/read/x'))
     await asyncio.sleep(0.1)
     assert not waiting.done()
+    return harness, backend, waiting
+
+
+async def test_a_call_that_waits_for_a_place_is_refused_if_the_stop_may_cut_it():
+    harness, backend, waiting = await harness_with_waiting_call()
     stopped_ms = boottime_ms()
     harness.calls.finish_calls_by(stopped_ms + 1200)
     status, _, _ = await waiting
@@ -174,6 +201,18 @@
     assert boottime_ms() - stopped_ms < 300
 
 
+async def test_a_waiting_call_is_refused_when_the_router_leaves_the_rotation():
+    harness, backend, waiting = await harness_with_waiting_call()
+    harness.calls.finish_calls_by(boottime_ms() + 1200, is_in_rotation=True)
+    await asyncio.sleep(0.1)
+    assert not waiting.done()
+    left_ms = boottime_ms()
+    harness.calls.finish_calls_by(left_ms + 1100)
+    status, _, _ = await waiting
+    assert (status, backend.requests) == (503, [])
+    assert boottime_ms() - left_ms < 200
+
+
 async def test_a_begun_stream_goes_on_at_another_server_while_stopping():
     harness = RelayHarness()
     _, second = await harness.add_backends(
