Count only marked sends as failed trials of a suspected request

A router that sends a suspected request knows it. Its entry of the crash names the request in `trials`, and only those count as failed trials, whatever the clocks.

--- a/lagoonflow/crashes/calls.py
+++ b/lagoonflow/crashes/calls.py
@@ -23,14 +23,14 @@
 class _CrashUnderCall:
     """A crash of a server that may have been running a request.
 
-    :param sent_at_ms: wall clock of the newest send of the request to it.
     :param is_proven: the request had been answered before.
+    :param is_trial: it was suspected when it was sent to the server.
     """
 
     crash_id: CrashId
     at_ms: int
-    sent_at_ms: int
     is_proven: bool
+    is_trial: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,8 +42,8 @@
     :param crash_ids: those crashes, by instance and start of the server.
     :param first_crash_ms: wall clock of the earliest of them.
     :param last_crash_ms: wall clock of the latest of them.
-    :param failed_trials: those whose server got the request well after it had
-        become suspected.
+    :param failed_trials: number of those whose server got the request while it
+        was suspected. Clocks of two routers don't show which came first.
     """
 
     fingerprint: str
@@ -69,7 +69,7 @@
     return _suspect_by_name(
         names,
         lambda name: [
-            _under_call(crash, name, crash.call_ages_ms[name])
+            _under_call(crash, name, name in crash.trials)
             for crash in ordered
             if name in crash.call_ages_ms and name not in crash.cleared
         ],
@@ -92,10 +92,10 @@
     suspicions = _suspect_by_name(
         (name for name in names if name == without_prompt(name)),
         lambda name: [
-            _under_call(crash, name, min(ages_ms))
+            _under_call(crash, name, bool(_with_prompts(crash.trials, name)))
             for crash in ordered
             if name not in crash.cleared
-            and (ages_ms := _ages_with_prompts(crash, name))
+            and _with_prompts(crash.call_ages_ms, name)
         ],
     )
     known = tuple(explained)
@@ -106,18 +106,17 @@
     }
 
 
-def _ages_with_prompts(crash: CrashEntry, name: str) -> list[int]:
+def _with_prompts(fingerprints: Iterable[str], name: str) -> list[str]:
+    """Return those of a request, whatever its prompt."""
     prefix = name + SEPARATOR
-    return [
-        age_ms
-        for fingerprint, age_ms in crash.call_ages_ms.items()
-        if fingerprint.startswith(prefix)
-    ]
+    return [one for one in fingerprints if one.startswith(prefix)]
 
 
-def _under_call(crash: CrashEntry, name: str, age_ms: int) -> _CrashUnderCall:
+def _under_call(
+    crash: CrashEntry, name: str, is_trial: bool
+) -> _CrashUnderCall:
     return _CrashUnderCall(
-        crash.crash_id, crash.at_ms, crash.at_ms - age_ms, name in crash.proven
+        crash.crash_id, crash.at_ms, name in crash.proven, is_trial
     )
 
 
@@ -127,40 +126,30 @@
     suspicions: dict[str, CallSuspicion] = {}
     for name in sorted(names):
         under_it = crashes_of(name)
-        if _find_decisive(under_it) is not None:
+        if _is_suspected(under_it):
             suspicions[name] = _suspect(name, under_it)
     return suspicions
 
 
-def _find_decisive(under_it: list[_CrashUnderCall]) -> int | None:
-    """Return the index of the crash from which the request is suspected."""
+def _is_suspected(under_it: list[_CrashUnderCall]) -> bool:
     if not any(crash.is_proven for crash in under_it):
-        return MIN_CRASHES - 1 if len(under_it) >= MIN_CRASHES else None
+        return len(under_it) >= MIN_CRASHES
     occasions = 0
     occasion_ms = float('-inf')
-    for index, crash in enumerate(under_it):
+    for crash in under_it:
         if crash.at_ms - occasion_ms >= TRIAL_DELAY_MS:
             occasions += 1
             occasion_ms = crash.at_ms
-        if occasions == MIN_CRASHES_OF_PROVEN_CALL:
-            return index
-    return None
+    return occasions >= MIN_CRASHES_OF_PROVEN_CALL
 
 
 def _suspect(
     fingerprint: str, under_it: list[_CrashUnderCall]
 ) -> CallSuspicion:
-    decisive = _find_decisive(under_it)
-    known_at_ms = under_it[decisive].at_ms
-    failed_trials = 0
-    for crash in under_it[decisive + 1 :]:
-        if crash.sent_at_ms >= known_at_ms + TRIAL_DELAY_MS:
-            failed_trials += 1
-            known_at_ms = crash.at_ms
     return CallSuspicion(
         fingerprint,
         frozenset(one.crash_id for one in under_it),
         under_it[0].at_ms,
         under_it[-1].at_ms,
-        failed_trials,
+        sum(one.is_trial for one in under_it),
     )
--- a/lagoonflow/crashes/evidence.py
+++ b/lagoonflow/crashes/evidence.py
@@ -256,7 +256,8 @@
         for fingerprint, age_ms in crash.call_ages_ms.items()
         if fingerprint in names or without_prompt(fingerprint) in names
     }
-    return msgspec.structs.replace(crash, call_ages_ms=kept)
+    trials = tuple(name for name in crash.trials if name in kept)
+    return msgspec.structs.replace(crash, call_ages_ms=kept, trials=trials)
 
 
 def _remember(
@@ -270,6 +271,10 @@
 
 def _join(first: CrashEntry, second: CrashEntry) -> CrashEntry:
     """Combine two reports of the same crash."""
+    call_ages_ms = newest_calls(
+        join_ages(first.call_ages_ms, second.call_ages_ms)
+    )
+    trials = {*first.trials, *second.trials}
     return msgspec.structs.replace(
         first,
         at_ms=min(first.at_ms, second.at_ms),
@@ -281,7 +286,6 @@
         ),
         proven=tuple(sorted({*first.proven, *second.proven})),
         cleared=tuple(sorted({*first.cleared, *second.cleared})),
-        call_ages_ms=newest_calls(
-            join_ages(first.call_ages_ms, second.call_ages_ms)
-        ),
+        call_ages_ms=call_ages_ms,
+        trials=tuple(sorted(trials.intersection(call_ages_ms))),
     )
--- a/lagoonflow/crashes/watch.py
+++ b/lagoonflow/crashes/watch.py
@@ -35,6 +35,7 @@
     :param first_part_at_ms: boot time of the first part of the answer's body;
         ``None`` before it.
     :param fingerprint: what the request has in common with its repeats only.
+    :param is_trial: the request was suspected when it was sent.
     """
 
     server: BackendServer
@@ -43,6 +44,7 @@
     has_begun: bool
     first_part_at_ms: float | None
     fingerprint: str = ''
+    is_trial: bool = False
 
     def suspects(self, now_ms: float) -> list[str]:
         """Return the parts that may have caused the end."""
@@ -68,6 +70,7 @@
     fingerprint: str
     sent_at_ms: float
     answered_at_ms: float
+    is_trial: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,6 +81,7 @@
         requests whose answers had begun.
     :ivar waiting_sent_ms: the same for those whose answers had not.
     :ivar call_sent_ms: the same for whole requests, by fingerprint.
+    :ivar trials: fingerprints of those that were suspected when sent.
     :ivar checked_at_ms: boot time of the newest check of the server.
     :ivar confirmed_at_ms: boot time at which the crash was confirmed.
     """
@@ -87,6 +91,7 @@
     begun_sent_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     waiting_sent_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     call_sent_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    trials: set[str] = dataclasses.field(default_factory=set)
     checked_at_ms: float = float('-inf')
     confirmed_at_ms: float | None = None
 
@@ -95,12 +100,15 @@
         table = self.begun_sent_ms if broken.has_begun else self.waiting_sent_ms
         for part in broken.suspects(now_ms):
             _keep_newest(table, part, broken.sent_at_ms)
-        self.add_call(broken.fingerprint, broken.sent_at_ms)
+        self.add_call(broken)
 
-    def add_call(self, fingerprint: str, sent_at_ms: float) -> None:
+    def add_call(self, call: BrokenSend | _AnsweredCall) -> None:
         """Add a request as a suspect."""
-        if fingerprint:
-            _keep_newest(self.call_sent_ms, fingerprint, sent_at_ms)
+        if not call.fingerprint:
+            return
+        _keep_newest(self.call_sent_ms, call.fingerprint, call.sent_at_ms)
+        if call.is_trial:
+            self.trials.add(call.fingerprint)
 
     def ages_ms(self, sent_ms: dict[str, float]) -> dict[str, int]:
         """Return the time from sends to the first sign of the crash."""
@@ -160,12 +168,17 @@
         fingerprint: str,
         sent_at_ms: float,
         now_ms: float,
+        *,
+        is_trial: bool = False,
     ) -> None:
-        """Record a whole answer; its server may still crash under it."""
+        """Record a whole answer; its server may still crash under it.
+
+        :param is_trial: the request was suspected when it was sent.
+        """
         answers = self._answers.setdefault(
             _key(server), collections.deque(maxlen=MAX_ANSWERS)
         )
-        answers.append(_AnsweredCall(fingerprint, sent_at_ms, now_ms))
+        answers.append(_AnsweredCall(fingerprint, sent_at_ms, now_ms, is_trial))
 
     def note_idle_closed(self, server: BackendServer, now_ms: float) -> bool:
         """Record that a server closed a connection between two requests.
@@ -190,7 +203,7 @@
         if signs is not None and signs.confirmed_at_ms is None:
             signs.confirmed_at_ms = now_ms
             for answered in self._recent_answers(server, signs.first_at_ms):
-                signs.add_call(answered.fingerprint, answered.sent_at_ms)
+                signs.add_call(answered)
             self._report(signs, now_ms, wall_ms)
 
     def confirm_by_fleet(self, now_ms: float, wall_ms: int) -> None:
@@ -245,6 +258,7 @@
             signs.ages_ms(signs.begun_sent_ms),
             signs.ages_ms(signs.waiting_sent_ms),
             call_ages_ms=newest_calls(signs.ages_ms(signs.call_sent_ms)),
+            trials=tuple(sorted(signs.trials)),
         )
         self._evidence.report(crash, wall_ms)
 
--- a/lagoonflow/gossip/messages.py
+++ b/lagoonflow/gossip/messages.py
@@ -255,6 +255,8 @@
     :param call_ages_ms: fingerprints of requests that the server may have been
         running, with the time from the newest send to the crash, in ms. They
         occur in ``proven`` and ``cleared`` like parts.
+    :param trials: those of these requests that were sent to the server although
+        they were suspected already.
     """
 
     instance: str
@@ -265,6 +267,7 @@
     proven: tuple[str, ...] = ()
     cleared: tuple[str, ...] = ()
     call_ages_ms: dict[str, Int64] = {}
+    trials: tuple[str, ...] = ()
 
     @property
     def crash_id(self) -> tuple[str, int]:
--- a/lagoonflow/relay/crash_monitor.py
+++ b/lagoonflow/relay/crash_monitor.py
@@ -34,6 +34,7 @@
     :param sent_at_ms: boot time of the send.
     :param is_valid: the answer shows that the server can run the request.
     :param is_unframed: its end can't be told from a crash of the server.
+    :param is_trial: the request was suspected when it was sent.
     """
 
     server: BackendServer
@@ -42,6 +43,7 @@
     sent_at_ms: float
     is_valid: bool
     is_unframed: bool
+    is_trial: bool
 
 
 class CrashMonitor:
@@ -90,6 +92,7 @@
             answered.fingerprint,
             answered.sent_at_ms,
             boottime_ms(),
+            is_trial=answered.is_trial,
         )
         loop = asyncio.get_running_loop()
         if connection.is_reusable:
--- a/lagoonflow/relay/sending.py
+++ b/lagoonflow/relay/sending.py
@@ -269,6 +269,7 @@
             reading.has_begun,
             reading.first_part_at_ms,
             admitted.fingerprint,
+            reading.is_trial,
         )
         self._crash_monitor.note_broken(
             broken, self.pools.pool_after_send(server)
@@ -512,6 +513,7 @@
         reading.sent_at_ms,
         is_valid,
         reading.framing is BodyFraming.UNTIL_CLOSE,
+        reading.is_trial,
     )
 
 
--- a/tests/crashes/repeats.py
+++ b/tests/crashes/repeats.py
@@ -22,9 +22,10 @@
 class Router:
     """A router, and what it has learnt since its start."""
 
-    def __init__(self, name: str, others: list[str]) -> None:
+    def __init__(self, name: str, others: list[str], clock_ms: int = 0) -> None:
         self.name = name
         self.others = others
+        self.clock_ms = clock_ms
         self.start(0)
 
     def start(self, now_ms: int) -> None:
@@ -65,17 +66,33 @@
     failed ones come back once, at any router.
 
     :param work_ms: longest time from a send to the answer or the crash.
+    :param clock_spread_ms: most by which the clock of a router is ahead or
+        behind.
     :ivar bad_sent_ms: times at which the crashing request reached servers.
     :ivar bad_crashes_ms: times at which it ended servers.
     :ivar outcomes: of sound requests that found a server, whether a router
         refused them, by time.
     """
 
-    def __init__(self, seed, routers, servers, per_s, work_ms=100, sends=2):
+    def __init__(
+        self,
+        seed,
+        routers,
+        servers,
+        per_s,
+        work_ms=100,
+        sends=2,
+        clock_spread_ms=0,
+    ):
         self.random = random.Random(seed)
+        clocks = random.Random(f'clocks {seed}')
         names = [f'r{number}' for number in range(routers)]
         self.routers = [
-            Router(name, [one for one in names if one != name])
+            Router(
+                name,
+                [one for one in names if one != name],
+                clocks.randint(-clock_spread_ms, clock_spread_ms),
+            )
             for name in names
         ]
         self.servers = [
@@ -115,9 +132,9 @@
     def restart(self, *routers):
         """Restart routers; they read what all routers have saved."""
         for router in routers:
-            router.start(self.now_ms)
+            router.start(self._wall_ms(router))
             for entry in self._saved.values():
-                router.evidence.learn(entry, self.now_ms)
+                router.evidence.learn(entry, self._wall_ms(router))
 
     def refused(self, since_ms):
         """Return the number of sound requests, and of those refused."""
@@ -146,7 +163,7 @@
 
     def _send(self, router, kind, fingerprint, parts, sends_left, may_return):
         is_bad = kind == 'bad'
-        verdict = router.guard.judge(parts, fingerprint, self.now_ms)
+        verdict = router.guard.judge(parts, fingerprint, self._wall_ms(router))
         is_refused = not isinstance(verdict, Sound)
         servers = self.up()
         if servers and not is_bad:
@@ -155,7 +172,7 @@
             if may_return:
                 self._return_later(kind, fingerprint)
             return
-        is_trial = router.guard.begin_send(fingerprint, self.now_ms)
+        is_trial = router.guard.begin_send(fingerprint, self._wall_ms(router))
         if is_bad:
             self.bad_sent_ms.append(self.now_ms)
         ends_ms = self.now_ms + self.random.randrange(TICK_MS, self.work_ms)
@@ -197,7 +214,11 @@
     def _note_answered(self, server, request):
         watch, listed = request.router.watch, server.listed
         watch.note_answered(
-            listed, request.fingerprint, request.sent_ms, self.now_ms
+            listed,
+            request.fingerprint,
+            request.sent_ms,
+            self.now_ms,
+            is_trial=request.is_trial,
         )
         if request.is_trial:
             request.router.guard.end_trial(request.fingerprint)
@@ -219,7 +240,9 @@
         for request in broken:
             self._break(server.listed, request)
         for router in self.routers:
-            router.watch.confirm(server.listed, self.now_ms, self.now_ms)
+            router.watch.confirm(
+                server.listed, self.now_ms, self._wall_ms(router)
+            )
         server.down_until_ms = self.now_ms + DOWN_MS
         server.listed = dataclasses.replace(
             server.listed, started_ms=self.now_ms
@@ -246,8 +269,11 @@
             False,
             None,
             request.fingerprint,
+            request.is_trial,
+        )
+        request.router.watch.note_broken(
+            send, self.now_ms, self._wall_ms(request.router)
         )
-        request.router.watch.note_broken(send, self.now_ms, self.now_ms)
 
     def _gossip(self):
         for sender in self.routers:
@@ -257,4 +283,7 @@
                 for receiver in self.routers:
                     is_lost = self.random.random() < GOSSIP_LOSS
                     if receiver is not sender and not is_lost:
-                        receiver.evidence.learn(entry, self.now_ms)
+                        receiver.evidence.learn(entry, self._wall_ms(receiver))
+
+    def _wall_ms(self, router):
+        return self.now_ms + router.clock_ms
--- a/tests/crashes/test_repeated_requests.py
+++ b/tests/crashes/test_repeated_requests.py
@@ -12,6 +12,7 @@
 STABLE_WINDOW_MS = 3000
 MAX_MORE = 3
 MIN_SOUND_SHARE = 0.95
+CLOCK_SPREAD_MS = 2400
 # Routers, servers, requests per second.
 SIZES = ((1, 3, 6), (3, 3, 6), (4, 8, 40), (12, 8, 40), (26, 24, 80))
 BAD_PER_S = (0.3, 1, 4, 12)
@@ -42,11 +43,17 @@
     size, work_ms
 ):
     for seed in range(SEEDS):
-        check(size, work_ms, seed)
+        check(RepeatingFleet(seed, *size, work_ms), seed)
 
 
-def check(size, work_ms, seed):
-    fleet = RepeatingFleet(seed, *size, work_ms)
+@pytest.mark.parametrize('size', SIZES)
+def test_clocks_that_differ_let_a_crashing_request_end_no_more_servers(size):
+    for seed in range(SEEDS):
+        fleet = RepeatingFleet(seed, *size, clock_spread_ms=CLOCK_SPREAD_MS)
+        check(fleet, seed)
+
+
+def check(fleet, seed):
     fleet.run(4000)
     fleet.per_s['bad'] = fleet.random.choice(BAD_PER_S)
     disturb = disturbance(fleet)
@@ -83,13 +90,14 @@
 KILLS = (kill_all_together, kill_one_after_the_other, kill_in_series)
 
 
+@pytest.mark.parametrize('clock_spread_ms', [0, CLOCK_SPREAD_MS])
 @pytest.mark.parametrize('kill', KILLS)
 @pytest.mark.parametrize('size', SIZES)
 def test_sound_requests_that_all_repeat_are_served_while_servers_are_killed(
-    size, kill
+    size, kill, clock_spread_ms
 ):
     for seed in range(SEEDS):
-        fleet = RepeatingFleet(seed, *size)
+        fleet = RepeatingFleet(seed, *size, clock_spread_ms=clock_spread_ms)
         # Nothing is answered before the first kill.
         fleet.kill(*fleet.servers)
         fleet.run(60_000, kill)
--- a/tests/crashes/test_watch.py
+++ b/tests/crashes/test_watch.py
@@ -118,8 +118,10 @@
     assert due == [True, False, False, False, False]
 
 
-def answered_call(watch, before_ms, name='answered'):
-    watch.note_answered(SERVER, name, NOW_MS - 900, NOW_MS - before_ms)
+def answered_call(watch, before_ms, name='answered', *, is_trial=False):
+    watch.note_answered(
+        SERVER, name, NOW_MS - 900, NOW_MS - before_ms, is_trial=is_trial
+    )
 
 
 def test_a_request_answered_just_before_the_crash_is_suspected():
@@ -132,6 +134,22 @@
     assert list(crash.call_ages_ms) == ['answered']
 
 
+def test_a_crash_names_the_requests_that_were_suspected_before():
+    _, evidence, watch = make_watch()
+    for name, is_trial in (('broken', True), ('sound', False)):
+        send = broken('a')
+        watch.note_broken(
+            dataclasses.replace(send, fingerprint=name, is_trial=is_trial),
+            NOW_MS,
+            WALL_MS,
+        )
+    answered_call(watch, 10, is_trial=True)
+    watch.confirm(SERVER, NOW_MS, WALL_MS)
+    (crash,) = evidence.entries()
+    assert crash.trials == ('answered', 'broken')
+    assert set(crash.call_ages_ms) == {'answered', 'broken', 'sound'}
+
+
 def test_a_server_that_closes_idle_connections_is_no_sign_of_a_crash():
     _, _, watch = make_watch()
     assert not watch.note_idle_closed(SERVER, NOW_MS)
