--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,8 +1,9 @@
-"""Streams that callers take up again after their route was moved."""
+"""Streams that callers take up again after all routers were killed."""
 
 import asyncio
 import pathlib
 import random
+import signal
 import sys
 import time
 
@@ -17,22 +18,21 @@
     run_case,
 )
 
-OLD, NEW, MODEL = 'redacao-llm', 'redacao-llm-2', 'm1'
+SERVICE, MODEL = 'redacao-llm', 'm1'
 KEY = 'k9n73hh2b9wu3fexd9dn'
 STREAMS = 24
 DEADLINE_S = 15.0
 # The connections of the clients break so long after the streams began.
 BREAK_AFTER_S = 2.0
-# The operator moves the route so long after the streams began.
-MOVE_AFTER_S = 1.0
+RESTART_DELAY_S = 0.3
 STABLE_WINDOW_S = 3.0
 # When clients try again, in s after the break; all within their deadline.
-TRIES_AFTER_S = (4.0, 5.0)
+TRIES_AFTER_S = (0.2, 1.5, 5.0, 6.0)
 
 
-def configuration(version: int, service: str) -> dict:
+def configuration() -> dict:
     return {
-        'version': version,
+        'version': 7,
         'routes': [
             {
                 'name': 'digest',
@@ -42,7 +42,7 @@
                 'timeout_ms': 15000,
                 'target_latency_ms': 2500,
                 'priority': 1,
-                'service': service,
+                'service': SERVICE,
                 'attempts': 2,
                 'public': False,
                 'sticky': True,
@@ -52,7 +52,7 @@
         ],
         'services': [
             {
-                'name': name,
+                'name': SERVICE,
                 'health_path': '/healthz',
                 'max_conns': 360,
                 'engine': {
@@ -74,7 +74,6 @@
                     'loads_per_s': 1.6,
                 },
             }
-            for name in (OLD, NEW)
         ],
         'limits': {
             'max_header_bytes': 16384,
@@ -194,13 +193,23 @@
             f' {answer.last_event}'
         )
 
+    async def kill_routers(self) -> None:
+        """Kill all routers at the same moment; the platform restarts them."""
+        for router in self.routers:
+            router.signal(signal.SIGKILL)
+        await asyncio.sleep(RESTART_DELAY_S)
+        for router in self.routers:
+            await router.wait()
+            await router.start()
+            self.started_s[router] = time.monotonic()
+
 
 async def play(fleet) -> int:
     await fleet.start_store()
-    for service in (OLD, OLD, NEW, NEW):
-        server = await fleet.add_server(service, models=(MODEL,))
+    for _ in range(2):
+        server = await fleet.add_server(SERVICE, models=(MODEL,))
         await fleet.add_agent(server)
-    fleet.publish(configuration(7, OLD))
+    fleet.publish(configuration())
     routers = [await fleet.add_router() for _ in range(2)]
     await fleet.wait_ready(routers)
     await asyncio.sleep(4)
@@ -208,10 +217,11 @@
     streams = [
         asyncio.create_task(game.stream(number)) for number in range(STREAMS)
     ]
-    await asyncio.sleep(MOVE_AFTER_S)
+    await asyncio.sleep(BREAK_AFTER_S)
     if is_troubled():
-        fleet.publish(configuration(8, NEW))
-    await asyncio.sleep(BREAK_AFTER_S - MOVE_AFTER_S + TRIES_AFTER_S[0])
+        await game.kill_routers()
+        await fleet.wait_ready(routers)
+    await asyncio.sleep(4.5 - RESTART_DELAY_S)
     news = [game.new_stream(number) for number in range(STREAMS)]
     await asyncio.gather(*news, *streams)
     record = fleet.record
--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -157,20 +157,7 @@
                 first, headers, body = await read_message(reader)
                 method, target, _ = first.split(' ', 2)
                 request = Request(method, target, headers, body)
-                handler = asyncio.create_task(self.answer(request, writer))
-                closed = asyncio.create_task(watch_end(reader))
-                try:
-                    await asyncio.wait(
-                        {handler, closed}, return_when=asyncio.FIRST_COMPLETED
-                    )
-                finally:
-                    closed.cancel()
-                    await asyncio.gather(closed, return_exceptions=True)
-                if not handler.done():
-                    handler.cancel()
-                    await asyncio.gather(handler, return_exceptions=True)
-                    return
-                if not handler.result():
+                if not await self._answer_or_stop(request, reader, writer):
                     return
         except (OSError, asyncio.IncompleteReadError, ValueError):
             return
@@ -180,6 +167,20 @@
             self._tasks.discard(task)
             writer.close()
 
+    async def _answer_or_stop(self, request, reader, writer) -> bool:
+        """Answer a request, unless the connection ends before."""
+        handler = asyncio.create_task(self.answer(request, writer))
+        closed = asyncio.create_task(watch_end(reader))
+        try:
+            await asyncio.wait(
+                {handler, closed}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return handler.done() and handler.result()
+        finally:
+            for task in (handler, closed):
+                task.cancel()
+            await asyncio.gather(handler, closed, return_exceptions=True)
+
     async def answer(self, request: Request, writer) -> bool:
         """Answer a request; return whether the connection goes on."""
         raise NotImplementedError
