--- a/review/13/case.py
+++ b/review/13/case.py
@@ -8,6 +8,8 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
+# What was sent, answered and run.
+RECORD = HERE / 'record.txt'
 sys.path.insert(0, str(HERE.parent))
 
 from stand_ins_3 import (  # noqa: E402
@@ -126,7 +128,7 @@
         began_s = time.monotonic()
         first_id = new_id()
         answer = Answer()
-        record.write(f'client {number} begins {first_id}')
+        record.write(f'client {number} sends {first_id}, a new stream')
         await ask(
             random.choice(self.routers).frontend,
             'POST',
@@ -137,7 +139,10 @@
             answer,
         )
         last = answer.last_event
-        record.write(f'client {number} breaks off at event {last}')
+        record.write(
+            f'client {number} got {answer.status} for {first_id}, and breaks off at'
+            f' event {last}'
+        )
         broke_s = began_s + BREAK_AFTER_S
         was_in_touch = False
         has_gone_on = False
@@ -240,4 +245,4 @@
 
 
 if __name__ == '__main__':
-    run_case(play, HERE)
+    run_case(play, RECORD)
--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -76,10 +76,13 @@
 
 
 class Record:
-    """Writes `record.txt`: what was sent, answered and run."""
+    """Writes the record of a case: what was sent, answered and run.
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = (folder / 'record.txt').open('w')
+    Each line is written at once, so that a run that is ended leaves them, too.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open('w', buffering=1)
         self._start_s = time.monotonic()
 
     def now_s(self) -> float:
@@ -583,10 +586,10 @@
 class Fleet:
     """Store, servers, routers and agents on loopback addresses."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, record_path: pathlib.Path) -> None:
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._temporary.name)
-        self.record = Record(folder)
+        self.record = Record(record_path)
         text = (ROOT / 'deploy/system.toml').read_text()
         roles = tomllib.loads(text)['roles']
         self.commands = {name: role['run'] for name, role in roles.items()}
@@ -695,11 +698,15 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
-def run_case(play, folder: pathlib.Path) -> None:
-    """Play a case and exit: 1 broken, 0 held, 2 not run."""
+def run_case(play, record_path: pathlib.Path) -> None:
+    """Play a case and exit: 1 broken, 0 held, 2 not run.
+
+    :param record_path: file that gets what was sent, answered and run.
+    """
 
     async def played() -> int:
-        fleet = Fleet(folder)
+        fleet = Fleet(record_path)
+        fleet.record.write(f'the disruption is played: {is_troubled()}')
         try:
             async with asyncio.timeout(115):
                 return await play(fleet)
